--- /dev/null
+++ b/crates/cherrywood/src/api.rs
@@ -0,0 +1,283 @@
+//! What users and workers ask over HTTP.
+
+use crate::node::Node;
+use cherrywood_control::keys;
+use cherrywood_limits as limits;
+use cherrywood_net::NetError;
+use cherrywood_net::budget::Class;
+use cherrywood_net::server::{Request, Response};
+use cherrywood_net::state::TxnResult;
+use cherrywood_wire::agent::{Redirect, Report, ReportAnswer};
+use cherrywood_wire::state::{Change, FinalValue, Guard, JobValue, Txn, Value};
+use cherrywood_wire::user::{JobState, JobStatus, Kind, Refusal, Submission, valid_id};
+use cherrywood_wire::{decode, encode};
+use std::time::{SystemTime, UNIX_EPOCH};
+use tracing::debug;
+
+pub async fn answer(node: &Node, request: Request) -> Response {
+    let path = request.path.split('?').next().unwrap_or("");
+    let post = request.method == "POST";
+    let get = request.method == "GET";
+    let job = path.strip_prefix("/submissions/");
+    let cancel = job.and_then(|j| j.strip_suffix("/cancel"));
+    match path {
+        "/healthz" if get && node.healthy() => Response::empty(200),
+        "/healthz" if get => Response::busy(),
+        "/agent/beat" if post => beat(node, &request.body).await,
+        "/submissions" if post => submit(node, &request.body).await,
+        "/healthz" | "/agent/beat" | "/submissions" => Response::empty(405),
+        _ => match (job, cancel) {
+            (_, Some(id)) if post => self::cancel(node, id).await,
+            (_, Some(_)) => Response::empty(405),
+            (Some(id), None) if get && !id.contains('/') => poll(node, id).await,
+            (Some(id), None) if !id.contains('/') => Response::empty(405),
+            _ => Response::empty(404),
+        },
+    }
+}
+
+fn status(code: u16, id: &str, state: JobState, counts: Option<(u32, u32)>) -> Response {
+    let (done, running) = (counts.map(|c| c.0), counts.map(|c| c.1));
+    Response::new(
+        code,
+        encode(&JobStatus {
+            id: id.to_string(),
+            state,
+            done,
+            running,
+        }),
+    )
+}
+
+fn ended(code: u16, id: &str, v: &FinalValue) -> Response {
+    let done = (v.ended == JobState::Done).then_some((v.tasks, 0));
+    status(code, id, v.ended, done)
+}
+
+fn refuse(code: u16, why: &str) -> Response {
+    Response::new(
+        code,
+        encode(&Refusal {
+            error: why.to_string(),
+        }),
+    )
+}
+
+/// A request that the state service didn't serve gets its answer at once.
+fn busy(node: &Node, what: &str, e: &NetError) -> Response {
+    debug!(node = node.me(), what, %e, "state service");
+    Response::busy()
+}
+
+async fn beat(node: &Node, body: &[u8]) -> Response {
+    let Ok(report) = decode::<Report>(body) else {
+        return Response::empty(400);
+    };
+    match node.report(report).await {
+        Some((token, commands)) => Response::new(200, encode(&ReportAnswer { token, commands })),
+        None => {
+            // Another node may hold the machine: name the leader, who can
+            // take every machine.
+            let leader = node.core().known.clone().filter(|k| k != node.me());
+            match leader {
+                Some(_) => Response::new(421, encode(&Redirect { report_to: leader })),
+                None => Response::busy(),
+            }
+        }
+    }
+}
+
+async fn submit(node: &Node, body: &[u8]) -> Response {
+    let job = match Submission::read(body) {
+        Ok(job) => job,
+        Err(e) => return refuse(400, &e.to_string()),
+    };
+    let id = job.id.clone();
+    if let Some(v) = node.core().finals.get(&id) {
+        return ended(200, &id, v);
+    }
+    let types = node.core().types.clone();
+    if types.is_empty() {
+        return Response::busy();
+    }
+    let cluster = &node.settings.platform.deployment.cluster;
+    if let Err(why) = possible(&job, &cluster.teams, &types) {
+        return refuse(422, why);
+    }
+    let at_ms = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |d| d.as_millis() as u64);
+    let txn = Txn {
+        guards: vec![
+            Guard {
+                key: keys::job(&id),
+                version: 0,
+            },
+            Guard {
+                key: keys::ended(&id),
+                version: 0,
+            },
+        ],
+        changes: vec![Change::Put {
+            key: keys::job(&id),
+            value: Value::Job(Box::new(JobValue { job, at_ms })),
+            lease: None,
+        }],
+    };
+    match node.state.txn(&txn, Class::First).await {
+        Ok(TxnResult::Applied(_)) => {
+            node.state_answered();
+            status(201, &id, JobState::Queued, None)
+        }
+        Ok(TxnResult::Failed(_)) => {
+            node.state_answered();
+            match lookup(node, &id).await {
+                Ok(Found::Live) => live(node, &id).await,
+                Ok(Found::Ended(v)) => ended(200, &id, &v),
+                _ => Response::busy(),
+            }
+        }
+        Err(e) => busy(node, "submit", &e),
+    }
+}
+
+/// Why a job can never run, if so.
+pub fn possible(
+    job: &Submission,
+    teams: &[cherrywood_control::Team],
+    types: &[cherrywood_wire::cloud::MachineType],
+) -> Result<(), &'static str> {
+    let team = teams
+        .iter()
+        .find(|t| t.name == job.team)
+        .ok_or("unknown team")?;
+    let fits = types.iter().any(|t| {
+        job.types.as_ref().is_none_or(|a| a.contains(&t.name))
+            && job.zone.as_ref().is_none_or(|z| t.zones.contains(z))
+            && job.cpus <= t.cpus + 1e-6
+            && job.gpus <= t.gpus + 1e-6
+            && job.memory_gb <= t.memory_gb + 1e-6
+    });
+    if !fits {
+        return Err("a task fits no allowed machine type");
+    }
+    let n = if job.kind == Kind::Service {
+        f64::from(job.tasks)
+    } else {
+        1.0
+    };
+    if job.cpus * n > team.cpus_max + 1e-6 || job.gpus * n > team.gpus_max + 1e-6 {
+        return Err("more than the team's limit");
+    }
+    Ok(())
+}
+
+enum Found {
+    Live,
+    Ended(FinalValue),
+    Nothing,
+}
+
+/// The job's state, from reads that nobody can have overtaken: a live key is
+/// dropped in the transaction that writes the final one, so the live key is
+/// read first.
+async fn lookup(node: &Node, id: &str) -> Result<Found, NetError> {
+    if let Some(v) = node.core().finals.get(id) {
+        return Ok(Found::Ended(v.clone()));
+    }
+    let live = node
+        .state
+        .get::<serde::de::IgnoredAny>(&keys::job(id))
+        .await?;
+    node.state_answered();
+    if live.is_some() {
+        return Ok(Found::Live);
+    }
+    match node.state.get::<FinalValue>(&keys::ended(id)).await? {
+        Some(item) => {
+            node.core().remember(id, item.value.clone());
+            Ok(Found::Ended(item.value))
+        }
+        None => Ok(Found::Nothing),
+    }
+}
+
+async fn live(node: &Node, id: &str) -> Response {
+    let (done, running) = node.counts(id).await;
+    let state = if running > 0 {
+        JobState::Running
+    } else {
+        JobState::Queued
+    };
+    status(200, id, state, Some((done, running)))
+}
+
+async fn poll(node: &Node, id: &str) -> Response {
+    if !valid_id(id) {
+        return Response::empty(404);
+    }
+    match lookup(node, id).await {
+        Ok(Found::Live) => live(node, id).await,
+        Ok(Found::Ended(v)) => ended(200, id, &v),
+        Ok(Found::Nothing) => Response::empty(404),
+        Err(e) => busy(node, "poll", &e),
+    }
+}
+
+async fn cancel(node: &Node, id: &str) -> Response {
+    if !valid_id(id) {
+        return Response::empty(404);
+    }
+    // A lost race means that the job ended meanwhile; the second look tells.
+    for _ in 0..limits::CANCEL_TRIES {
+        if let Some(v) = node.core().finals.get(id) {
+            return ended(200, id, v);
+        }
+        let job = match node.state.get::<JobValue>(&keys::job(id)).await {
+            Ok(job) => job,
+            Err(e) => return busy(node, "cancel", &e),
+        };
+        node.state_answered();
+        let Some(job) = job else {
+            return match lookup(node, id).await {
+                Ok(Found::Ended(v)) => ended(200, id, &v),
+                Ok(Found::Nothing) => Response::empty(404),
+                Ok(Found::Live) => continue,
+                Err(e) => busy(node, "cancel", &e),
+            };
+        };
+        let value = FinalValue {
+            ended: JobState::Cancelled,
+            tasks: job.value.job.tasks,
+        };
+        let txn = Txn {
+            guards: vec![
+                Guard {
+                    key: keys::job(id),
+                    version: job.version,
+                },
+                Guard {
+                    key: keys::ended(id),
+                    version: 0,
+                },
+            ],
+            changes: vec![
+                Change::Delete { key: keys::job(id) },
+                Change::Put {
+                    key: keys::ended(id),
+                    value: Value::Final(value.clone()),
+                    lease: None,
+                },
+            ],
+        };
+        match node.state.txn(&txn, Class::First).await {
+            Ok(TxnResult::Applied(_)) => {
+                node.core().remember(id, value.clone());
+                return ended(200, id, &value);
+            }
+            Ok(TxnResult::Failed(_)) => {}
+            Err(e) => return busy(node, "cancel", &e),
+        }
+    }
+    Response::busy()
+}
--- /dev/null
+++ b/crates/cherrywood/src/cli.rs
@@ -0,0 +1,81 @@
+//! The command line: the daemon, a settings check, and a small client.
+
+use anyhow::{Context as _, bail};
+use cherrywood_net::client::Client;
+use cherrywood_wire::user::{JobStatus, Submission};
+use clap::{Parser, Subcommand};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// A cluster scheduler that learns how long tasks run.
+#[derive(Debug, Parser)]
+#[command(version)]
+pub struct Args {
+    /// The platform's settings (TOML); runs a controller.
+    #[arg(long, value_name = "FILE")]
+    pub config: Option<PathBuf>,
+    /// The operators' own settings (YAML).
+    #[arg(long, value_name = "FILE")]
+    pub operator: Option<PathBuf>,
+    /// Check the settings and exit.
+    #[arg(long, requires = "config")]
+    pub check: bool,
+    #[command(subcommand)]
+    pub command: Option<Command>,
+}
+
+#[derive(Debug, Subcommand)]
+pub enum Command {
+    /// Submit the job described in a TOML file.
+    Submit { node: SocketAddr, file: PathBuf },
+    /// Show a job's state.
+    Status { node: SocketAddr, id: String },
+    /// Cancel a job.
+    Cancel { node: SocketAddr, id: String },
+}
+
+/// s that the client waits for an answer.
+const WAIT_S: f64 = 5.0;
+
+/// Runs a client command and prints the job's state.
+pub async fn client(command: Command) -> anyhow::Result<()> {
+    let (node, method, path, body) = match command {
+        Command::Submit { node, file } => {
+            let text =
+                std::fs::read_to_string(&file).with_context(|| format!("{}", file.display()))?;
+            let job: Submission = toml::from_str(&text).context("job file")?;
+            (
+                node,
+                "POST",
+                "/submissions".to_string(),
+                Some(cherrywood_wire::encode(&job)),
+            )
+        }
+        Command::Status { node, id } => (node, "GET", format!("/submissions/{id}"), None),
+        Command::Cancel { node, id } => (
+            node,
+            "POST",
+            format!("/submissions/{id}/cancel"),
+            Some(Vec::new()),
+        ),
+    };
+    let answer = Client::new(node)
+        .send(method, &path, body.as_deref(), WAIT_S)
+        .await?;
+    if !matches!(answer.status, 200 | 201) {
+        bail!("status {}", answer.status);
+    }
+    let job: JobStatus = cherrywood_wire::decode(&answer.body)?;
+    let state = match job.state {
+        cherrywood_wire::user::JobState::Queued => "queued",
+        cherrywood_wire::user::JobState::Running => "running",
+        cherrywood_wire::user::JobState::Done => "done",
+        cherrywood_wire::user::JobState::Cancelled => "cancelled",
+    };
+    print!("{} {state}", job.id);
+    if let (Some(done), Some(running)) = (job.done, job.running) {
+        print!(", {done} done, {running} running");
+    }
+    println!();
+    Ok(())
+}
--- /dev/null
+++ b/crates/cherrywood/src/main.rs
@@ -0,0 +1,64 @@
+use cherrywood::cli::{Args, client};
+use cherrywood::settings::Settings;
+use clap::Parser as _;
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let args = Args::parse();
+    let runtime = match tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+    {
+        Ok(runtime) => runtime,
+        Err(e) => {
+            eprintln!("cherrywood: {e}");
+            return ExitCode::FAILURE;
+        }
+    };
+    if let Some(command) = args.command {
+        return match runtime.block_on(client(command)) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(e) => {
+                eprintln!("cherrywood: {e:#}");
+                ExitCode::FAILURE
+            }
+        };
+    }
+    let Some(config) = &args.config else {
+        eprintln!("cherrywood: --config FILE or a command is needed; see --help");
+        return ExitCode::from(2);
+    };
+    let settings = match Settings::load(config, args.operator.as_deref()) {
+        Ok(settings) => settings,
+        Err(e) => {
+            eprintln!("cherrywood: {e:#}");
+            return ExitCode::from(2);
+        }
+    };
+    if args.check {
+        println!("settings are fine");
+        return ExitCode::SUCCESS;
+    }
+    let level = settings
+        .operator
+        .log_level
+        .clone()
+        .or_else(|| std::env::var("LOG_LEVEL").ok());
+    let level = level
+        .and_then(|l| l.parse().ok())
+        .unwrap_or(tracing::Level::INFO);
+    tracing_subscriber::fmt()
+        .with_max_level(level)
+        .with_writer(std::io::stderr)
+        .with_ansi(false)
+        .without_time()
+        .with_target(false)
+        .init();
+    match runtime.block_on(cherrywood::run(settings)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("cherrywood: {e:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/cherrywood/src/node.rs
@@ -0,0 +1,318 @@
+//! One controller: the state its loops and handlers share, and the dealings
+//! with workers' reports and with other controllers.
+
+use crate::settings::Settings;
+use cherrywood_control::{Holder, Leader, Timing};
+use cherrywood_limits as limits;
+use cherrywood_net::cloud::CloudClient;
+use cherrywood_net::peer::Peer;
+use cherrywood_net::state::StateClient;
+use cherrywood_wire::agent::{Command, Report};
+use cherrywood_wire::cloud::MachineType;
+use cherrywood_wire::peer::{Reply, Request};
+use cherrywood_wire::state::FinalValue;
+use std::collections::{HashMap, VecDeque};
+use std::sync::{Mutex, MutexGuard};
+use std::time::Duration;
+use tokio::sync::{Notify, watch};
+use tokio::time::Instant;
+
+/// Shared state; locked for moments, never across an await.
+#[derive(Debug, Default)]
+pub struct Core {
+    pub leader: Option<Leader>,
+    /// On this node's clock, counted from the sending of the last renewal.
+    pub leader_until: f64,
+    pub lease: u64,
+    pub holder: Holder,
+    /// The node that leads, as far as this one knows.
+    pub known: Option<String>,
+    pub types: Vec<MachineType>,
+    pub finals: HashMap<String, FinalValue>,
+    final_order: VecDeque<String>,
+    /// When the state service last answered this node, and any peer.
+    pub state_ok: f64,
+    pub peers_state_ok: f64,
+}
+
+impl Core {
+    /// The leader, while its lease holds for certain.
+    pub fn leading(&mut self, now: f64) -> Option<&mut Leader> {
+        if now < self.leader_until {
+            self.leader.as_mut().filter(|l| !l.deposed)
+        } else {
+            None
+        }
+    }
+
+    pub fn remember(&mut self, id: &str, value: FinalValue) {
+        if self.finals.insert(id.to_string(), value).is_none() {
+            self.final_order.push_back(id.to_string());
+            if self.final_order.len() > limits::FINAL_CACHE
+                && let Some(old) = self.final_order.pop_front()
+            {
+                self.finals.remove(&old);
+            }
+        }
+    }
+}
+
+#[derive(Debug)]
+pub struct Node {
+    pub settings: Settings,
+    pub timing: Timing,
+    pub state: StateClient,
+    pub cloud: CloudClient,
+    pub peers: Vec<Peer>,
+    core: Mutex<Core>,
+    start: Instant,
+    /// Placements wait for the ledger.
+    pub ledger_due: Notify,
+    /// Jobs have news for the state service.
+    pub jobs_due: Notify,
+    /// Counts ledger rounds; a report waits for the round after its news.
+    pub rounds: watch::Sender<u64>,
+}
+
+impl Node {
+    pub fn new(settings: Settings) -> Node {
+        let p = &settings.platform;
+        let c = &p.deployment.cluster;
+        Node {
+            timing: Timing::new(c.workers.lease_s, c.workers.cancel_s),
+            state: StateClient::new(
+                p.services.state,
+                c.state.rps,
+                c.state.write_rps,
+                p.deployment.nodes,
+            ),
+            cloud: CloudClient::new(p.services.cloud, c.cloud.rps),
+            peers: p
+                .members
+                .iter()
+                .map(|m| Peer::new(&m.label, m.endpoint))
+                .collect(),
+            core: Mutex::default(),
+            start: Instant::now(),
+            ledger_due: Notify::new(),
+            jobs_due: Notify::new(),
+            rounds: watch::channel(0).0,
+            settings,
+        }
+    }
+
+    pub fn me(&self) -> &str {
+        &self.settings.platform.label
+    }
+
+    /// s on this node's steady clock.
+    pub fn now(&self) -> f64 {
+        self.start.elapsed().as_secs_f64()
+    }
+
+    pub fn core(&self) -> MutexGuard<'_, Core> {
+        self.core
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+
+    pub fn state_answered(&self) {
+        let now = self.now();
+        self.core().state_ok = now;
+    }
+
+    /// Can users be served here? In an outage that no peer contradicts the
+    /// node stays healthy: there is nowhere better to send them.
+    pub fn healthy(&self) -> bool {
+        let now = self.now();
+        let core = self.core();
+        let lost = now - core.state_ok > limits::STATE_LOST_S;
+        let others = now - core.peers_state_ok <= limits::STATE_LOST_S;
+        !(lost && others) && core.state_ok > 0.0
+    }
+
+    // --- workers ---
+
+    /// A worker's report: `Some` answers 200, `None` means that this node may
+    /// not act for the controllers.
+    pub async fn report(&self, report: Report) -> Option<(u64, Vec<Command>)> {
+        let sent = self.now();
+        let (finished, known, here) = {
+            let mut core = self.core();
+            let finished = core.holder.observe(&report, sent);
+            let here = core.leading(sent).is_some();
+            (finished, core.known.clone(), here)
+        };
+        let machine = report.machine.clone();
+        let led = if here {
+            self.lead_report(self.me(), report, &finished).await
+        } else {
+            let peer = self.peers.iter().find(|p| Some(&p.label) == known.as_ref());
+            match peer {
+                Some(peer) => {
+                    let from = self.me().to_string();
+                    let request = Request::Report {
+                        from,
+                        report,
+                        finished,
+                    };
+                    match peer.ask(&request, limits::FORWARD_WAIT_S).await {
+                        Ok(Reply::Report { token, commands }) => Some((token, commands)),
+                        _ => None,
+                    }
+                }
+                None => None,
+            }
+        };
+        let now = self.now();
+        let mut core = self.core();
+        match led {
+            Some((token, commands)) => {
+                core.holder
+                    .granted(&machine, token, sent, self.timing.grant_s);
+                (core.holder.token(&machine, now) == Some(token)).then_some((token, commands))
+            }
+            // The leader can't be asked: while the block's lease lasts, its
+            // holder keeps the machine's own lease alive.
+            None => core
+                .holder
+                .token(&machine, now)
+                .map(|token| (token, Vec::new())),
+        }
+    }
+
+    /// The leader's part of a report.
+    async fn lead_report(
+        &self,
+        holder: &str,
+        report: Report,
+        finished: &[(String, f64)],
+    ) -> Option<(u64, Vec<Command>)> {
+        let now = self.now();
+        let mut rounds = self.rounds.subscribe();
+        let (token, wait) = {
+            let mut core = self.core();
+            let leader = core.leading(now)?;
+            let token = leader.report(holder, &report, finished, now)?;
+            leader.plan(now);
+            (token, leader.planned(&report.machine))
+        };
+        self.jobs_due.notify_one();
+        if wait {
+            self.ledger_due.notify_one();
+            let deadline = Instant::now() + Duration::from_secs_f64(limits::FLUSH_WAIT_S);
+            loop {
+                match tokio::time::timeout_at(deadline, rounds.changed()).await {
+                    Ok(Ok(())) => {}
+                    _ => break,
+                }
+                let mut core = self.core();
+                if !core.leading(now)?.planned(&report.machine) {
+                    break;
+                }
+            }
+        }
+        let now = self.now();
+        let mut core = self.core();
+        let commands = core.leading(now)?.commands(&report);
+        Some((token, commands))
+    }
+
+    // --- other controllers ---
+
+    pub async fn peer(&self, request: Request) -> Reply {
+        match request {
+            Request::Hello { from, state_ok } => {
+                let now = self.now();
+                let mut core = self.core();
+                if state_ok {
+                    core.peers_state_ok = now;
+                }
+                let mine = now - core.state_ok < limits::STATE_LOST_S;
+                let (leads, block) = match core.leading(now) {
+                    Some(l) => (Some(l.epoch()), l.block(&from, now)),
+                    None => (None, Vec::new()),
+                };
+                Reply::Hello {
+                    from: self.me().to_string(),
+                    state_ok: mine,
+                    leads,
+                    block,
+                }
+            }
+            Request::Report {
+                from,
+                report,
+                finished,
+            } => match self.lead_report(&from, report, &finished).await {
+                Some((token, commands)) => Reply::Report { token, commands },
+                None => Reply::No,
+            },
+            Request::Counts { job } => {
+                let now = self.now();
+                match self.core().leading(now).and_then(|l| l.counts(&job)) {
+                    Some((done, running)) => Reply::Counts { done, running },
+                    None => Reply::No,
+                }
+            }
+        }
+    }
+
+    /// (done, running) for display: (0, 0) if the leader can't be asked.
+    pub async fn counts(&self, id: &str) -> (u32, u32) {
+        let now = self.now();
+        let known = {
+            let mut core = self.core();
+            if let Some(l) = core.leading(now) {
+                return l.counts(id).unwrap_or_default();
+            }
+            core.known.clone()
+        };
+        let Some(peer) = self.peers.iter().find(|p| Some(&p.label) == known.as_ref()) else {
+            return (0, 0);
+        };
+        match peer
+            .ask(
+                &Request::Counts {
+                    job: id.to_string(),
+                },
+                limits::COUNTS_WAIT_S,
+            )
+            .await
+        {
+            Ok(Reply::Counts { done, running }) => (done, running),
+            _ => (0, 0),
+        }
+    }
+
+    /// Says hello to one peer; the leader's answer renews this node's block.
+    pub async fn hello(&self, peer: &Peer) {
+        let sent = self.now();
+        let state_ok = sent - self.core().state_ok < limits::STATE_LOST_S;
+        let request = Request::Hello {
+            from: self.me().to_string(),
+            state_ok,
+        };
+        let Ok(Reply::Hello {
+            from,
+            state_ok,
+            leads,
+            block,
+        }) = peer.ask(&request, limits::FORWARD_WAIT_S).await
+        else {
+            return;
+        };
+        let now = self.now();
+        let mut core = self.core();
+        if state_ok {
+            core.peers_state_ok = now;
+        }
+        if leads.is_some() {
+            core.known = Some(from);
+            for (machine, token) in block {
+                core.holder
+                    .granted(&machine, token, sent, self.timing.grant_s);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/cherrywood/src/settings.rs
@@ -0,0 +1,182 @@
+//! The platform's TOML, and the operators' own YAML.
+
+use anyhow::{Context as _, bail};
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::path::Path;
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Member {
+    pub label: String,
+    pub endpoint: SocketAddr,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Services {
+    pub cloud: SocketAddr,
+    pub state: SocketAddr,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Limits {
+    pub sockets: usize,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Deployment {
+    pub nodes: usize,
+    pub limits: Limits,
+    #[serde(flatten)]
+    pub cluster: cherrywood_control::Settings,
+}
+
+/// The file that the platform hands over; fields it doesn't know are ignored.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Platform {
+    pub label: String,
+    pub serve_on: SocketAddr,
+    pub internal_addr: SocketAddr,
+    #[serde(default)]
+    pub members: Vec<Member>,
+    pub services: Services,
+    pub deployment: Deployment,
+}
+
+/// The operators' own file. Every field has a default; unknown ones are
+/// errors, since here a typing mistake is the likelier cause.
+#[derive(Debug, Clone, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Operator {
+    /// Overrides `LOG_LEVEL`.
+    pub log_level: Option<String>,
+    /// Never rent machines at the full price.
+    pub cheap_only: bool,
+}
+
+#[derive(Debug, Clone)]
+pub struct Settings {
+    pub platform: Platform,
+    pub operator: Operator,
+}
+
+impl Settings {
+    pub fn load(platform: &Path, operator: Option<&Path>) -> anyhow::Result<Settings> {
+        let text =
+            std::fs::read_to_string(platform).with_context(|| format!("{}", platform.display()))?;
+        let platform = Self::platform(&text)?;
+        let operator = match operator {
+            Some(path) => {
+                let text =
+                    std::fs::read_to_string(path).with_context(|| format!("{}", path.display()))?;
+                Self::operator(&text)?
+            }
+            None => Operator::default(),
+        };
+        Ok(Settings { platform, operator })
+    }
+
+    pub fn platform(text: &str) -> anyhow::Result<Platform> {
+        let p: Platform = toml::from_str(text).map_err(|e| {
+            // One line: what is wrong, and the line it is on.
+            let at = e
+                .span()
+                .map_or(0, |s| text[..s.start.min(text.len())].lines().count());
+            anyhow::anyhow!("settings, line {at}: {}", e.message().replace('\n', " "))
+        })?;
+        let c = &p.deployment.cluster;
+        for (name, v) in [
+            ("deployment.workers.report_s", c.workers.report_s),
+            ("deployment.workers.lease_s", c.workers.lease_s),
+            ("deployment.workers.cancel_s", c.workers.cancel_s),
+            ("deployment.state.rps", c.state.rps),
+            ("deployment.state.write_rps", c.state.write_rps),
+            ("deployment.state.value_kb", c.state.value_kb),
+            ("deployment.cloud.rps", c.cloud.rps),
+        ] {
+            if !v.is_finite() || v <= 0.0 {
+                bail!("settings: {name} must be greater than 0");
+            }
+        }
+        if c.state.txn_ops < 3 {
+            bail!("settings: deployment.state.txn_ops must be at least 3");
+        }
+        Ok(p)
+    }
+
+    pub fn operator(text: &str) -> anyhow::Result<Operator> {
+        if text.trim().is_empty() {
+            return Ok(Operator::default());
+        }
+        serde_yaml_ng::from_str(text).map_err(|e| anyhow::anyhow!("operator settings: {e}"))
+    }
+}
+
+#[cfg(test)]
+pub(crate) const EXAMPLE: &str = r#"
+label = "n0"
+zone = "z0"
+serve_on = "127.0.0.1:0"
+internal_addr = "127.0.0.1:0"
+future_field = 1
+[[members]]
+label = "n1"
+zone = "z1"
+endpoint = "127.0.0.1:9"
+[services]
+cloud = "127.0.0.1:9"
+state = "127.0.0.1:9"
+[deployment]
+nodes = 2
+zones = ["z0", "z1"]
+[[deployment.teams]]
+name = "t"
+cpus = 8.0
+cpus_max = 16.0
+[deployment.workers]
+report_s = 1.0
+lease_s = 10.0
+cancel_s = 40.0
+[deployment.state]
+rps = 200.0
+write_rps = 80.0
+value_kb = 32.0
+txn_ops = 48
+[deployment.cloud]
+rps = 3.0
+list_lag_s = 10.0
+[deployment.limits]
+core_share = 0.16
+mem_mb = 56.0
+sockets = 700
+"#;
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_bad_file_gives_one_line_that_names_the_field() {
+        assert!(Settings::platform(EXAMPLE).is_ok());
+        for (from, to, field) in [
+            ("label = \"n0\"\n", "", "label"),
+            ("lease_s = 10.0", "lease_s = -1.0", "lease_s"),
+            ("sockets = 700", "sockets = \"many\"", "string"),
+            ("txn_ops = 48", "txn_ops = 1", "txn_ops"),
+        ] {
+            let err = Settings::platform(&EXAMPLE.replacen(from, to, 1))
+                .unwrap_err()
+                .to_string();
+            assert!(err.contains(field) && !err.contains('\n'), "{err}");
+        }
+    }
+
+    #[test]
+    fn operators_typing_mistakes_are_errors() {
+        assert!(Settings::operator("cheap_only: true").unwrap().cheap_only);
+        assert!(!Settings::operator("").unwrap().cheap_only);
+        let err = Settings::operator("cheap_onyl: true")
+            .unwrap_err()
+            .to_string();
+        assert!(err.contains("cheap_onyl"), "{err}");
+    }
+}
--- /dev/null
+++ b/crates/control/src/bitmap.rs
@@ -0,0 +1,69 @@
+//! The finished tasks of a job, kept in the state service as base64.
+
+use base64::Engine as _;
+
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Bitmap {
+    bytes: Vec<u8>,
+    count: u32,
+}
+
+impl Bitmap {
+    pub fn get(&self, i: u32) -> bool {
+        self.bytes
+            .get(i as usize / 8)
+            .is_some_and(|b| b & (1 << (i % 8)) != 0)
+    }
+
+    /// True if the bit was not set before.
+    pub fn set(&mut self, i: u32) -> bool {
+        if self.get(i) {
+            return false;
+        }
+        let at = i as usize / 8;
+        if self.bytes.len() <= at {
+            self.bytes.resize(at + 1, 0);
+        }
+        self.bytes[at] |= 1 << (i % 8);
+        self.count += 1;
+        true
+    }
+
+    pub fn count(&self) -> u32 {
+        self.count
+    }
+
+    pub fn to_text(&self) -> String {
+        base64::engine::general_purpose::STANDARD_NO_PAD.encode(&self.bytes)
+    }
+
+    /// Bits at `limit` and beyond are dropped.
+    pub fn from_text(text: &str, limit: u32) -> Bitmap {
+        let mut map = Bitmap::default();
+        if let Ok(bytes) = base64::engine::general_purpose::STANDARD_NO_PAD.decode(text) {
+            for i in 0..limit.min(bytes.len() as u32 * 8) {
+                if bytes[i as usize / 8] & (1 << (i % 8)) != 0 {
+                    map.set(i);
+                }
+            }
+        }
+        map
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_largest_job_fits_a_value_and_reads_back() {
+        let mut map = Bitmap::default();
+        for i in (0..100_000).step_by(3) {
+            assert!(map.set(i));
+        }
+        assert!(map.set(99_998) && !map.set(99_998));
+        let text = map.to_text();
+        assert!(text.len() < 20_000, "{}", text.len());
+        assert_eq!(Bitmap::from_text(&text, 100_000), map);
+    }
+}
--- /dev/null
+++ b/crates/control/src/cluster.rs
@@ -0,0 +1,46 @@
+//! What the platform's settings say about the deployment.
+
+use serde::Deserialize;
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Team {
+    pub name: String,
+    #[serde(default)]
+    pub cpus: f64,
+    #[serde(default)]
+    pub cpus_max: f64,
+    #[serde(default)]
+    pub gpus: f64,
+    #[serde(default)]
+    pub gpus_max: f64,
+}
+
+#[derive(Debug, Clone, Copy, Deserialize)]
+pub struct Workers {
+    pub report_s: f64,
+    pub lease_s: f64,
+    pub cancel_s: f64,
+}
+
+#[derive(Debug, Clone, Copy, Deserialize)]
+pub struct StateLimits {
+    pub rps: f64,
+    pub write_rps: f64,
+    pub value_kb: f64,
+    pub txn_ops: usize,
+}
+
+#[derive(Debug, Clone, Copy, Deserialize)]
+pub struct CloudLimits {
+    pub rps: f64,
+    pub list_lag_s: f64,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Settings {
+    #[serde(default)]
+    pub teams: Vec<Team>,
+    pub workers: Workers,
+    pub state: StateLimits,
+    pub cloud: CloudLimits,
+}
--- /dev/null
+++ b/crates/control/src/holder.rs
@@ -0,0 +1,148 @@
+//! A controller's side of the leased blocks: which machines it may answer,
+//! under which token and until when, and the run times it measures.
+
+use cherrywood_wire::agent::{Report, TaskState, Why};
+use std::collections::HashMap;
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct Grant {
+    token: u64,
+    until: f64,
+}
+
+/// What is known of one machine's tasks between two reports.
+#[derive(Debug, Default)]
+struct Watched {
+    session: u64,
+    seq: u64,
+    heard: f64,
+    running: HashMap<(String, u64), f64>,
+}
+
+#[derive(Debug, Default)]
+pub struct Holder {
+    grants: HashMap<String, Grant>,
+    watched: HashMap<String, Watched>,
+}
+
+impl Holder {
+    /// A grant that the leader gave in answer to a request sent at `sent`:
+    /// its time counts from there, however long the answer took.
+    pub fn granted(&mut self, machine: &str, token: u64, sent: f64, grant_s: f64) {
+        let fresh = Grant {
+            token,
+            until: sent + grant_s,
+        };
+        let g = self.grants.entry(machine.to_string()).or_insert(fresh);
+        if token > g.token || token == g.token && fresh.until > g.until {
+            *g = fresh;
+        }
+    }
+
+    /// The token under which this node may answer the machine, if any.
+    pub fn token(&self, machine: &str, now: f64) -> Option<u64> {
+        self.grants
+            .get(machine)
+            .filter(|g| now < g.until)
+            .map(|g| g.token)
+    }
+
+    /// Notes a report; returns (task, run time) of tasks that are done now.
+    pub fn observe(&mut self, report: &Report, now: f64) -> Vec<(String, f64)> {
+        let w = self.watched.entry(report.machine.clone()).or_default();
+        if (report.session, report.seq) <= (w.session, w.seq) {
+            return Vec::new();
+        }
+        if report.session != w.session {
+            w.running.clear();
+        }
+        (w.session, w.seq, w.heard) = (report.session, report.seq, now);
+        let mut finished = Vec::new();
+        let mut running = HashMap::new();
+        for t in &report.tasks {
+            let id = (t.task.clone(), t.attempt);
+            match t.state {
+                TaskState::Running => {
+                    let since = w.running.get(&id).copied().unwrap_or(now);
+                    running.insert(id, since);
+                }
+                TaskState::Exited if t.why == Some(Why::Done) => {
+                    if let Some(since) = w.running.get(&id) {
+                        finished.push((t.task.clone(), now - since));
+                    }
+                }
+                _ => {}
+            }
+        }
+        w.running = running;
+        finished
+    }
+
+    /// Drops machines not heard from for long.
+    pub fn forget_old(&mut self, now: f64, after_s: f64) {
+        self.watched.retain(|_, w| now - w.heard < after_s);
+        self.grants.retain(|_, g| now < g.until + after_s);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use cherrywood_wire::agent::TaskReport;
+
+    #[test]
+    fn a_grant_counts_from_the_sending_of_its_request() {
+        let mut h = Holder::default();
+        h.granted("vm-1", 5, 100.0, 20.0);
+        assert_eq!(h.token("vm-1", 119.9), Some(5));
+        assert_eq!(h.token("vm-1", 120.0), None);
+        // A late answer under an older token changes nothing.
+        h.granted("vm-1", 4, 130.0, 20.0);
+        assert_eq!(h.token("vm-1", 131.0), None);
+        h.granted("vm-1", 6, 130.0, 20.0);
+        assert_eq!(h.token("vm-1", 131.0), Some(6));
+    }
+
+    #[test]
+    fn run_times_come_from_consecutive_reports_of_a_session() {
+        let mut h = Holder::default();
+        let report = |session, seq, state, why| Report {
+            machine: "vm-1".into(),
+            addr: String::new(),
+            kind: "k".into(),
+            zone: "z".into(),
+            spot: false,
+            session,
+            seq,
+            token: 0,
+            notice_s: None,
+            tasks: vec![TaskReport {
+                task: "wk-000001/0".into(),
+                attempt: 1,
+                state,
+                why,
+                saved: None,
+            }],
+        };
+        assert!(
+            h.observe(&report(1, 1, TaskState::Running, None), 10.0)
+                .is_empty()
+        );
+        let exited = report(1, 3, TaskState::Exited, Some(Why::Done));
+        assert_eq!(
+            h.observe(&exited, 31.0),
+            vec![("wk-000001/0".to_string(), 21.0)]
+        );
+        assert!(
+            h.observe(&exited, 32.0).is_empty(),
+            "a repeat teaches nothing"
+        );
+        assert!(
+            h.observe(&report(1, 2, TaskState::Running, None), 33.0)
+                .is_empty()
+        );
+        h.observe(&report(1, 4, TaskState::Running, None), 34.0);
+        let other = report(2, 5, TaskState::Exited, Some(Why::Done));
+        assert!(h.observe(&other, 40.0).is_empty(), "another session's task");
+    }
+}
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,35 @@
+//! The controller as a pure state machine: events and the time go in,
+//! commands, transactions and cloud requests come out. No I/O, no clock.
+
+pub mod bitmap;
+pub mod cluster;
+pub mod holder;
+pub mod leader;
+pub mod timing;
+
+pub use cluster::{Settings, Team};
+pub use holder::Holder;
+pub use leader::Leader;
+pub use timing::Timing;
+
+/// Keys in the state service.
+pub mod keys {
+    pub const LEADER: &str = "L/leader";
+    pub const EPOCH: &str = "L/epoch";
+    pub const JOBS: &str = "j/";
+    pub const LEDGER: &str = "m/";
+    pub const PROGRESS: &str = "p/";
+    pub const HISTOGRAMS: &str = "h/all";
+    pub fn job(id: &str) -> String {
+        format!("j/{id}")
+    }
+    pub fn ended(id: &str) -> String {
+        format!("f/{id}")
+    }
+    pub fn progress(id: &str) -> String {
+        format!("p/{id}")
+    }
+    pub fn ledger(machine: &str) -> String {
+        format!("m/{machine}")
+    }
+}
--- /dev/null
+++ b/crates/limits/src/lib.rs
@@ -0,0 +1,159 @@
+//! Every constant of cherrywood, with its unit and the reason for its value.
+//! What the platform's settings file says is never repeated here.
+
+// --- predictor and queue (DESIGN-cherrywood, paper Table 1) ---
+
+/// Priority levels; the middle one takes keys that can't be trusted.
+pub const LEVELS: usize = 3;
+pub const MIDDLE: usize = 1;
+/// Share of worker time of each level while all have work.
+pub const LEVEL_WEIGHTS: [f64; LEVELS] = [8.0, 3.0, 1.0];
+/// What a key's history keeps with each newer observation.
+pub const KEY_DECAY: f64 = 0.995;
+/// The same for the pooled history that sets the boundaries.
+pub const POOLED_DECAY: f64 = 0.9999;
+/// Observations between two looks at the boundaries.
+pub const BOUNDARY_EVERY: u64 = 256;
+/// Pooled observations before the first boundaries are published.
+pub const BOUNDARY_MIN: u64 = 100;
+/// Observations before a key is trusted.
+pub const KEY_MIN: u64 = 20;
+/// Most that the 99th percentile may be, in medians.
+pub const SPREAD_MAX: f64 = 16.0;
+/// Most of a key's tasks that may have been lost.
+pub const LOST_MAX: f64 = 0.05;
+/// s; a key without activity for this long is not predicted.
+pub const IDLE_S: f64 = 1800.0;
+/// s; wall-clock half-life of a key's history across idle gaps (paper Table 1).
+pub const IDLE_HALF_LIFE_S: f64 = 600.0;
+/// s; a task that has waited this long in its level may move up.
+pub const AGING_S: f64 = 5.0;
+/// s between two passes of aging.
+pub const AGING_EVERY_S: f64 = 0.5;
+/// Histograms kept; the least recently used key goes first (memory).
+pub const KEYS_MAX: usize = 96;
+/// ms; the longest run time a histogram tells apart (a day).
+pub const RUN_MAX_MS: u64 = 86_400_000;
+/// Growth of `record_n` weights at which a histogram is rescaled.
+pub const WEIGHT_RESCALE: f64 = 1.0e6;
+/// Weight units of one fresh observation; fine enough that 0.5% shows.
+pub const WEIGHT_UNIT: f64 = 1000.0;
+
+// --- leadership and grants ---
+
+/// s; a leader key outlives its leader by at most this.
+pub const LEADER_LEASE_S: f64 = 4.0;
+/// s; floor to which a tight `cancel_s` may push the leader's lease.
+pub const LEADER_LEASE_MIN_S: f64 = 1.5;
+/// s; ceiling of a block's lease (the design's own value).
+pub const GRANT_MAX_S: f64 = 30.0;
+/// s; floor of a block's lease.
+pub const GRANT_MIN_S: f64 = 2.0;
+/// s kept free in the sum against `cancel_s`: network, timers, the stop itself.
+pub const CANCEL_MARGIN_S: f64 = 5.0;
+/// Steady clocks may differ by 0.05% (protocol); doubled for two clocks.
+pub const DRIFT: f64 = 0.001;
+/// s between two renewals of the leader's lease.
+pub const LEADER_RENEW_S: f64 = 0.8;
+/// s between two hellos to every peer.
+pub const HELLO_EVERY_S: f64 = 1.0;
+/// s between two looks at an election.
+pub const ELECT_EVERY_S: f64 = 0.4;
+/// s without state contact after which a node calls itself unhealthy, if a
+/// peer still has contact.
+pub const STATE_LOST_S: f64 = 3.0;
+
+// --- waits inside the service ---
+
+/// s that a holder waits for the leader; far below the worker's 4 s.
+pub const FORWARD_WAIT_S: f64 = 1.2;
+/// s that a report waits for the ledger write that its news caused.
+pub const FLUSH_WAIT_S: f64 = 0.6;
+/// s for one request to the state service; users wait 2 s for a poll.
+pub const STATE_WAIT_S: f64 = 0.9;
+/// s for one request to the cloud.
+pub const CLOUD_WAIT_S: f64 = 8.0;
+/// s between two ledger writes, so that news of several workers share one.
+pub const FLUSH_GAP_S: f64 = 0.06;
+/// s between two progress writes of the leader.
+pub const PROGRESS_GAP_S: f64 = 0.4;
+/// s between two snapshots of the histograms (the design's own value).
+pub const SNAPSHOT_EVERY_S: f64 = 5.0;
+/// s for which a watch waits at the state service.
+pub const WATCH_HOLD_S: f64 = 10.0;
+/// s between two watches, so that bursts of jobs share one answer.
+pub const WATCH_GAP_S: f64 = 0.08;
+/// s that a refused user is asked to stay away.
+pub const RETRY_AFTER_S: u64 = 1;
+
+// --- machines and tasks ---
+
+/// Reports a worker may miss before nothing more is placed on it.
+pub const MISSED_REPORTS: f64 = 2.5;
+/// s past a worker's lease after which a silent machine is deleted.
+pub const SILENT_DELETE_EXTRA_S: f64 = 2.0;
+/// Share of machines that may be silent at once and still be deleted; above
+/// it the network is the likelier cause, and cuts heal.
+pub const SILENT_SHARE_MAX: f64 = 0.34;
+/// Times `boot_s` after which a machine that is not up is given back.
+pub const BOOT_PATIENCE: f64 = 3.5;
+/// s added to the above, for machine types that boot fast.
+pub const BOOT_PATIENCE_EXTRA_S: f64 = 20.0;
+/// Jobs whose tasks must fail on a machine before it is given back.
+pub const SICK_JOBS: usize = 2;
+/// Failures of one job alone, in a row, that make its machine suspect too.
+pub const SICK_STREAK: u32 = 6;
+/// s; first pause of a job that failed on several machines, doubled each time.
+pub const RETRY_FIRST_S: f64 = 1.0;
+pub const RETRY_MAX_S: f64 = 60.0;
+/// Times an unseen start is sent again before its task is placed anew.
+pub const START_TRIES: u32 = 4;
+/// s added to `save_s` when a task is stopped in order to save.
+pub const SAVE_EXTRA_S: f64 = 1.0;
+/// s; a refusal of (type, zone, kind) is remembered for this long.
+pub const REFUSAL_S: f64 = 12.0;
+/// s; a deleted machine costs at least this much (protocol).
+pub const MIN_CHARGE_S: f64 = 60.0;
+/// s without a task after which a machine may be returned.
+pub const IDLE_RETURN_S: f64 = 8.0;
+/// s in which waiting work should be drained; sets how much is rented.
+pub const DRAIN_S: f64 = 60.0;
+/// s between two looks at the fleet.
+pub const FLEET_EVERY_S: f64 = 1.0;
+/// Names in one deletion and machines in one rental (protocol).
+pub const DELETE_MAX: usize = 100;
+pub const RENT_MAX: u32 = 50;
+/// s between two reads of prices.
+pub const TYPES_EVERY_S: f64 = 30.0;
+
+// --- bounds ---
+
+/// Bytes of a request's body, and of an answer's (protocol).
+pub const BODY_MAX: usize = 64 * 1024;
+/// Bytes of a request's head.
+pub const HEAD_MAX: usize = 8 * 1024;
+/// Bytes of an answer from the state service or the cloud; watches have no
+/// limit there, so this bounds memory.
+pub const ANSWER_MAX: usize = 4 * 1024 * 1024;
+/// Bytes of a peer frame.
+pub const FRAME_MAX: usize = 256 * 1024;
+/// s for a whole request to arrive, and for an idle connection to stay.
+pub const REQUEST_WAIT_S: f64 = 10.0;
+pub const IDLE_WAIT_S: f64 = 75.0;
+/// Share of the platform's sockets that served connections may take.
+pub const SOCKET_SHARE: f64 = 0.8;
+/// Final states kept in memory; the rest is read again when asked for.
+pub const FINAL_CACHE: usize = 20_000;
+/// Bytes of a transaction this service sends, below the protocol's 64 KiB.
+pub const TXN_BYTES: usize = 48 * 1024;
+/// Share of the state service's budget that the leader may use; the others
+/// divide the rest.
+pub const LEADER_SHARE: f64 = 0.55;
+/// Tries of a read in a takeover, 0.1 s apart.
+pub const TAKEOVER_TRIES: u32 = 20;
+/// Tries of a leader's write before its keys are read again.
+pub const COMMIT_TRIES: u32 = 6;
+/// Looks at a job that changes while it is being cancelled.
+pub const CANCEL_TRIES: u32 = 3;
+/// s that a poll waits for the leader's counts, which are only for display.
+pub const COUNTS_WAIT_S: f64 = 0.4;
--- /dev/null
+++ b/crates/net/src/client.rs
@@ -0,0 +1,150 @@
+//! A small HTTP/1.1 client for one address, with kept connections.
+
+use crate::{NetError, secs};
+use cherrywood_limits as limits;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, timeout_at};
+
+/// s for which an unused connection is kept, and how many are.
+const KEEP_S: f64 = 15.0;
+const KEEP_MAX: usize = 6;
+
+#[derive(Debug)]
+pub struct Client {
+    addr: SocketAddr,
+    idle: Mutex<Vec<(TcpStream, Instant)>>,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Answer {
+    pub status: u16,
+    pub body: Vec<u8>,
+}
+
+impl Client {
+    pub fn new(addr: SocketAddr) -> Self {
+        Client {
+            addr,
+            idle: Mutex::new(Vec::new()),
+        }
+    }
+
+    fn kept(&self) -> Option<TcpStream> {
+        let mut idle = self.idle.lock().expect("no panic while held");
+        while let Some((stream, since)) = idle.pop() {
+            if since.elapsed() < secs(KEEP_S) {
+                return Some(stream);
+            }
+        }
+        None
+    }
+
+    /// Sends one request. `Refused` means that it never left this host.
+    pub async fn send(
+        &self,
+        method: &str,
+        path: &str,
+        body: Option<&[u8]>,
+        wait_s: f64,
+    ) -> Result<Answer, NetError> {
+        let deadline = Instant::now() + secs(wait_s);
+        let mut stream = match self.kept() {
+            Some(stream) => stream,
+            None => match timeout_at(deadline, TcpStream::connect(self.addr)).await {
+                Ok(Ok(stream)) => {
+                    let _ = stream.set_nodelay(true);
+                    stream
+                }
+                Ok(Err(e)) => return Err(NetError::Refused(e.to_string())),
+                Err(_) => return Err(NetError::Refused("connecting takes too long".into())),
+            },
+        };
+        let mut bytes = format!("{method} {path} HTTP/1.1\r\nHost: {}\r\n", self.addr).into_bytes();
+        if let Some(body) = body {
+            let head = format!(
+                "Content-Type: application/msgpack\r\nContent-Length: {}\r\n\r\n",
+                body.len()
+            );
+            bytes.extend_from_slice(head.as_bytes());
+            bytes.extend_from_slice(body);
+        } else {
+            bytes.extend_from_slice(b"\r\n");
+        }
+        let talk = async {
+            stream
+                .write_all(&bytes)
+                .await
+                .map_err(|e| NetError::Unknown(e.to_string()))?;
+            read_answer(&mut stream).await
+        };
+        match timeout_at(deadline, talk).await {
+            Ok(Ok((answer, close))) => {
+                let mut idle = self.idle.lock().expect("no panic while held");
+                if !close && idle.len() < KEEP_MAX {
+                    idle.push((stream, Instant::now()));
+                }
+                Ok(answer)
+            }
+            Ok(Err(e)) => {
+                // One kept connection is dead: its siblings may be as well.
+                self.idle.lock().expect("no panic while held").clear();
+                Err(e)
+            }
+            Err(_) => {
+                self.idle.lock().expect("no panic while held").clear();
+                Err(NetError::Unknown("timed out".into()))
+            }
+        }
+    }
+}
+
+async fn read_answer(stream: &mut TcpStream) -> Result<(Answer, bool), NetError> {
+    let mut buf = Vec::with_capacity(2048);
+    loop {
+        let n = stream
+            .read_buf(&mut buf)
+            .await
+            .map_err(|e| NetError::Unknown(e.to_string()))?;
+        if n == 0 {
+            return Err(NetError::Unknown("connection closed".into()));
+        }
+        let mut headers = [httparse::EMPTY_HEADER; 32];
+        let mut res = httparse::Response::new(&mut headers);
+        let head = match res.parse(&buf) {
+            Ok(httparse::Status::Complete(head)) => head,
+            Ok(httparse::Status::Partial) if buf.len() <= limits::HEAD_MAX => continue,
+            _ => return Err(NetError::Bad("not HTTP".into())),
+        };
+        let status = res.code.unwrap_or(0);
+        let (mut length, mut close) = (0usize, false);
+        for h in res.headers.iter() {
+            let text = std::str::from_utf8(h.value).unwrap_or("").trim();
+            if h.name.eq_ignore_ascii_case("content-length") {
+                length = text
+                    .parse()
+                    .map_err(|_| NetError::Bad("content-length".into()))?;
+            } else if h.name.eq_ignore_ascii_case("connection") {
+                close |= text.eq_ignore_ascii_case("close");
+            } else if h.name.eq_ignore_ascii_case("transfer-encoding") {
+                return Err(NetError::Bad("chunked answer".into()));
+            }
+        }
+        if length > limits::ANSWER_MAX {
+            return Err(NetError::Bad("answer too large".into()));
+        }
+        while buf.len() < head + length {
+            let n = stream
+                .read_buf(&mut buf)
+                .await
+                .map_err(|e| NetError::Unknown(e.to_string()))?;
+            if n == 0 {
+                return Err(NetError::Unknown("connection closed".into()));
+            }
+        }
+        let body = buf[head..head + length].to_vec();
+        return Ok((Answer { status, body }, close));
+    }
+}
--- /dev/null
+++ b/crates/net/src/cloud.rs
@@ -0,0 +1,108 @@
+//! Client of the cloud.
+
+use crate::NetError;
+use crate::budget::{Budget, Class};
+use crate::client::Client;
+use cherrywood_limits as limits;
+use cherrywood_wire::cloud::{Listed, MachineList, MachineType, MachineTypes, Names, Rent};
+use serde::de::DeserializeOwned;
+use std::net::SocketAddr;
+use tokio::time::Instant;
+
+#[derive(Debug)]
+pub struct CloudClient {
+    http: Client,
+    budget: Budget,
+    start: Instant,
+}
+
+impl CloudClient {
+    /// Only the leader talks to the cloud, but for a read of the types at a
+    /// node's start; a little of the rate is left for that.
+    pub fn new(addr: SocketAddr, rps: f64) -> Self {
+        CloudClient {
+            http: Client::new(addr),
+            budget: Budget::new((rps * 0.85).max(1.0)),
+            start: Instant::now(),
+        }
+    }
+
+    async fn call<T: DeserializeOwned>(
+        &self,
+        method: &str,
+        path: &str,
+        body: Option<&[u8]>,
+    ) -> Result<T, NetError> {
+        loop {
+            let wait = self
+                .budget
+                .take(Class::First, 1.0, self.start.elapsed().as_secs_f64());
+            if wait <= 0.0 {
+                break;
+            }
+            tokio::time::sleep(crate::secs(wait)).await;
+        }
+        let answer = self
+            .http
+            .send(method, path, body, limits::CLOUD_WAIT_S)
+            .await?;
+        match answer.status {
+            200 => cherrywood_wire::decode(&answer.body).map_err(|e| NetError::Bad(e.to_string())),
+            503 if answer.body.windows(11).any(|w| w == b"no capacity") => {
+                Err(NetError::Refused("no capacity".into()))
+            }
+            s @ (503 | 429) => Err(NetError::Refused(format!("status {s}"))),
+            s => Err(NetError::Bad(format!("status {s}"))),
+        }
+    }
+
+    pub async fn types(&self) -> Result<Vec<MachineType>, NetError> {
+        Ok(self
+            .call::<MachineTypes>("GET", "/machine_types", None)
+            .await?
+            .types)
+    }
+
+    /// The machines rented; empty if there is no capacity.
+    pub async fn rent(&self, rent: &Rent) -> Result<Vec<String>, NetError> {
+        let body = cherrywood_wire::encode(rent);
+        match self.call::<Names>("POST", "/machines", Some(&body)).await {
+            Ok(names) => Ok(names.machines),
+            Err(NetError::Refused(why)) if why == "no capacity" => Ok(Vec::new()),
+            Err(e) => Err(e),
+        }
+    }
+
+    /// Ok only if the cloud answered 200: the machines are gone.
+    pub async fn delete(&self, names: &[String]) -> Result<(), NetError> {
+        let body = cherrywood_wire::encode(&Names {
+            machines: names.to_vec(),
+        });
+        let body = Some(body.as_slice());
+        match self
+            .call::<serde::de::IgnoredAny>("POST", "/machines/delete", body)
+            .await
+        {
+            Ok(_) => Ok(()),
+            // A 200 whose body is no map is a 200 all the same.
+            Err(NetError::Bad(why)) if !why.starts_with("status") => Ok(()),
+            Err(e) => Err(e),
+        }
+    }
+
+    pub async fn list(&self) -> Result<Vec<Listed>, NetError> {
+        let mut all: Vec<Listed> = Vec::new();
+        loop {
+            let mut path = "/machines?limit=500".to_string();
+            if let Some(last) = all.last() {
+                path.push_str(&format!("&from={}", last.id));
+            }
+            let page: MachineList = self.call("GET", &path, None).await?;
+            let more = page.more && !page.machines.is_empty();
+            all.extend(page.machines);
+            if !more {
+                return Ok(all);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/net/src/lib.rs
@@ -0,0 +1,29 @@
+//! Network side of cherrywood: a small HTTP/1.1 server and client, peer
+//! frames, request budgets, and clients of the state service and the cloud.
+
+pub mod budget;
+pub mod client;
+pub mod cloud;
+pub mod peer;
+pub mod server;
+pub mod state;
+
+use std::time::Duration;
+
+/// What became of a request that has no usable answer.
+#[derive(Debug, thiserror::Error, Clone, PartialEq, Eq)]
+pub enum NetError {
+    /// It was certainly not executed.
+    #[error("refused: {0}")]
+    Refused(String),
+    /// It may have been executed, or may still be.
+    #[error("no answer: {0}")]
+    Unknown(String),
+    /// An answer outside the protocol.
+    #[error("bad answer: {0}")]
+    Bad(String),
+}
+
+pub(crate) fn secs(s: f64) -> Duration {
+    Duration::from_secs_f64(s.max(0.0))
+}
--- /dev/null
+++ b/crates/net/src/server.rs
@@ -0,0 +1,266 @@
+//! A small HTTP/1.1 server: keep-alive, no pipelining, bounded heads, bodies
+//! and connections.
+
+use crate::secs;
+use cherrywood_limits as limits;
+use std::future::Future;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::timeout;
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Request {
+    pub method: String,
+    pub path: String,
+    pub body: Vec<u8>,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Response {
+    pub status: u16,
+    pub body: Vec<u8>,
+    pub retry_after_s: Option<u64>,
+    pub close: bool,
+}
+
+impl Response {
+    pub fn new(status: u16, body: Vec<u8>) -> Self {
+        Response {
+            status,
+            body,
+            retry_after_s: None,
+            close: false,
+        }
+    }
+    pub fn empty(status: u16) -> Self {
+        Self::new(status, Vec::new())
+    }
+    /// Can't be served now: come back later.
+    pub fn busy() -> Self {
+        Response {
+            retry_after_s: Some(limits::RETRY_AFTER_S),
+            ..Self::empty(503)
+        }
+    }
+}
+
+fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        201 => "Created",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        413 => "Content Too Large",
+        421 => "Misdirected Request",
+        422 => "Unprocessable Content",
+        429 => "Too Many Requests",
+        503 => "Service Unavailable",
+        _ => "Other",
+    }
+}
+
+/// Accepts connections for ever, at most `most` at once.
+pub async fn serve<H, F>(listener: TcpListener, most: usize, handler: Arc<H>)
+where
+    H: Fn(Request) -> F + Send + Sync + 'static,
+    F: Future<Output = Response> + Send + 'static,
+{
+    let open = Arc::new(AtomicUsize::new(0));
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            // Out of sockets: others must close first.
+            tokio::time::sleep(secs(0.05)).await;
+            continue;
+        };
+        if open.load(Ordering::Relaxed) >= most {
+            drop(stream);
+            continue;
+        }
+        open.fetch_add(1, Ordering::Relaxed);
+        let (open, handler) = (open.clone(), handler.clone());
+        tokio::spawn(async move {
+            let _ = stream.set_nodelay(true);
+            connection(stream, handler).await;
+            open.fetch_sub(1, Ordering::Relaxed);
+        });
+    }
+}
+
+/// What the bytes so far amount to.
+#[derive(Debug, PartialEq, Eq)]
+enum Parsed {
+    /// The head is not complete.
+    Partial,
+    /// Not HTTP, or a form this server does not take.
+    Broken,
+    TooLarge,
+    Head {
+        method: String,
+        path: String,
+        head: usize,
+        body: usize,
+        close: bool,
+    },
+}
+
+fn parse(buf: &[u8]) -> Parsed {
+    let mut headers = [httparse::EMPTY_HEADER; 32];
+    let mut req = httparse::Request::new(&mut headers);
+    let head = match req.parse(buf) {
+        Ok(httparse::Status::Complete(n)) => n,
+        Ok(httparse::Status::Partial) if buf.len() > limits::HEAD_MAX => return Parsed::Broken,
+        Ok(httparse::Status::Partial) => return Parsed::Partial,
+        Err(_) => return Parsed::Broken,
+    };
+    let (mut body, mut seen, mut close) = (0usize, false, req.version == Some(0));
+    for h in req.headers.iter() {
+        let text = std::str::from_utf8(h.value).unwrap_or("").trim();
+        if h.name.eq_ignore_ascii_case("content-length") {
+            match text.parse() {
+                Ok(n) if !seen && text.bytes().all(|b| b.is_ascii_digit()) => body = n,
+                _ => return Parsed::Broken,
+            }
+            seen = true;
+        } else if h.name.eq_ignore_ascii_case("transfer-encoding") {
+            return Parsed::Broken;
+        } else if h.name.eq_ignore_ascii_case("connection") {
+            close |= text.eq_ignore_ascii_case("close");
+        }
+    }
+    if body > limits::BODY_MAX {
+        return Parsed::TooLarge;
+    }
+    let (Some(method), Some(path)) = (req.method, req.path) else {
+        return Parsed::Broken;
+    };
+    Parsed::Head {
+        method: method.into(),
+        path: path.into(),
+        head,
+        body,
+        close,
+    }
+}
+
+async fn connection<H, F>(mut stream: TcpStream, handler: Arc<H>)
+where
+    H: Fn(Request) -> F,
+    F: Future<Output = Response>,
+{
+    let mut buf: Vec<u8> = Vec::with_capacity(1024);
+    loop {
+        let read = timeout(secs(limits::IDLE_WAIT_S), fill(&mut stream, &mut buf)).await;
+        if !matches!(read, Ok(true)) {
+            return;
+        }
+        let got = timeout(secs(limits::REQUEST_WAIT_S), request(&mut stream, &mut buf)).await;
+        let (answer, close) = match got {
+            Ok(Ok((req, close))) => {
+                let answer = handler(req).await;
+                let close = close || answer.close;
+                (answer, close)
+            }
+            Ok(Err(Some(status))) => (Response::empty(status), true),
+            _ => return,
+        };
+        if write(&mut stream, &answer, close).await.is_err() || close {
+            return;
+        }
+    }
+}
+
+/// Reads at least one byte unless some are there already.
+async fn fill(stream: &mut TcpStream, buf: &mut Vec<u8>) -> bool {
+    !buf.is_empty() || matches!(stream.read_buf(buf).await, Ok(n) if n > 0)
+}
+
+/// One whole request; the status to refuse it with, if it can be answered.
+async fn request(
+    stream: &mut TcpStream,
+    buf: &mut Vec<u8>,
+) -> Result<(Request, bool), Option<u16>> {
+    loop {
+        match parse(buf) {
+            Parsed::Broken => return Err(Some(400)),
+            Parsed::TooLarge => return Err(Some(413)),
+            Parsed::Partial => {}
+            Parsed::Head {
+                method,
+                path,
+                head,
+                body,
+                close,
+            } => {
+                if buf.len() >= head + body {
+                    let rest = buf.split_off(head + body);
+                    let body = buf.split_off(head);
+                    *buf = rest;
+                    return Ok((Request { method, path, body }, close));
+                }
+            }
+        }
+        match stream.read_buf(buf).await {
+            Ok(n) if n > 0 => {}
+            _ => return Err(None),
+        }
+    }
+}
+
+async fn write(stream: &mut TcpStream, answer: &Response, close: bool) -> std::io::Result<()> {
+    let mut out = format!(
+        "HTTP/1.1 {} {}\r\nContent-Length: {}\r\n",
+        answer.status,
+        reason(answer.status),
+        answer.body.len()
+    );
+    if !answer.body.is_empty() {
+        out.push_str("Content-Type: application/msgpack\r\n");
+    }
+    if let Some(s) = answer.retry_after_s {
+        out.push_str(&format!("Retry-After: {s}\r\n"));
+    }
+    if close {
+        out.push_str("Connection: close\r\n");
+    }
+    out.push_str("\r\n");
+    let mut bytes = out.into_bytes();
+    bytes.extend_from_slice(&answer.body);
+    timeout(secs(limits::REQUEST_WAIT_S), stream.write_all(&bytes))
+        .await
+        .unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into()))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn broken_and_oversized_requests_are_told_apart() {
+        assert_eq!(parse(b"GET / HTTP/1.1\r\nHo"), Parsed::Partial);
+        assert_eq!(parse(b"\x00\x01\x02 nonsense\r\n\r\n"), Parsed::Broken);
+        let chunked = b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+        assert_eq!(parse(chunked), Parsed::Broken);
+        assert_eq!(
+            parse(b"POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n"),
+            Parsed::Broken
+        );
+        assert_eq!(
+            parse(b"POST / HTTP/1.1\r\nContent-Length: 65537\r\n\r\n"),
+            Parsed::TooLarge
+        );
+        // A head that goes on and on is broken, not partial.
+        assert_eq!(parse(&vec![b'A'; limits::HEAD_MAX + 1]), Parsed::Broken);
+        let ok = parse(b"POST /x HTTP/1.1\r\nContent-Length: 3\r\nConnection: close\r\n\r\nabc");
+        assert!(matches!(
+            ok,
+            Parsed::Head {
+                body: 3,
+                close: true,
+                ..
+            }
+        ));
+    }
+}
--- /dev/null
+++ b/crates/net/src/state.rs
@@ -0,0 +1,192 @@
+//! Client of the state service.
+
+use crate::budget::{Budget, Class};
+use crate::client::Client;
+use crate::{NetError, secs};
+use cherrywood_limits as limits;
+use cherrywood_wire::state::{Events, Item, Items, Lease, LeaseRequest, Txn, TxnAnswer};
+use serde::de::DeserializeOwned;
+use std::net::SocketAddr;
+use tokio::time::Instant;
+
+#[derive(Debug)]
+pub struct StateClient {
+    http: Client,
+    watches: Client,
+    reads: Budget,
+    writes: Budget,
+    rps: f64,
+    write_rps: f64,
+    nodes: f64,
+    start: Instant,
+}
+
+/// Answer to a transaction.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum TxnResult {
+    Applied(u64),
+    Failed(Vec<String>),
+}
+
+impl StateClient {
+    pub fn new(addr: SocketAddr, rps: f64, write_rps: f64, nodes: usize) -> Self {
+        let nodes = nodes.max(1) as f64;
+        StateClient {
+            http: Client::new(addr),
+            watches: Client::new(addr),
+            reads: Budget::new(rps / nodes),
+            writes: Budget::new(write_rps / nodes),
+            rps,
+            write_rps,
+            nodes,
+            start: Instant::now(),
+        }
+    }
+
+    /// The leader does most of the writing; the others divide the rest.
+    pub fn set_leading(&self, leading: bool) {
+        let share = match (leading, self.nodes > 1.0) {
+            (_, false) => 1.0,
+            (true, _) => limits::LEADER_SHARE,
+            (false, _) => (1.0 - limits::LEADER_SHARE) / (self.nodes - 1.0),
+        };
+        self.reads.set_rate(self.rps * share);
+        self.writes.set_rate(self.write_rps * share);
+    }
+
+    async fn admit(&self, budget: &Budget, class: Class, n: f64) -> Result<(), NetError> {
+        let until = Instant::now() + secs(limits::STATE_WAIT_S);
+        loop {
+            let wait = budget.take(class, n, self.start.elapsed().as_secs_f64());
+            if wait <= 0.0 {
+                return Ok(());
+            }
+            if Instant::now() + secs(wait) > until {
+                return Err(NetError::Refused("over this node's share".into()));
+            }
+            tokio::time::sleep(secs(wait)).await;
+        }
+    }
+
+    async fn call(
+        &self,
+        class: Class,
+        method: &str,
+        path: &str,
+        body: Option<&[u8]>,
+    ) -> Result<crate::client::Answer, NetError> {
+        self.admit(&self.reads, class, 1.0).await?;
+        let answer = self
+            .http
+            .send(method, path, body, limits::STATE_WAIT_S)
+            .await?;
+        match answer.status {
+            503 | 429 => Err(NetError::Refused(format!("status {}", answer.status))),
+            _ => Ok(answer),
+        }
+    }
+
+    fn body<T: DeserializeOwned>(body: &[u8]) -> Result<T, NetError> {
+        cherrywood_wire::decode(body).map_err(|e| NetError::Bad(e.to_string()))
+    }
+
+    pub async fn get<V: DeserializeOwned>(&self, key: &str) -> Result<Option<Item<V>>, NetError> {
+        let answer = self
+            .call(Class::First, "GET", &format!("/keys/{key}"), None)
+            .await?;
+        match answer.status {
+            200 => Self::body(&answer.body).map(Some),
+            404 => Ok(None),
+            s => Err(NetError::Bad(format!("status {s}"))),
+        }
+    }
+
+    /// All keys with a prefix, and the revision of the first page.
+    pub async fn list<V: DeserializeOwned>(
+        &self,
+        prefix: &str,
+    ) -> Result<(Vec<Item<V>>, u64), NetError> {
+        let mut all: Vec<Item<V>> = Vec::new();
+        let mut revision = None;
+        loop {
+            let mut path = format!("/keys?starts={prefix}&limit=500");
+            if let Some(last) = all.last() {
+                path.push_str(&format!("&from={}", last.key));
+            }
+            let answer = self.call(Class::First, "GET", &path, None).await?;
+            if answer.status != 200 {
+                return Err(NetError::Bad(format!("status {}", answer.status)));
+            }
+            let page: Items<V> = Self::body(&answer.body)?;
+            let first = *revision.get_or_insert(page.revision);
+            let more = page.more && !page.items.is_empty();
+            all.extend(page.items);
+            if !more {
+                return Ok((all, first));
+            }
+        }
+    }
+
+    pub async fn txn(&self, txn: &Txn, class: Class) -> Result<TxnResult, NetError> {
+        self.admit(&self.writes, class, txn.changes.len() as f64)
+            .await?;
+        let body = cherrywood_wire::encode(txn);
+        let answer = self.call(class, "POST", "/txn", Some(&body)).await?;
+        match answer.status {
+            200 => Ok(TxnResult::Applied(
+                Self::body::<TxnAnswer>(&answer.body)?.revision,
+            )),
+            409 => Ok(TxnResult::Failed(
+                Self::body::<TxnAnswer>(&answer.body)?.failed,
+            )),
+            s => Err(NetError::Bad(format!("status {s} for a transaction"))),
+        }
+    }
+
+    pub async fn lease(&self, ttl_s: f64) -> Result<u64, NetError> {
+        let body = cherrywood_wire::encode(&LeaseRequest {
+            ttl_ms: (ttl_s * 1000.0) as u64,
+        });
+        let answer = self
+            .call(Class::First, "POST", "/leases", Some(&body))
+            .await?;
+        match answer.status {
+            200 => Ok(Self::body::<Lease>(&answer.body)?.id),
+            s => Err(NetError::Bad(format!("status {s}"))),
+        }
+    }
+
+    /// False if the lease is over.
+    pub async fn touch(&self, id: u64) -> Result<bool, NetError> {
+        let path = format!("/leases/{id}/touch");
+        match self.call(Class::First, "POST", &path, None).await?.status {
+            200 => Ok(true),
+            404 => Ok(false),
+            s => Err(NetError::Bad(format!("status {s}"))),
+        }
+    }
+
+    pub async fn end_lease(&self, id: u64) -> Result<(), NetError> {
+        self.call(Class::First, "DELETE", &format!("/leases/{id}"), None)
+            .await
+            .map(|_| ())
+    }
+
+    /// Changes after `from`; None if the service no longer has them.
+    pub async fn watch<V: DeserializeOwned>(
+        &self,
+        prefix: &str,
+        from: u64,
+    ) -> Result<Option<Events<V>>, NetError> {
+        self.admit(&self.reads, Class::First, 1.0).await?;
+        let hold_ms = (limits::WATCH_HOLD_S * 1000.0) as u64;
+        let path = format!("/watch?starts={prefix}&from={from}&hold_ms={hold_ms}");
+        let wait = limits::WATCH_HOLD_S + limits::STATE_WAIT_S;
+        let answer = self.watches.send("GET", &path, None, wait).await?;
+        match answer.status {
+            200 => Self::body(&answer.body).map(Some),
+            410 => Ok(None),
+            s => Err(NetError::Refused(format!("status {s}"))),
+        }
+    }
+}
--- /dev/null
+++ b/crates/sched/src/fleet.rs
@@ -0,0 +1,103 @@
+//! How many machines are wanted, and where they are rented.
+
+use cherrywood_limits as limits;
+
+/// Work of jobs that are allowed on the same machines.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Demand {
+    /// CPUs of tasks on machines now.
+    pub placed: f64,
+    /// CPUs that waiting tasks would use all at once.
+    pub waiting: f64,
+    /// CPU-seconds of waiting tasks, by their estimates.
+    pub work: f64,
+}
+
+impl Demand {
+    pub fn add(&mut self, cpus: f64, count: f64, run_s: f64) {
+        self.waiting += cpus * count;
+        self.work += cpus * count * run_s;
+    }
+
+    /// CPUs that drain the waiting work in `drain_s` beside what runs; never
+    /// more than the waiting tasks could use at once.
+    pub fn wanted(&self, drain_s: f64) -> f64 {
+        self.placed + self.waiting.min(self.work / drain_s)
+    }
+}
+
+/// Where machines can be rented.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Offer {
+    pub kind: String,
+    pub zone: String,
+    pub spot: bool,
+    pub cpus: f64,
+    /// Price of an hour of the whole machine.
+    pub price: f64,
+    /// Machines of this type and kind already there.
+    pub have: u32,
+}
+
+/// Splits a shortage of CPUs over offers, cheapest CPU first and, at equal
+/// price, where fewest machines are: a wave or a cut then takes fewer.
+pub fn shop(short_cpus: f64, offers: &mut [Offer]) -> Vec<(usize, u32)> {
+    let mut buy = vec![0u32; offers.len()];
+    let mut left = short_cpus;
+    let per_cpu = |o: &Offer| o.price / o.cpus.max(0.001);
+    while left > 0.0 {
+        let best = (0..offers.len())
+            .filter(|i| buy[*i] < limits::RENT_MAX)
+            .min_by(|a, b| {
+                let (x, y) = (&offers[*a], &offers[*b]);
+                per_cpu(x)
+                    .total_cmp(&per_cpu(y))
+                    .then((x.have + buy[*a]).cmp(&(y.have + buy[*b])))
+            });
+        let Some(i) = best else { break };
+        // A whole machine for a sliver of work would mostly idle.
+        if left < offers[i].cpus * 0.5 && buy.iter().any(|n| *n > 0) {
+            break;
+        }
+        buy[i] += 1;
+        left -= offers[i].cpus;
+    }
+    buy.into_iter()
+        .enumerate()
+        .filter(|(_, n)| *n > 0)
+        .collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn offer(zone: &str, price: f64, have: u32) -> Offer {
+        Offer {
+            kind: "m".into(),
+            zone: zone.into(),
+            spot: price < 1.0,
+            cpus: 32.0,
+            price,
+            have,
+        }
+    }
+
+    #[test]
+    fn cheap_machines_first_spread_over_zones() {
+        let mut o = [offer("a", 2.4, 0), offer("b", 0.6, 2), offer("c", 0.6, 0)];
+        assert_eq!(shop(128.0, &mut o), vec![(1, 1), (2, 3)]);
+        assert!(shop(0.0, &mut o).is_empty());
+    }
+
+    #[test]
+    fn wanted_is_bounded_by_what_waits() {
+        let mut d = Demand {
+            placed: 10.0,
+            ..Demand::default()
+        };
+        d.add(2.0, 100.0, 30.0);
+        assert_eq!(d.wanted(60.0), 110.0);
+        assert_eq!(d.wanted(1.0), 210.0);
+    }
+}
--- /dev/null
+++ b/crates/sched/src/place.rs
@@ -0,0 +1,55 @@
+//! Which machine suits a task best. The rules (type, zone, kind, room) are
+//! checked by the caller against the ledger; this only ranks what is allowed.
+
+/// How a machine looks to a task that is allowed on it.
+#[derive(Debug, Clone, Copy)]
+pub struct View {
+    /// s until the image could be there: 0 if cached.
+    pub image_wait_s: f64,
+    /// Share of the machine's CPUs left free after the task is placed.
+    pub free_after: f64,
+    pub spot: bool,
+    /// Run time relative to the machine's peers; 1 is ordinary.
+    pub slowness: f64,
+}
+
+/// Lower is better. Waiting for an image counts in seconds; packing and the
+/// price of the machine only decide between machines that start equally soon,
+/// so that dear and half-empty machines drain and can be returned.
+pub fn cost(view: &View, run_s: f64) -> f64 {
+    view.image_wait_s
+        + 2.0 * view.free_after
+        + if view.spot { 0.0 } else { 1.0 }
+        + run_s * (view.slowness - 1.0).max(0.0)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn an_image_outweighs_packing_and_packing_decides_among_equals() {
+        let v = View {
+            image_wait_s: 0.0,
+            free_after: 0.9,
+            spot: true,
+            slowness: 1.0,
+        };
+        let far = View {
+            image_wait_s: 10.0,
+            free_after: 0.0,
+            ..v
+        };
+        let full = View {
+            free_after: 0.1,
+            ..v
+        };
+        assert!(cost(&v, 20.0) < cost(&far, 20.0));
+        assert!(cost(&full, 20.0) < cost(&v, 20.0));
+        let slow = View {
+            slowness: 2.0,
+            ..full
+        };
+        assert!(cost(&v, 20.0) < cost(&slow, 20.0));
+    }
+}
--- /dev/null
+++ b/crates/sched/src/queue.rs
@@ -0,0 +1,282 @@
+//! Three levels served by weighted virtual clocks, with pausing aging
+//! (paper 3.6 and 3.7). Tasks of a job are alike, so they wait in runs.
+
+use cherrywood_limits as limits;
+use std::collections::VecDeque;
+
+/// Tasks `first..end` of a job, waiting in a level since `since`.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Run<J> {
+    pub job: J,
+    pub first: u32,
+    pub end: u32,
+    pub since: f64,
+    pub promoted: bool,
+}
+
+impl<J> Run<J> {
+    pub fn len(&self) -> u32 {
+        self.end - self.first
+    }
+    pub fn is_empty(&self) -> bool {
+        self.end == self.first
+    }
+}
+
+#[derive(Debug)]
+pub struct Queue<J> {
+    levels: [VecDeque<Run<J>>; limits::LEVELS],
+    clocks: [f64; limits::LEVELS],
+    aged: f64,
+    /// Level, place and run of the last `take`.
+    last: Option<(usize, usize, Run<J>)>,
+}
+
+impl<J: Clone + PartialEq> Default for Queue<J> {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl<J: Clone + PartialEq> Queue<J> {
+    pub fn new() -> Self {
+        Queue {
+            levels: Default::default(),
+            clocks: [0.0; limits::LEVELS],
+            aged: f64::NEG_INFINITY,
+            last: None,
+        }
+    }
+
+    /// A level that was empty starts no earlier than those with work: an
+    /// empty level saves no credit.
+    fn wake(&mut self, level: usize) {
+        if self.levels[level].is_empty() {
+            let least = (0..limits::LEVELS)
+                .filter(|l| !self.levels[*l].is_empty())
+                .map(|l| self.clocks[l])
+                .fold(f64::INFINITY, f64::min);
+            if least.is_finite() {
+                self.clocks[level] = self.clocks[level].max(least);
+            }
+        }
+    }
+
+    pub fn push(&mut self, level: usize, job: J, first: u32, end: u32, now: f64) {
+        self.wake(level);
+        self.levels[level].push_back(Run {
+            job,
+            first,
+            end,
+            since: now,
+            promoted: false,
+        });
+    }
+
+    /// A task that comes back (lost, stopped, refused) goes first in its level.
+    pub fn push_front(&mut self, level: usize, job: J, task: u32, now: f64) {
+        self.wake(level);
+        self.levels[level].push_front(Run {
+            job,
+            first: task,
+            end: task + 1,
+            since: now,
+            promoted: false,
+        });
+    }
+
+    pub fn runs(&self) -> impl Iterator<Item = &Run<J>> {
+        self.levels.iter().flatten()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.levels.iter().all(VecDeque::is_empty)
+    }
+
+    pub fn retain(&mut self, mut keep: impl FnMut(&J) -> bool) {
+        for level in &mut self.levels {
+            level.retain(|r| keep(&r.job));
+        }
+    }
+
+    /// Serves the level with the smallest clock among those with an eligible
+    /// task, and charges it the task's expected cost over its weight.
+    pub fn take(
+        &mut self,
+        mut eligible: impl FnMut(&J) -> bool,
+        cost: impl Fn(&J) -> f64,
+    ) -> Option<(J, u32)> {
+        let mut found = [None; limits::LEVELS];
+        for (l, level) in self.levels.iter().enumerate() {
+            found[l] = level.iter().position(|r| eligible(&r.job));
+        }
+        let best = (0..limits::LEVELS)
+            .filter(|l| found[*l].is_some())
+            .min_by(|a, b| self.clocks[*a].total_cmp(&self.clocks[*b]))?;
+        // A level with nothing to serve now is like an empty one.
+        for (l, found) in found.iter().enumerate() {
+            if found.is_none() {
+                self.clocks[l] = self.clocks[l].max(self.clocks[best]);
+            }
+        }
+        let at = found[best]?;
+        let run = &mut self.levels[best][at];
+        let (job, task) = (run.job.clone(), run.first);
+        self.last = Some((best, at, run.clone()));
+        run.first += 1;
+        if run.is_empty() {
+            self.levels[best].remove(at);
+        }
+        self.clocks[best] += cost(&job).max(0.001) / limits::LEVEL_WEIGHTS[best];
+        Some((job, task))
+    }
+
+    /// Takes back a `take` that found no machine: the task waits where it
+    /// was, and its level isn't charged.
+    pub fn untake(&mut self, job: J, task: u32, cost: f64) {
+        let Some((level, at, was)) = self.last.take() else {
+            return;
+        };
+        self.clocks[level] -= cost.max(0.001) / limits::LEVEL_WEIGHTS[level];
+        match self.levels[level].get_mut(at) {
+            Some(r) if r.job == job && r.first == task + 1 => r.first = task,
+            _ => self.levels[level].insert(
+                at,
+                Run {
+                    job,
+                    first: task,
+                    end: task + 1,
+                    ..was
+                },
+            ),
+        }
+    }
+
+    fn oldest(&self, level: usize) -> Option<(usize, f64)> {
+        self.levels[level]
+            .iter()
+            .enumerate()
+            .map(|(i, r)| (i, r.since))
+            .min_by(|a, b| a.1.total_cmp(&b.1))
+    }
+
+    /// One pass of aging: from the lowest level up, one task that has waited
+    /// long enough moves to the back of the next level, unless that level is
+    /// behind (holds promoted tasks, and its oldest has waited as long).
+    pub fn age(&mut self, now: f64) {
+        if now - self.aged < limits::AGING_EVERY_S {
+            return;
+        }
+        self.aged = now;
+        for l in (1..limits::LEVELS).rev() {
+            let Some((at, since)) = self.oldest(l) else {
+                continue;
+            };
+            if now - since < limits::AGING_S {
+                continue;
+            }
+            let above = l - 1;
+            let behind = self.levels[above].iter().any(|r| r.promoted)
+                && self
+                    .oldest(above)
+                    .is_some_and(|(_, s)| now - s >= limits::AGING_S);
+            if behind {
+                continue;
+            }
+            self.wake(above);
+            let run = &mut self.levels[l][at];
+            let (job, task) = (run.job.clone(), run.first);
+            run.first += 1;
+            if run.is_empty() {
+                self.levels[l].remove(at);
+            }
+            let joined = self.levels[above]
+                .back_mut()
+                .filter(|r| r.promoted && r.job == job && r.end == task && r.since == now);
+            match joined {
+                Some(r) => r.end += 1,
+                None => self.levels[above].push_back(Run {
+                    job,
+                    first: task,
+                    end: task + 1,
+                    since: now,
+                    promoted: true,
+                }),
+            }
+        }
+    }
+
+    pub fn level_len(&self, level: usize) -> u32 {
+        self.levels[level].iter().map(Run::len).sum()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn shares_are_8_3_1_while_all_levels_have_work() {
+        let mut q = Queue::new();
+        for l in 0..3 {
+            q.push(l, l, 0, 1000, 0.0);
+        }
+        let mut served = [0; 3];
+        for _ in 0..120 {
+            served[q.take(|_| true, |_| 1.0).unwrap().0] += 1;
+        }
+        // 120 pulls of equal cost: 80, 30 and 10, within one pull each.
+        for (n, want) in served.iter().zip([80i32, 30, 10]) {
+            assert!((n - want).abs() <= 1, "{served:?}");
+        }
+    }
+
+    #[test]
+    fn an_emptied_level_saves_no_credit() {
+        let mut q = Queue::new();
+        q.push(2, 2, 0, 100, 0.0);
+        for _ in 0..50 {
+            q.take(|_| true, |_| 1.0);
+        }
+        q.push(0, 0, 0, 100, 0.0);
+        let mut low = 0;
+        for _ in 0..18 {
+            low += i32::from(q.take(|_| true, |_| 1.0).unwrap().0 == 2);
+        }
+        assert_eq!(low, 2, "one in nine, not a debt of fifty");
+    }
+
+    #[test]
+    fn aging_lifts_one_task_and_pauses_while_the_level_above_is_behind() {
+        let mut q = Queue::new();
+        q.push(2, 'x', 0, 10, 0.0);
+        q.age(4.9);
+        assert_eq!(q.level_len(2), 10);
+        q.age(5.5);
+        assert_eq!((q.level_len(2), q.level_len(1)), (9, 1));
+        q.age(5.7);
+        assert_eq!(q.level_len(2), 9, "not before half a second has passed");
+        q.age(6.0);
+        assert_eq!((q.level_len(2), q.level_len(1)), (8, 2));
+        // At 10.5 the first promoted task has waited 5 s in level 1, so that
+        // level is behind: it gets nothing, while its own oldest moves on.
+        let lens = |q: &Queue<char>| [q.level_len(2), q.level_len(1), q.level_len(0)];
+        q.age(10.5);
+        assert_eq!(lens(&q), [8, 1, 1]);
+        q.age(11.0);
+        assert_eq!(lens(&q), [8, 0, 2]);
+        // An empty level is not behind: promotion goes on.
+        q.age(11.5);
+        assert_eq!(lens(&q), [7, 1, 2]);
+    }
+
+    #[test]
+    fn a_returning_task_goes_first_and_ineligible_jobs_are_passed_over() {
+        let mut q = Queue::new();
+        q.push(1, 'a', 0, 2, 0.0);
+        q.push(1, 'b', 0, 1, 0.0);
+        q.push_front(1, 'b', 7, 0.0);
+        assert_eq!(q.take(|j| *j == 'a', |_| 1.0), Some(('a', 0)));
+        assert_eq!(q.take(|_| true, |_| 1.0), Some(('b', 7)));
+    }
+}
--- /dev/null
+++ b/crates/wire/src/state.rs
@@ -0,0 +1,176 @@
+//! Controllers -> state service. Values are any serde type.
+
+use serde::{Deserialize, Serialize};
+
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+pub struct Item<V> {
+    #[serde(rename = "k")]
+    pub key: String,
+    #[serde(rename = "v")]
+    pub value: V,
+    #[serde(rename = "mark")]
+    pub version: u64,
+    #[serde(rename = "tether", default)]
+    pub lease: Option<u64>,
+}
+
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+pub struct Items<V> {
+    #[serde(rename = "rows")]
+    pub items: Vec<Item<V>>,
+    #[serde(rename = "truncated", default)]
+    pub more: bool,
+    #[serde(rename = "ledger_rev")]
+    pub revision: u64,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Guard {
+    #[serde(rename = "k")]
+    pub key: String,
+    #[serde(rename = "mark")]
+    pub version: u64,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize)]
+#[serde(untagged)]
+pub enum Change {
+    Put {
+        #[serde(rename = "write")]
+        key: String,
+        #[serde(rename = "v")]
+        value: Value,
+        #[serde(rename = "tether", skip_serializing_if = "Option::is_none")]
+        lease: Option<u64>,
+    },
+    Delete {
+        #[serde(rename = "drop")]
+        key: String,
+    },
+}
+
+#[derive(Debug, Clone, PartialEq, Default, Serialize)]
+pub struct Txn {
+    #[serde(rename = "guards")]
+    pub guards: Vec<Guard>,
+    #[serde(rename = "apply")]
+    pub changes: Vec<Change>,
+}
+
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+pub struct TxnAnswer {
+    #[serde(default)]
+    pub failed: Vec<String>,
+    #[serde(rename = "ledger_rev", default)]
+    pub revision: u64,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct LeaseRequest {
+    pub ttl_ms: u64,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Lease {
+    #[serde(rename = "tether")]
+    pub id: u64,
+}
+
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+pub struct Event<V> {
+    #[serde(rename = "write", default = "none")]
+    pub put: Option<String>,
+    #[serde(rename = "drop", default = "none")]
+    pub delete: Option<String>,
+    #[serde(rename = "v", default = "none")]
+    pub value: Option<V>,
+    #[serde(rename = "mark")]
+    pub version: u64,
+}
+
+fn none<T>() -> Option<T> {
+    None
+}
+
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(bound = "V: serde::de::DeserializeOwned")]
+pub struct Events<V> {
+    #[serde(rename = "ledger_rev")]
+    pub revision: u64,
+    pub events: Vec<Event<V>>,
+}
+
+/// What the service keeps, one shape for each kind of key.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+#[serde(untagged)]
+pub enum Value {
+    Leader(LeaderValue),
+    Epoch(EpochValue),
+    Job(Box<JobValue>),
+    Ledger(LedgerValue),
+    Progress(ProgressValue),
+    Final(FinalValue),
+    Histograms(HistogramsValue),
+}
+
+/// `L/leader`, tethered: who leads and in which epoch.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct LeaderValue {
+    pub leader: String,
+    pub epoch: u64,
+    pub nonce: u64,
+}
+
+/// `L/epoch`, which only rises.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct EpochValue {
+    pub last_epoch: u64,
+}
+
+/// `j/<id>`: an accepted job that is neither done nor cancelled.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct JobValue {
+    pub job: crate::user::Submission,
+    /// Time of day at acceptance, ms.
+    pub at_ms: u64,
+}
+
+/// `m/<machine>`: everything that may be on the machine.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct LedgerValue {
+    pub kind: String,
+    pub zone: String,
+    pub spot: bool,
+    pub placed: Vec<LedgerRow>,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct LedgerRow {
+    pub t: String,
+    pub a: u64,
+    pub s: u64,
+    pub team: String,
+    pub cpus: f64,
+    pub gpus: f64,
+    pub mem: f64,
+}
+
+/// `p/<id>`: the finished tasks of a live job, a bitmap in base64.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ProgressValue {
+    pub finished: String,
+}
+
+/// `f/<id>`: the final state, kept for good.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct FinalValue {
+    pub ended: crate::user::JobState,
+    pub tasks: u32,
+}
+
+/// `h/all`: what the predictor has learned.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct HistogramsValue {
+    pub pooled: String,
+    pub keys: Vec<(String, u64, f64, String)>,
+}
--- /dev/null
+++ b/crates/wire/src/user.rs
@@ -0,0 +1,164 @@
+//! Users <-> controllers.
+
+use crate::WireError;
+use serde::{Deserialize, Serialize};
+
+/// Most tasks that one job may have (protocol).
+pub const MAX_TASKS: u32 = 100_000;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Kind {
+    #[serde(rename = "array")]
+    Array,
+    #[serde(rename = "standing")]
+    Service,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Priority {
+    #[serde(rename = "critical")]
+    Production,
+    #[serde(rename = "urgent")]
+    High,
+    #[serde(rename = "normal")]
+    Normal,
+    #[serde(rename = "low")]
+    Low,
+}
+
+/// `POST /submissions`.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Submission {
+    #[serde(rename = "name_id")]
+    pub id: String,
+    #[serde(rename = "herd")]
+    pub class: String,
+    #[serde(rename = "crew")]
+    pub team: String,
+    #[serde(rename = "breed")]
+    pub kind: Kind,
+    #[serde(rename = "rank")]
+    pub priority: Priority,
+    #[serde(rename = "chores")]
+    pub tasks: u32,
+    pub cpus: f64,
+    #[serde(rename = "accelerators")]
+    pub gpus: f64,
+    #[serde(rename = "ram_gb")]
+    pub memory_gb: f64,
+    #[serde(rename = "saddle")]
+    pub image: String,
+    #[serde(rename = "pull_gb")]
+    pub image_gb: f64,
+    #[serde(rename = "breeds_of_box", default)]
+    pub types: Option<Vec<String>>,
+    #[serde(rename = "pasture", default)]
+    pub zone: Option<String>,
+    #[serde(rename = "together")]
+    pub one_zone: bool,
+    #[serde(rename = "apart")]
+    pub spread: bool,
+    #[serde(rename = "strays")]
+    pub spot: bool,
+    #[serde(rename = "guess_s")]
+    pub estimate_s: f64,
+    #[serde(rename = "brand_s")]
+    pub checkpoint_s: f64,
+    #[serde(rename = "stow_s")]
+    pub save_s: f64,
+    #[serde(rename = "due_s", default)]
+    pub deadline_s: Option<f64>,
+}
+
+impl Submission {
+    /// Reads and checks a submission; any error means 400.
+    pub fn read(body: &[u8]) -> Result<Self, WireError> {
+        let job: Submission = crate::decode(body)?;
+        job.check()?;
+        Ok(job)
+    }
+
+    fn check(&self) -> Result<(), WireError> {
+        let amount = |v: f64, name| {
+            if v.is_finite() && v >= 0.0 {
+                Ok(())
+            } else {
+                Err(WireError::Invalid(name))
+            }
+        };
+        if !valid_id(&self.id) {
+            return Err(WireError::Invalid("name_id"));
+        }
+        if self.tasks == 0 || self.tasks > MAX_TASKS {
+            return Err(WireError::Invalid("chores"));
+        }
+        for (text, name) in [
+            (&self.class, "herd"),
+            (&self.team, "crew"),
+            (&self.image, "saddle"),
+        ] {
+            if text.is_empty() || text.len() > 200 {
+                return Err(WireError::Invalid(name));
+            }
+        }
+        amount(self.cpus, "cpus")?;
+        amount(self.gpus, "accelerators")?;
+        amount(self.memory_gb, "ram_gb")?;
+        amount(self.image_gb, "pull_gb")?;
+        amount(self.estimate_s, "guess_s")?;
+        amount(self.checkpoint_s, "brand_s")?;
+        amount(self.save_s, "stow_s")?;
+        if let Some(d) = self.deadline_s {
+            amount(d, "due_s")?;
+        }
+        Ok(())
+    }
+
+    /// The predictor's key: a team joined to the job's image.
+    pub fn key(&self) -> String {
+        format!("{}|{}", self.team, self.image)
+    }
+}
+
+/// Job ids have the form `wk-000412`.
+pub fn valid_id(id: &str) -> bool {
+    id.strip_prefix("wk-")
+        .is_some_and(|d| (6..=18).contains(&d.len()) && d.bytes().all(|b| b.is_ascii_digit()))
+}
+
+/// Splits `wk-000412/3` into the job and the task's number.
+pub fn split_task(task: &str) -> Option<(&str, u32)> {
+    let (job, n) = task.split_once('/')?;
+    Some((job, n.parse().ok()?))
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum JobState {
+    #[serde(rename = "queued")]
+    Queued,
+    #[serde(rename = "running")]
+    Running,
+    #[serde(rename = "done")]
+    Done,
+    #[serde(rename = "cancelled")]
+    Cancelled,
+}
+
+/// What users are told about a job.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct JobStatus {
+    #[serde(rename = "name_id")]
+    pub id: String,
+    #[serde(rename = "gait")]
+    pub state: JobState,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub done: Option<u32>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub running: Option<u32>,
+}
+
+/// Why a request was not served.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Refusal {
+    pub error: String,
+}
