--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -35,6 +35,9 @@
     progress_mark: u64,
     writing: bool,
     placed: u32,
+    /// Placements not yet freed, by task. Rows of the ledger that an earlier
+    /// leader freed in memory only are among them, so there may be several.
+    on: HashMap<u32, u32>,
     running: u32,
     zones: HashMap<String, u32>,
     /// Machines on which it failed, and the pause that followed.
@@ -385,6 +388,7 @@
                 progress_mark,
                 writing: false,
                 placed: 0,
+                on: HashMap::new(),
                 running: 0,
                 zones: HashMap::new(),
                 failed_on: HashSet::new(),
@@ -450,8 +454,15 @@
             let z = job.zones.entry(zone.to_string()).or_default();
             if sign > 0.0 {
                 job.placed += 1;
+                *job.on.entry(p.task).or_default() += 1;
                 *z += 1;
             } else {
+                if let Some(n) = job.on.get_mut(&p.task) {
+                    *n -= 1;
+                    if *n == 0 {
+                        job.on.remove(&p.task);
+                    }
+                }
                 job.placed = job.placed.saturating_sub(1);
                 *z = z.saturating_sub(1);
                 if p.running {
@@ -469,7 +480,9 @@
         let Some(job) = self.jobs.get(&no) else {
             return;
         };
-        if job.done.get(p.task) {
+        // Another row may say that the task is elsewhere: until that one is
+        // freed as well, it must not be started again.
+        if job.done.get(p.task) || job.on.contains_key(&p.task) {
             return;
         }
         if delay_s > 0.0 {
@@ -574,7 +587,7 @@
     fn match_tasks(&mut self, m: &mut Machine, r: &Report, now: f64) {
         let mut listed = HashSet::new();
         for t in &r.tasks {
-            listed.insert(t.attempt);
+            listed.insert((t.task.as_str(), t.attempt));
             let at = m
                 .placed
                 .iter()
@@ -606,7 +619,7 @@
             if t.why == Some(Why::Done)
                 && let Some((id, n)) = split_task(&t.task)
                 && let Some(job) = self.ids.get(id).and_then(|no| self.jobs.get_mut(no))
-                && job.spec.kind == Kind::Array
+                && job.spec.kind != Kind::Service
                 && n < job.spec.tasks
             {
                 job.done.set(n);
@@ -631,7 +644,10 @@
         let trusted = r.token >= m.token;
         let (gone, kept): (Vec<_>, Vec<_>) =
             std::mem::take(&mut m.placed).into_iter().partition(|p| {
-                if listed.contains(&p.attempt) || !trusted || p.stage != Stage::Durable {
+                if listed.contains(&(p.id.as_str(), p.attempt))
+                    || !trusted
+                    || p.stage != Stage::Durable
+                {
                     return false;
                 }
                 if p.inherited || p.seen {
@@ -811,7 +827,7 @@
             .max(1.0)
     }
 
-    fn best_machine(&self, job: &Job, now: f64) -> Option<String> {
+    fn best_machine(&self, job: &Job, zone: Option<&str>, now: f64) -> Option<String> {
         let fresh = limits::MISSED_REPORTS * self.settings.workers.report_s;
         let run_s = self.run_estimate(job);
         let mut best: Option<(f64, &String)> = None;
@@ -819,6 +835,9 @@
             if !m.up || m.draining || m.deleting || now - m.heard > fresh {
                 continue;
             }
+            if zone.is_some_and(|z| z != m.zone) {
+                continue;
+            }
             let Some(t) = self.types.iter().find(|t| t.name == m.kind) else {
                 continue;
             };
@@ -859,6 +878,66 @@
         best.map(|(_, n)| n.clone())
     }
 
+    /// Where a gang can go as a whole: None if nowhere, Some(None) if the zone
+    /// doesn't matter.
+    fn gang_zone(&self, job: &Job, now: f64) -> Option<Option<String>> {
+        let s = &job.spec;
+        let missing = s.tasks - job.done.count().min(s.tasks);
+        let missing = missing.saturating_sub(job.on.len() as u32);
+        let team = self.settings.teams.iter().find(|t| t.name == s.team)?;
+        let (c, g) = self.usage.get(&s.team).copied().unwrap_or_default();
+        let n = f64::from(missing);
+        if c + n * s.cpus > team.cpus_max + 1e-6 || g + n * s.gpus > team.gpus_max + 1e-6 {
+            return None;
+        }
+        let fresh = limits::MISSED_REPORTS * self.settings.workers.report_s;
+        let mut room: BTreeMap<&str, u32> = BTreeMap::new();
+        for m in self.machines.values() {
+            if !m.up || m.draining || m.deleting || now - m.heard > fresh {
+                continue;
+            }
+            if !Self::allowed(s, &m.kind, &m.zone, m.spot) {
+                continue;
+            }
+            let Some(t) = self.types.iter().find(|t| t.name == m.kind) else {
+                continue;
+            };
+            let (c, g, mem) = m.used();
+            let fit = |free: f64, each: f64| {
+                if each > 0.0 {
+                    ((free + 1e-6) / each).floor() as u32
+                } else {
+                    u32::MAX
+                }
+            };
+            let n = fit(t.cpus - c, s.cpus)
+                .min(fit(t.gpus - g, s.gpus))
+                .min(fit(t.memory_gb - mem, s.memory_gb));
+            let r = room.entry(&m.zone).or_default();
+            *r = r.saturating_add(n.min(missing));
+        }
+        if s.one_zone {
+            let zone = room
+                .iter()
+                .find(|(z, n)| **n >= missing && Self::zone_ok(job, z))
+                .map(|(z, _)| (*z).to_string())?;
+            return Some(Some(zone));
+        }
+        let most = if s.spread {
+            s.tasks.div_ceil(2)
+        } else {
+            u32::MAX
+        };
+        let total: u64 = room
+            .iter()
+            .map(|(z, n)| {
+                let here = job.zones.get(*z).copied().unwrap_or(0);
+                u64::from((*n).min(most.saturating_sub(here)))
+            })
+            .sum();
+        (total >= u64::from(missing)).then_some(None)
+    }
+
     /// Serves the queue: every task that can go somewhere is planned there.
     pub fn plan(&mut self, now: f64) {
         self.queue.age(now);
@@ -912,14 +991,40 @@
                     let Some(job) = self.jobs.get(&no) else {
                         continue;
                     };
-                    if job.done.get(task) {
+                    if job.done.get(task) || job.on.contains_key(&task) {
                         continue;
                     }
-                    match self.best_machine(job, now) {
-                        Some(name) => self.place(no, task, &name, now),
-                        None => {
-                            blocked.insert(no);
-                            queue.untake(no, task, costs.get(&no).copied().unwrap_or(1.0));
+                    let gang = job.spec.kind == Kind::Gang;
+                    let zone = if gang {
+                        self.gang_zone(job, now)
+                    } else {
+                        Some(None)
+                    };
+                    let name = zone
+                        .as_ref()
+                        .and_then(|z| self.best_machine(job, z.as_deref(), now));
+                    let Some(name) = name else {
+                        blocked.insert(no);
+                        queue.untake(no, task, costs.get(&no).copied().unwrap_or(1.0));
+                        continue;
+                    };
+                    let attempt = self.unique();
+                    self.place(no, task, attempt, &name, now);
+                    // There is room for all of a gang: the rest follows at
+                    // once, before anything else can take it. The tasks of a
+                    // gang find each other by their common attempt.
+                    while gang {
+                        let Some((_, task)) = queue.take(|n| *n == no, |_| costs[&no]) else {
+                            break;
+                        };
+                        let Some(job) = self.jobs.get(&no) else { break };
+                        let zone = zone.as_ref().and_then(Option::as_deref);
+                        match self.best_machine(job, zone, now) {
+                            Some(name) => self.place(no, task, attempt, &name, now),
+                            None => {
+                                queue.untake(no, task, costs[&no]);
+                                break;
+                            }
                         }
                     }
                 }
@@ -928,8 +1033,7 @@
         self.queue = queue;
     }
 
-    fn place(&mut self, no: JobNo, task: u32, name: &str, now: f64) {
-        let attempt = self.unique();
+    fn place(&mut self, no: JobNo, task: u32, attempt: u64, name: &str, now: f64) {
         let (Some(job), Some(m)) = (self.jobs.get(&no), self.machines.get_mut(name)) else {
             return;
         };
@@ -1495,7 +1599,12 @@
                 continue;
             }
             *room -= count * job.spec.cpus;
-            demand.add(job.spec.cpus, count, self.run_estimate(job));
+            if job.spec.kind == Kind::Array {
+                demand.add(job.spec.cpus, count, self.run_estimate(job));
+            } else {
+                // Gangs and services need all of their machines at once.
+                demand.placed += job.spec.cpus * count;
+            }
             // The first waiting job decides what is rented; jobs with other
             // wishes get their turn when they are first.
             allowed.get_or_insert(&job.spec);
--- /dev/null
+++ b/crates/control/tests/leader.rs
@@ -0,0 +1,712 @@
+//! The leader against a scripted state service and scripted workers. Time is
+//! a number; nothing sleeps.
+
+use cherrywood_control::leader::{CloudCall, Inheritance, Outcome};
+use cherrywood_control::{Leader, Settings, Team, keys};
+use cherrywood_wire::agent::{Command, Report, TaskReport, TaskState, Why};
+use cherrywood_wire::cloud::{Listed, ListedState, MachineType};
+use cherrywood_wire::state::{Change, JobValue, Txn, Value};
+use cherrywood_wire::user::{JobState, Kind, Priority, Submission};
+use std::collections::BTreeMap;
+
+/// A stand-in for the state service.
+#[derive(Default)]
+struct Store {
+    rows: BTreeMap<String, (Value, u64)>,
+    revision: u64,
+}
+
+impl Store {
+    fn mark(&self, key: &str) -> u64 {
+        self.rows.get(key).map_or(0, |r| r.1)
+    }
+
+    fn apply(&mut self, txn: &Txn) -> Outcome {
+        let failed: Vec<String> = txn
+            .guards
+            .iter()
+            .filter(|g| self.mark(&g.key) != g.version)
+            .map(|g| g.key.clone())
+            .collect();
+        if !failed.is_empty() {
+            return Outcome::Conflict(failed);
+        }
+        self.revision += 1;
+        for change in &txn.changes {
+            match change {
+                Change::Put { key, value, .. } => {
+                    self.rows
+                        .insert(key.clone(), (value.clone(), self.revision));
+                }
+                Change::Delete { key } => {
+                    self.rows.remove(key);
+                }
+            }
+        }
+        Outcome::Applied(self.revision)
+    }
+
+    fn put(&mut self, key: &str, value: Value) -> u64 {
+        self.revision += 1;
+        self.rows.insert(key.to_string(), (value, self.revision));
+        self.revision
+    }
+
+    /// A new leader in `epoch`, which reads everything.
+    fn elect(&mut self, epoch: u64, now: f64) -> Leader {
+        let mark = self.put(
+            keys::LEADER,
+            Value::Leader(cherrywood_wire::state::LeaderValue {
+                leader: format!("n{epoch}"),
+                epoch,
+                nonce: epoch,
+            }),
+        );
+        let mut from = Inheritance::default();
+        for (key, (value, mark)) in &self.rows {
+            match value {
+                Value::Job(j) => from.jobs.push(((**j).clone(), *mark)),
+                Value::Ledger(l) => from.ledger.push((key[2..].to_string(), l.clone(), *mark)),
+                Value::Progress(p) => from.progress.push((key[2..].to_string(), p.clone(), *mark)),
+                _ => {}
+            }
+        }
+        Leader::new("n", epoch, mark, settings(), types(), from, now)
+    }
+
+    /// A user's submission that some node accepted.
+    fn accept(&mut self, job: &Submission) -> JobValue {
+        let value = JobValue {
+            job: job.clone(),
+            at_ms: self.revision,
+        };
+        self.put(&keys::job(&job.id), Value::Job(Box::new(value.clone())));
+        value
+    }
+
+    /// A cancellation that some node acknowledged.
+    fn cancel(&mut self, id: &str) {
+        self.revision += 1;
+        self.rows.remove(&keys::job(id));
+    }
+}
+
+fn settings() -> Settings {
+    Settings {
+        teams: vec![Team {
+            name: "t".into(),
+            cpus: 8.0,
+            cpus_max: 16.0,
+            gpus: 0.0,
+            gpus_max: 0.0,
+        }],
+        workers: toml_like(),
+        state: cherrywood_control::cluster::StateLimits {
+            rps: 200.0,
+            write_rps: 80.0,
+            value_kb: 32.0,
+            txn_ops: 48,
+        },
+        cloud: cherrywood_control::cluster::CloudLimits {
+            rps: 3.0,
+            list_lag_s: 3.0,
+        },
+    }
+}
+
+fn toml_like() -> cherrywood_control::cluster::Workers {
+    cherrywood_control::cluster::Workers {
+        report_s: 1.0,
+        lease_s: 10.0,
+        cancel_s: 40.0,
+    }
+}
+
+fn types() -> Vec<MachineType> {
+    vec![MachineType {
+        name: "m8".into(),
+        cpus: 8.0,
+        gpus: 0.0,
+        memory_gb: 64.0,
+        cache_gb: 30.0,
+        fetch_gb_per_s: 1.0,
+        price: 2.0,
+        spot_price: Some(0.5),
+        boot_s: 30.0,
+        zones: vec!["a".into(), "b".into()],
+    }]
+}
+
+fn job(id: &str, tasks: u32) -> Submission {
+    Submission {
+        id: id.into(),
+        class: "c".into(),
+        team: "t".into(),
+        kind: Kind::Array,
+        priority: Priority::Normal,
+        tasks,
+        cpus: 2.0,
+        gpus: 0.0,
+        memory_gb: 1.0,
+        image: "i".into(),
+        image_gb: 1.0,
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: true,
+        estimate_s: 10.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+    }
+}
+
+/// A stand-in for a worker: obeys the highest token, starts what it is told.
+struct Worker {
+    name: String,
+    zone: String,
+    session: u64,
+    seq: u64,
+    token: u64,
+    tasks: Vec<(String, u64, Option<Why>)>,
+}
+
+impl Worker {
+    fn new(name: &str) -> Worker {
+        Worker {
+            name: name.into(),
+            zone: "a".into(),
+            session: 1,
+            seq: 0,
+            token: 0,
+            tasks: Vec::new(),
+        }
+    }
+
+    fn report(&mut self) -> Report {
+        self.seq += 1;
+        Report {
+            machine: self.name.clone(),
+            addr: String::new(),
+            kind: "m8".into(),
+            zone: self.zone.clone(),
+            spot: true,
+            session: self.session,
+            seq: self.seq,
+            token: self.token,
+            notice_s: None,
+            tasks: self
+                .tasks
+                .iter()
+                .map(|(task, attempt, why)| TaskReport {
+                    task: task.clone(),
+                    attempt: *attempt,
+                    state: if why.is_some() {
+                        TaskState::Exited
+                    } else {
+                        TaskState::Running
+                    },
+                    why: *why,
+                    saved: None,
+                })
+                .collect(),
+        }
+    }
+
+    fn obey(&mut self, token: u64, commands: &[Command]) {
+        if token < self.token {
+            return;
+        }
+        self.token = token;
+        for c in commands {
+            match c {
+                Command::Start { task, attempt } => {
+                    if !self.tasks.iter().any(|t| t.0 == *task && t.1 == *attempt) {
+                        self.tasks.push((task.clone(), *attempt, None));
+                    }
+                }
+                Command::Stop { task, attempt, .. } => {
+                    for t in &mut self.tasks {
+                        if t.0 == *task && t.1 == *attempt && t.2.is_none() {
+                            t.2 = Some(Why::Stopped);
+                        }
+                    }
+                }
+                Command::Forget { task, attempt } => {
+                    self.tasks
+                        .retain(|t| !(t.0 == *task && t.1 == *attempt && t.2.is_some()));
+                }
+            }
+        }
+    }
+
+    fn running(&self) -> usize {
+        self.tasks.iter().filter(|t| t.2.is_none()).count()
+    }
+}
+
+/// Every batch the leader has, written.
+fn flush(leader: &mut Leader, store: &mut Store) {
+    while let Some(batch) = leader.ledger_batch() {
+        let outcome = store.apply(&batch.txn);
+        leader.ledger_done(batch, &outcome);
+        reread(leader, store);
+    }
+    while let Some(batch) = leader.job_batch(true) {
+        let outcome = store.apply(&batch.txn);
+        leader.job_done(batch, &outcome);
+        reread(leader, store);
+    }
+}
+
+fn reread(leader: &mut Leader, store: &Store) {
+    for key in leader.reread.clone() {
+        leader.reread_done(&key, store.mark(&key));
+    }
+}
+
+/// One report with everything that follows from it.
+fn beat(leader: &mut Leader, store: &mut Store, w: &mut Worker, holder: &str, now: f64) -> bool {
+    let r = w.report();
+    let Some(token) = leader.report(holder, &r, &[], now) else {
+        return false;
+    };
+    leader.plan(now);
+    flush(leader, store);
+    let commands = leader.commands(&r);
+    w.obey(token, &commands);
+    true
+}
+
+fn submit(leader: &mut Leader, store: &mut Store, job: &Submission, now: f64) {
+    let value = store.accept(job);
+    leader.add_job(value, store.mark(&keys::job(&job.id)), now);
+}
+
+#[test]
+fn an_array_runs_to_done_and_its_tasks_are_forgotten_only_when_durable() {
+    let (mut s, mut w) = (Store::default(), Worker::new("vm-1"));
+    let mut l = s.elect(1, 0.0);
+    submit(&mut l, &mut s, &job("wk-000001", 2), 0.0);
+    beat(&mut l, &mut s, &mut w, "n1", 1.0);
+    assert_eq!(w.running(), 2);
+    w.tasks[0].2 = Some(Why::Done);
+    // The report is taken but nothing has been written yet: no forget.
+    let r = w.report();
+    let token = l.report("n1", &r, &[], 2.0).unwrap();
+    let early = l.commands(&r);
+    assert!(
+        !early.iter().any(|c| matches!(c, Command::Forget { .. })),
+        "{early:?}"
+    );
+    flush(&mut l, &mut s);
+    w.obey(token, &l.commands(&r));
+    assert_eq!(w.tasks.len(), 1);
+    w.tasks[0].2 = Some(Why::Done);
+    beat(&mut l, &mut s, &mut w, "n1", 3.0);
+    assert!(w.tasks.is_empty());
+    assert_eq!(s.mark(&keys::job("wk-000001")), 0);
+    match &s.rows[&keys::ended("wk-000001")].0 {
+        Value::Final(f) => assert_eq!(f.ended, JobState::Done),
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn nothing_starts_before_its_placement_is_written() {
+    let (mut s, mut w) = (Store::default(), Worker::new("vm-1"));
+    let mut l = s.elect(1, 0.0);
+    submit(&mut l, &mut s, &job("wk-000001", 1), 0.0);
+    let r = w.report();
+    l.report("n1", &r, &[], 1.0).unwrap();
+    l.plan(1.0);
+    assert!(l.commands(&r).is_empty());
+    let batch = l.ledger_batch().unwrap();
+    assert!(l.commands(&r).is_empty(), "the write has no answer yet");
+    let outcome = s.apply(&batch.txn);
+    l.ledger_done(batch, &outcome);
+    assert_eq!(l.commands(&r).len(), 1);
+}
+
+#[test]
+fn a_late_transaction_of_a_deposed_leader_fails() {
+    let (mut s, mut w) = (Store::default(), Worker::new("vm-1"));
+    let mut old = s.elect(1, 0.0);
+    submit(&mut old, &mut s, &job("wk-000001", 1), 0.0);
+    let r = w.report();
+    old.report("n1", &r, &[], 1.0);
+    old.plan(1.0);
+    let late = old.ledger_batch().unwrap();
+    let _new = s.elect(2, 5.0);
+    let outcome = s.apply(&late.txn);
+    assert!(matches!(&outcome, Outcome::Conflict(k) if k.contains(&keys::LEADER.to_string())));
+    old.ledger_done(late, &outcome);
+    assert!(old.deposed);
+}
+
+#[test]
+fn a_late_write_of_the_same_leader_cannot_hide_a_later_placement() {
+    let (mut s, mut w) = (Store::default(), Worker::new("vm-1"));
+    let mut l = s.elect(1, 0.0);
+    submit(&mut l, &mut s, &job("wk-000001", 1), 0.0);
+    let r = w.report();
+    l.report("n1", &r, &[], 1.0);
+    l.plan(1.0);
+    let lost = l.ledger_batch().unwrap();
+    let late = lost.txn.clone();
+    l.ledger_done(lost, &Outcome::Unknown);
+    reread(&mut l, &s);
+    flush(&mut l, &mut s);
+    assert!(matches!(s.apply(&late), Outcome::Conflict(_)));
+}
+
+#[test]
+fn a_cancel_that_got_in_first_stops_the_placement() {
+    let (mut s, mut w) = (Store::default(), Worker::new("vm-1"));
+    let mut l = s.elect(1, 0.0);
+    submit(&mut l, &mut s, &job("wk-000001", 1), 0.0);
+    submit(&mut l, &mut s, &job("wk-000002", 1), 0.0);
+    s.cancel("wk-000001");
+    beat(&mut l, &mut s, &mut w, "n1", 1.0);
+    beat(&mut l, &mut s, &mut w, "n1", 2.0);
+    let ids: Vec<&str> = w.tasks.iter().map(|t| t.0.as_str()).collect();
+    assert_eq!(ids, ["wk-000002/0"]);
+}
+
+#[test]
+fn a_cancelled_job_is_stopped_by_the_next_answer() {
+    let (mut s, mut w) = (Store::default(), Worker::new("vm-1"));
+    let mut l = s.elect(1, 0.0);
+    submit(&mut l, &mut s, &job("wk-000001", 2), 0.0);
+    beat(&mut l, &mut s, &mut w, "n1", 1.0);
+    s.cancel("wk-000001");
+    l.remove_job("wk-000001");
+    beat(&mut l, &mut s, &mut w, "n1", 2.0);
+    assert_eq!(w.running(), 0);
+    beat(&mut l, &mut s, &mut w, "n1", 3.0);
+    assert!(w.tasks.is_empty());
+}
+
+#[test]
+fn a_takeover_starts_nothing_twice_while_a_machine_is_silent() {
+    let (mut s, mut silent, mut w) = (Store::default(), Worker::new("vm-1"), Worker::new("vm-2"));
+    let mut l = s.elect(1, 0.0);
+    submit(&mut l, &mut s, &job("wk-000001", 2), 0.0);
+    beat(&mut l, &mut s, &mut silent, "n1", 1.0);
+    assert_eq!(silent.running(), 2);
+    let mut l = s.elect(2, 5.0);
+    let bound = 5.0 + l.timing.grant_bound_s() + l.timing.worker_gone_s();
+    let mut now = 5.5;
+    while now < bound - 1.0 {
+        beat(&mut l, &mut s, &mut w, "n2", now);
+        l.fleet(now);
+        assert_eq!(w.running(), 0, "at {now}");
+        now += 1.0;
+    }
+    // Every grant and lease is over: the tasks are gone and start elsewhere.
+    l.fleet(bound + 1.0);
+    let mut fresh = Worker::new("vm-3");
+    beat(&mut l, &mut s, &mut fresh, "n2", bound + 1.0);
+    assert_eq!(fresh.running(), 2);
+}
+
+#[test]
+fn a_deletion_answered_by_the_cloud_frees_at_once() {
+    let (mut s, mut dead, mut w) = (Store::default(), Worker::new("vm-1"), Worker::new("vm-2"));
+    let mut l = s.elect(1, 0.0);
+    submit(&mut l, &mut s, &job("wk-000001", 2), 0.0);
+    beat(&mut l, &mut s, &mut dead, "n1", 1.0);
+    for now in 2..15 {
+        beat(&mut l, &mut s, &mut w, "n1", f64::from(now));
+    }
+    let calls = l.fleet(15.0);
+    let Some(CloudCall::Delete(names)) = calls.first() else {
+        panic!("{calls:?}")
+    };
+    assert!(names.contains(&"vm-1".to_string()));
+    assert_eq!(w.running(), 0);
+    l.deleted(&["vm-1".into()], 15.5);
+    beat(&mut l, &mut s, &mut w, "n1", 16.0);
+    assert_eq!(w.running(), 2);
+    // A report sent before the machine was deleted changes nothing.
+    assert!(!beat(&mut l, &mut s, &mut dead, "n1", 17.0));
+}
+
+/// A row that an earlier leader freed only in memory names the task beside a
+/// newer row on another machine. Freeing the stale row once queued the task
+/// although it was running elsewhere (found by a hunt, both sites).
+#[test]
+fn a_stale_row_does_not_start_a_task_that_another_row_holds() {
+    let (mut s, mut a, mut b) = (Store::default(), Worker::new("vm-1"), Worker::new("vm-2"));
+    let mut l = s.elect(1, 0.0);
+    submit(&mut l, &mut s, &job("wk-000001", 1), 0.0);
+    beat(&mut l, &mut s, &mut a, "n1", 1.0);
+    a.session = 2;
+    a.tasks.clear();
+    // vm-1 lost its session; the task goes to vm-2, but vm-1's row stays.
+    let r = a.report();
+    l.report("n1", &r, &[], 2.0);
+    beat(&mut l, &mut s, &mut b, "n1", 2.1);
+    if b.running() == 0 {
+        // It went back to vm-1: its own new row is just as good a start.
+        beat(&mut l, &mut s, &mut a, "n1", 2.2);
+        std::mem::swap(&mut a, &mut b);
+    }
+    assert_eq!(b.running(), 1);
+    let mut l = s.elect(2, 5.0);
+    for now in 6..10 {
+        beat(&mut l, &mut s, &mut a, "n2", f64::from(now));
+        assert_eq!(a.running(), 0);
+    }
+    beat(&mut l, &mut s, &mut b, "n2", 10.0);
+    beat(&mut l, &mut s, &mut b, "n2", 11.0);
+    beat(&mut l, &mut s, &mut a, "n2", 12.0);
+    assert_eq!((a.running(), b.running()), (0, 1));
+}
+
+#[test]
+fn absence_counts_only_from_a_worker_that_has_seen_the_new_token() {
+    let (mut s, mut w, mut o) = (Store::default(), Worker::new("vm-1"), Worker::new("vm-2"));
+    let mut l = s.elect(1, 0.0);
+    submit(&mut l, &mut s, &job("wk-000001", 1), 0.0);
+    // The old leader's start is on its way when it dies.
+    let r = w.report();
+    l.report("n1", &r, &[], 1.0).unwrap();
+    l.plan(1.0);
+    flush(&mut l, &mut s);
+    let (token, on_its_way) = (l.block("n1", 1.0)[0].1, l.commands(&r));
+    let mut l = s.elect(2, 5.0);
+    let r = w.report();
+    let new_token = l.report("n2", &r, &[], 6.0).unwrap();
+    assert!(new_token > token);
+    beat(&mut l, &mut s, &mut o, "n2", 6.1);
+    assert_eq!(o.running(), 0, "the old start may still land");
+    w.obey(new_token, &l.commands(&r));
+    w.obey(token, &on_its_way);
+    assert_eq!(w.running(), 0, "fenced");
+    beat(&mut l, &mut s, &mut w, "n2", 7.0);
+    assert_eq!(w.running() + o.running(), 1);
+}
+
+#[test]
+fn a_stale_report_is_ignored() {
+    let (mut s, mut w) = (Store::default(), Worker::new("vm-1"));
+    let mut l = s.elect(1, 0.0);
+    submit(&mut l, &mut s, &job("wk-000001", 1), 0.0);
+    let old = w.report();
+    beat(&mut l, &mut s, &mut w, "n1", 1.0);
+    beat(&mut l, &mut s, &mut w, "n1", 2.0);
+    assert_eq!(l.report("n2", &old, &[], 3.0), None);
+    beat(&mut l, &mut s, &mut w, "n1", 4.0);
+    assert_eq!(w.running(), 1);
+}
+
+#[test]
+fn a_lost_answer_is_repeated_but_never_after_a_forget() {
+    let (mut s, mut w) = (Store::default(), Worker::new("vm-1"));
+    let mut l = s.elect(1, 0.0);
+    submit(&mut l, &mut s, &job("wk-000001", 1), 0.0);
+    // The first answer is lost on its way to the worker.
+    let r = w.report();
+    l.report("n1", &r, &[], 1.0);
+    l.plan(1.0);
+    flush(&mut l, &mut s);
+    let first = l.commands(&r);
+    assert_eq!(l.commands(&r), vec![], "once an answer");
+    let r = w.report();
+    let token = l.report("n1", &r, &[], 2.0).unwrap();
+    assert_eq!(l.commands(&r), first);
+    w.obey(token, &first);
+    w.tasks[0].2 = Some(Why::Error);
+    let r = w.report();
+    let token = l.report("n1", &r, &[], 3.0).unwrap();
+    let commands = l.commands(&r);
+    assert!(matches!(commands[0], Command::Forget { .. }));
+    w.obey(token, &commands);
+    let Command::Start { attempt: used, .. } = &first[0] else {
+        panic!()
+    };
+    for now in 4..20 {
+        beat(&mut l, &mut s, &mut w, "n1", f64::from(now));
+        assert!(w.tasks.iter().all(|t| t.1 != *used));
+    }
+}
+
+#[test]
+fn a_worker_whose_holder_died_is_granted_to_the_next() {
+    let (mut s, mut w) = (Store::default(), Worker::new("vm-1"));
+    let mut l = s.elect(1, 0.0);
+    submit(&mut l, &mut s, &job("wk-000001", 1), 0.0);
+    beat(&mut l, &mut s, &mut w, "n2", 1.0);
+    let before = w.token;
+    assert!(beat(&mut l, &mut s, &mut w, "n3", 2.0));
+    assert!(w.token > before, "the old holder is fenced");
+    beat(&mut l, &mut s, &mut w, "n3", 3.0);
+    assert_eq!(w.running(), 1);
+    assert!(l.block("n2", 3.0).is_empty());
+    assert_eq!(l.block("n3", 3.0).len(), 1);
+}
+
+#[test]
+fn a_block_drops_machines_that_are_silent() {
+    let (mut s, mut w) = (Store::default(), Worker::new("vm-1"));
+    let mut l = s.elect(1, 0.0);
+    beat(&mut l, &mut s, &mut w, "n2", 1.0);
+    assert_eq!(l.block("n2", 3.0).len(), 1);
+    assert!(l.block("n2", 4.0).is_empty(), "so that its grants run dry");
+}
+
+#[test]
+fn the_team_limit_counts_tasks_on_unheard_machines() {
+    let mut s = Store::default();
+    let mut l = s.elect(1, 0.0);
+    submit(&mut l, &mut s, &job("wk-000001", 30), 0.0);
+    let (mut a, mut b, mut c) = (
+        Worker::new("vm-1"),
+        Worker::new("vm-2"),
+        Worker::new("vm-3"),
+    );
+    beat(&mut l, &mut s, &mut a, "n1", 1.0);
+    beat(&mut l, &mut s, &mut b, "n1", 1.0);
+    assert_eq!((a.running(), b.running()), (4, 4));
+    let mut l = s.elect(2, 5.0);
+    beat(&mut l, &mut s, &mut c, "n2", 6.0);
+    beat(&mut l, &mut s, &mut c, "n2", 7.0);
+    assert_eq!(
+        c.running(),
+        0,
+        "16 CPUs may be in use on machines not heard from"
+    );
+    b.tasks[0].2 = Some(Why::Done);
+    beat(&mut l, &mut s, &mut b, "n2", 8.0);
+    beat(&mut l, &mut s, &mut c, "n2", 9.0);
+    beat(&mut l, &mut s, &mut b, "n2", 9.1);
+    assert_eq!(b.running() + c.running(), 4);
+}
+
+#[test]
+fn zones_types_and_kinds_are_kept() {
+    let mut s = Store::default();
+    let mut l = s.elect(1, 0.0);
+    let (mut a, mut b) = (Worker::new("vm-1"), Worker::new("vm-2"));
+    b.zone = "b".into();
+    let spread = Submission {
+        spread: true,
+        ..job("wk-000001", 3)
+    };
+    submit(&mut l, &mut s, &spread, 0.0);
+    beat(&mut l, &mut s, &mut a, "n1", 1.0);
+    assert_eq!(a.running(), 2, "two of three in one zone, no more");
+    beat(&mut l, &mut s, &mut b, "n1", 1.0);
+    assert_eq!(b.running(), 1);
+    for (n, j) in [
+        Submission {
+            spot: false,
+            ..job("wk-000002", 1)
+        },
+        Submission {
+            types: Some(vec!["other".into()]),
+            ..job("wk-000003", 1)
+        },
+        Submission {
+            zone: Some("c".into()),
+            ..job("wk-000004", 1)
+        },
+    ]
+    .iter()
+    .enumerate()
+    {
+        submit(&mut l, &mut s, j, 2.0);
+        beat(&mut l, &mut s, &mut a, "n1", 3.0 + n as f64);
+        beat(&mut l, &mut s, &mut b, "n1", 3.0 + n as f64);
+        assert_eq!(a.running() + b.running(), 3, "{}", j.id);
+    }
+    let one_zone = Submission {
+        one_zone: true,
+        ..job("wk-000005", 4)
+    };
+    submit(&mut l, &mut s, &one_zone, 8.0);
+    beat(&mut l, &mut s, &mut a, "n1", 9.0);
+    beat(&mut l, &mut s, &mut b, "n1", 9.0);
+    let there = |w: &Worker| w.tasks.iter().any(|t| t.0.starts_with("wk-000005"));
+    assert!(there(&a) != there(&b));
+}
+
+#[test]
+fn a_machine_that_fails_several_jobs_is_drained_and_a_bad_job_blames_none() {
+    let mut s = Store::default();
+    let mut l = s.elect(1, 0.0);
+    let (mut sick, mut w) = (Worker::new("vm-1"), Worker::new("vm-2"));
+    submit(&mut l, &mut s, &job("wk-000001", 1), 0.0);
+    submit(&mut l, &mut s, &job("wk-000002", 1), 0.0);
+    beat(&mut l, &mut s, &mut sick, "n1", 1.0);
+    for t in &mut sick.tasks {
+        t.2 = Some(Why::Error);
+    }
+    beat(&mut l, &mut s, &mut sick, "n1", 2.0);
+    beat(&mut l, &mut s, &mut sick, "n1", 3.0);
+    assert_eq!(sick.running(), 0, "drained");
+    beat(&mut l, &mut s, &mut w, "n1", 4.0);
+    assert_eq!(w.running(), 2);
+}
+
+#[test]
+fn done_is_counted_once_and_a_cancel_that_was_first_stands() {
+    let (mut s, mut w) = (Store::default(), Worker::new("vm-1"));
+    let mut l = s.elect(1, 0.0);
+    submit(&mut l, &mut s, &job("wk-000001", 1), 0.0);
+    beat(&mut l, &mut s, &mut w, "n1", 1.0);
+    w.tasks[0].2 = Some(Why::Done);
+    s.cancel("wk-000001");
+    beat(&mut l, &mut s, &mut w, "n1", 2.0);
+    assert!(
+        !s.rows.contains_key(&keys::ended("wk-000001")),
+        "the cancel's own row stands"
+    );
+    beat(&mut l, &mut s, &mut w, "n1", 3.0);
+    assert!(w.tasks.is_empty());
+}
+
+#[test]
+fn a_failed_machine_is_deleted_and_a_booting_one_is_kept() {
+    let mut s = Store::default();
+    let mut l = s.elect(1, 0.0);
+    let listed = |id: &str, state, age_s| Listed {
+        id: id.into(),
+        kind: "m8".into(),
+        zone: "a".into(),
+        spot: true,
+        state,
+        age_s,
+    };
+    l.listed(
+        &[
+            listed("vm-1", ListedState::Failed, 5.0),
+            listed("vm-2", ListedState::Booting, 5.0),
+        ],
+        1.0,
+    );
+    assert_eq!(l.fleet(2.0), vec![CloudCall::Delete(vec!["vm-1".into()])]);
+}
+
+#[test]
+fn a_gang_is_placed_whole_or_not_at_all() {
+    let mut s = Store::default();
+    let mut l = s.elect(1, 0.0);
+    let (mut a, mut b) = (Worker::new("vm-1"), Worker::new("vm-2"));
+    submit(
+        &mut l,
+        &mut s,
+        &Submission {
+            kind: Kind::Gang,
+            ..job("wk-000001", 6)
+        },
+        0.0,
+    );
+    beat(&mut l, &mut s, &mut a, "n1", 1.0);
+    assert_eq!(a.running(), 0, "four of six would fit");
+    beat(&mut l, &mut s, &mut b, "n1", 1.5);
+    beat(&mut l, &mut s, &mut a, "n1", 2.0);
+    assert_eq!(a.running() + b.running(), 6);
+}
--- a/crates/wire/src/user.rs
+++ b/crates/wire/src/user.rs
@@ -10,6 +10,9 @@
 pub enum Kind {
     #[serde(rename = "array")]
     Array,
+    /// Tasks that run only all together.
+    #[serde(rename = "gang")]
+    Gang,
     #[serde(rename = "standing")]
     Service,
 }
