--- a/crates/cherrywood/src/node.rs
+++ b/crates/cherrywood/src/node.rs
@@ -214,7 +214,7 @@
         }
         let now = self.now();
         let mut core = self.core();
-        let commands = core.leading(now)?.commands(&report);
+        let commands = core.leading(now)?.commands(&report, now);
         Some((token, commands))
     }
 
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -70,6 +70,7 @@
     sent: u32,
     seen: bool,
     running: bool,
+    run_since: f64,
     image: String,
     team: String,
     cpus: f64,
@@ -109,9 +110,11 @@
     mark: u64,
     images: Vec<Image>,
     idle_since: f64,
+    /// Nothing more is placed here: a notice, or a machine that fails tasks.
     draining: bool,
+    /// Being emptied because the others have room; undone when work waits.
+    retiring: bool,
     deleting: bool,
-    /// Machine types and the ledger row of a machine that is gone.
     sick_jobs: HashSet<String>,
     sick_streak: u32,
 }
@@ -302,6 +305,7 @@
                     sent: 0,
                     seen: false,
                     running: false,
+                    run_since: now,
                     image,
                     team: row.team,
                     cpus: row.cpus,
@@ -339,6 +343,7 @@
             images: Vec::new(),
             idle_since: now,
             draining: false,
+            retiring: false,
             deleting: false,
             sick_jobs: HashSet::new(),
             sick_streak: 0,
@@ -599,6 +604,7 @@
                     let running = t.state == TaskState::Running;
                     if running != p.running {
                         p.running = running;
+                        p.run_since = now;
                         if let Some(job) = p.job.and_then(|no| self.jobs.get_mut(&no)) {
                             if running {
                                 job.running += 1;
@@ -695,7 +701,7 @@
     }
 
     /// The commands that answer the report (`session`, `seq`) of a machine.
-    pub fn commands(&mut self, r: &Report) -> Vec<Command> {
+    pub fn commands(&mut self, r: &Report, now: f64) -> Vec<Command> {
         let mut out = Vec::new();
         let Some(m) = self.machines.get_mut(&r.machine) else {
             return out;
@@ -733,11 +739,21 @@
                 });
                 continue;
             }
-            // A machine that is about to be taken: save what can be saved.
-            if let (Some(at), Some(job), Some(_)) = (at, job, r.notice_s)
+            // A machine that is about to be taken: save what can be saved. One
+            // that is being emptied: move what has long to run.
+            let move_it = |p: &Placement, job: &Job| {
+                let ran = now - p.run_since;
+                let est = self
+                    .predictor
+                    .estimate(&job.key)
+                    .unwrap_or(job.spec.estimate_s);
+                ran >= limits::MOVE_AFTER_S && est - ran >= limits::MOVE_LEFT_S
+            };
+            if let (Some(at), Some(job)) = (at, job)
                 && t.state == TaskState::Running
                 && job.spec.checkpoint_s > 0.0
                 && !m.placed[at].stopping
+                && (r.notice_s.is_some() || m.retiring && move_it(&m.placed[at], job))
             {
                 m.placed[at].stopping = true;
                 out.push(Command::Stop {
@@ -832,7 +848,7 @@
         let run_s = self.run_estimate(job);
         let mut best: Option<(f64, &String)> = None;
         for (name, m) in &self.machines {
-            if !m.up || m.draining || m.deleting || now - m.heard > fresh {
+            if !m.up || m.draining || m.retiring || m.deleting || now - m.heard > fresh {
                 continue;
             }
             if zone.is_some_and(|z| z != m.zone) {
@@ -893,7 +909,7 @@
         let fresh = limits::MISSED_REPORTS * self.settings.workers.report_s;
         let mut room: BTreeMap<&str, u32> = BTreeMap::new();
         for m in self.machines.values() {
-            if !m.up || m.draining || m.deleting || now - m.heard > fresh {
+            if !m.up || m.draining || m.retiring || m.deleting || now - m.heard > fresh {
                 continue;
             }
             if !Self::allowed(s, &m.kind, &m.zone, m.spot) {
@@ -1050,6 +1066,7 @@
             sent: 0,
             seen: false,
             running: false,
+            run_since: now,
             image: s.image.clone(),
             team: s.team.clone(),
             cpus: s.cpus,
@@ -1481,6 +1498,7 @@
     /// return.
     pub fn fleet(&mut self, now: f64) -> Vec<CloudCall> {
         self.expire(now);
+        self.retire();
         let mut calls = Vec::new();
         self.mark_doomed(now);
         let doomed: Vec<String> = self
@@ -1525,6 +1543,62 @@
         }
     }
 
+    /// Empties the machine that costs most for what it does, if the others
+    /// have room for its tasks and for arrivals; one at a time.
+    fn retire(&mut self) {
+        if !self.queue.is_empty() {
+            for m in self.machines.values_mut() {
+                m.retiring = false;
+            }
+            return;
+        }
+        let cpus = |kind: &str| {
+            self.types
+                .iter()
+                .find(|t| t.name == kind)
+                .map_or(0.0, |t| t.cpus)
+        };
+        let (mut total, mut free) = (0.0, 0.0);
+        let mut worst: Option<(f64, &String, f64, f64)> = None;
+        for (name, m) in &self.machines {
+            if !m.up || m.draining || m.retiring || m.deleting {
+                continue;
+            }
+            let (all, used) = (cpus(&m.kind), m.used().0);
+            total += all;
+            free += all - used;
+            let movable = m.placed.iter().all(|p| {
+                p.job.and_then(|no| self.jobs.get(&no)).is_none_or(|j| {
+                    j.spec.kind == Kind::Array && (j.spec.spot || m.spot) && j.spec.zone.is_none()
+                })
+            });
+            if !movable || used > all * limits::RETIRE_USED_MAX {
+                continue;
+            }
+            let t = self.types.iter().find(|t| t.name == m.kind);
+            let price = t.map_or(0.0, |t| {
+                if m.spot {
+                    t.spot_price.unwrap_or(t.price)
+                } else {
+                    t.price
+                }
+            });
+            let waste = price * (1.0 - used / all.max(0.001));
+            if worst.is_none_or(|w| waste > w.0) {
+                worst = Some((waste, name, all, used));
+            }
+        }
+        if let Some((_, name, all, used)) = worst
+            && free - (all - used) >= used + total * limits::RETIRE_SPARE
+        {
+            let name = name.clone();
+            info!(machine = name, used, free, "emptied: the others have room");
+            if let Some(m) = self.machines.get_mut(&name) {
+                m.retiring = true;
+            }
+        }
+    }
+
     fn mark_doomed(&mut self, now: f64) {
         let lease = self.settings.workers.lease_s;
         let up = self.machines.values().filter(|m| m.up).count();
@@ -1563,7 +1637,12 @@
             }
             if m.up && m.placed.is_empty() && m.notice.is_none() {
                 let idle = now - m.idle_since;
-                if m.draining || idle > limits::IDLE_RETURN_S && !waiting {
+                let most = if m.spot {
+                    limits::IDLE_RETURN_S
+                } else {
+                    limits::IDLE_RETURN_DEAR_S
+                };
+                if m.draining || m.retiring || idle > most && !waiting {
                     info!(machine = name, idle, "returned");
                     m.deleting = true;
                 }
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -114,8 +114,9 @@
 pub const REFUSAL_S: f64 = 12.0;
 /// s; a deleted machine costs at least this much (protocol).
 pub const MIN_CHARGE_S: f64 = 60.0;
-/// s without a task after which a machine may be returned.
+/// s without a task after which a cheap and a dear machine may be returned.
 pub const IDLE_RETURN_S: f64 = 8.0;
+pub const IDLE_RETURN_DEAR_S: f64 = 4.0;
 /// s in which waiting work should be drained; sets how much is rented.
 pub const DRAIN_S: f64 = 60.0;
 /// s between two looks at the fleet.
@@ -126,6 +127,20 @@
 /// s between two reads of prices.
 pub const TYPES_EVERY_S: f64 = 30.0;
 
+/// s of waiting for an image that an empty machine is worse than a full one,
+/// and a dear one than a cheap one.
+pub const PACK_S: f64 = 6.0;
+pub const DEAR_S: f64 = 12.0;
+/// s that a task must have run before it is moved off a machine that is to
+/// be returned: an earlier stop makes its start not count.
+pub const MOVE_AFTER_S: f64 = 32.0;
+/// s that it must have left, or moving it isn't worth saving and starting.
+pub const MOVE_LEFT_S: f64 = 12.0;
+/// Share of a machine's CPUs in use up to which it may be emptied.
+pub const RETIRE_USED_MAX: f64 = 0.6;
+/// Share of all CPUs that must stay free for arrivals when one is emptied.
+pub const RETIRE_SPARE: f64 = 0.08;
+
 // --- bounds ---
 
 /// Bytes of a request's body, and of an answer's (protocol).
--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -1,6 +1,8 @@
 //! Which machine suits a task best. The rules (type, zone, kind, room) are
 //! checked by the caller against the ledger; this only ranks what is allowed.
 
+use cherrywood_limits as limits;
+
 /// How a machine looks to a task that is allowed on it.
 #[derive(Debug, Clone, Copy)]
 pub struct View {
@@ -13,13 +15,13 @@
     pub slowness: f64,
 }
 
-/// Lower is better. Waiting for an image counts in seconds; packing and the
-/// price of the machine only decide between machines that start equally soon,
+/// Lower is better, in seconds. Waiting for an image counts as it is; packing
+/// and the price of the machine are worth as many seconds as `limits` says,
 /// so that dear and half-empty machines drain and can be returned.
 pub fn cost(view: &View, run_s: f64) -> f64 {
     view.image_wait_s
-        + 2.0 * view.free_after
-        + if view.spot { 0.0 } else { 1.0 }
+        + limits::PACK_S * view.free_after
+        + if view.spot { 0.0 } else { limits::DEAR_S }
         + run_s * (view.slowness - 1.0).max(0.0)
 }
 
