--- a/crates/control/src/cluster.rs
+++ b/crates/control/src/cluster.rs
@@ -36,8 +36,18 @@
     pub list_lag_s: f64,
 }
 
+/// An aim on starting (`wait`) or finishing (`finished`).
+#[derive(Debug, Clone, Deserialize)]
+pub struct Objective {
+    pub kind: String,
+    #[serde(default)]
+    pub class: String,
+}
+
 #[derive(Debug, Clone, Deserialize)]
 pub struct Settings {
+    #[serde(default)]
+    pub objectives: Vec<Objective>,
     #[serde(default)]
     pub teams: Vec<Team>,
     pub workers: Workers,
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -742,12 +742,17 @@
             // A machine that is about to be taken: save what can be saved. One
             // that is being emptied: move what has long to run.
             let move_it = |p: &Placement, job: &Job| {
-                let ran = now - p.run_since;
-                let est = self
-                    .predictor
-                    .estimate(&job.key)
-                    .unwrap_or(job.spec.estimate_s);
-                ran >= limits::MOVE_AFTER_S && est - ran >= limits::MOVE_LEFT_S
+                let counted = self
+                    .settings
+                    .objectives
+                    .iter()
+                    .any(|o| o.kind == "wait" && o.class == job.spec.class);
+                let after = if counted {
+                    limits::MOVE_AFTER_START_S
+                } else {
+                    limits::MOVE_AFTER_S
+                };
+                now - p.run_since >= after
             };
             if let (Some(at), Some(job)) = (at, job)
                 && t.state == TaskState::Running
@@ -1543,8 +1548,8 @@
         }
     }
 
-    /// Empties the machine that costs most for what it does, if the others
-    /// have room for its tasks and for arrivals; one at a time.
+    /// Empties the machine that costs most for what it does, while the
+    /// others have room for its tasks and for arrivals.
     fn retire(&mut self) {
         if !self.queue.is_empty() {
             for m in self.machines.values_mut() {
@@ -1552,6 +1557,10 @@
             }
             return;
         }
+        while self.retire_one() {}
+    }
+
+    fn retire_one(&mut self) -> bool {
         let cpus = |kind: &str| {
             self.types
                 .iter()
@@ -1588,15 +1597,31 @@
                 worst = Some((waste, name, all, used));
             }
         }
-        if let Some((_, name, all, used)) = worst
-            && free - (all - used) >= used + total * limits::RETIRE_SPARE
-        {
-            let name = name.clone();
+        let Some((_, name, all, used)) = worst else {
+            return false;
+        };
+        let name = name.clone();
+        let spot = self.machines.get(&name).is_some_and(|m| m.spot);
+        let spare = if spot {
+            limits::RETIRE_SPARE
+        } else {
+            limits::RETIRE_SPARE_DEAR
+        };
+        // What is on its way off other machines needs room as well.
+        let moving: f64 = self
+            .machines
+            .values()
+            .filter(|m| m.retiring)
+            .map(|m| m.used().0)
+            .sum();
+        let fits = free - (all - used) >= used + moving + total * spare;
+        if fits {
             info!(machine = name, used, free, "emptied: the others have room");
             if let Some(m) = self.machines.get_mut(&name) {
                 m.retiring = true;
             }
         }
+        fits
     }
 
     fn mark_doomed(&mut self, now: f64) {
--- a/crates/control/tests/leader.rs
+++ b/crates/control/tests/leader.rs
@@ -93,6 +93,7 @@
 
 fn settings() -> Settings {
     Settings {
+        objectives: Vec::new(),
         teams: vec![Team {
             name: "t".into(),
             cpus: 8.0,
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -132,14 +132,16 @@
 pub const PACK_S: f64 = 6.0;
 pub const DEAR_S: f64 = 12.0;
 /// s that a task must have run before it is moved off a machine that is to
-/// be returned: an earlier stop makes its start not count.
-pub const MOVE_AFTER_S: f64 = 32.0;
-/// s that it must have left, or moving it isn't worth saving and starting.
-pub const MOVE_LEFT_S: f64 = 12.0;
+/// be returned, if an aim counts its start: an earlier stop would undo it.
+pub const MOVE_AFTER_START_S: f64 = 32.0;
+/// The same for other tasks: long enough that saving is worth it.
+pub const MOVE_AFTER_S: f64 = 6.0;
 /// Share of a machine's CPUs in use up to which it may be emptied.
-pub const RETIRE_USED_MAX: f64 = 0.6;
-/// Share of all CPUs that must stay free for arrivals when one is emptied.
-pub const RETIRE_SPARE: f64 = 0.08;
+pub const RETIRE_USED_MAX: f64 = 0.85;
+/// Share of all CPUs that must stay free for arrivals when a dear and a cheap
+/// machine is emptied.
+pub const RETIRE_SPARE_DEAR: f64 = 0.06;
+pub const RETIRE_SPARE: f64 = 0.15;
 
 // --- bounds ---
 
