--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -848,10 +848,12 @@
             .max(1.0)
     }
 
-    fn best_machine(&self, job: &Job, zone: Option<&str>, now: f64) -> Option<String> {
+    /// The machine that suits a task of the job best, and the s until its
+    /// image could be there.
+    fn best_machine(&self, job: &Job, zone: Option<&str>, now: f64) -> Option<(String, f64)> {
         let fresh = limits::MISSED_REPORTS * self.settings.workers.report_s;
         let run_s = self.run_estimate(job);
-        let mut best: Option<(f64, &String)> = None;
+        let mut best: Option<(f64, &String, f64)> = None;
         for (name, m) in &self.machines {
             if !m.up || m.draining || m.retiring || m.deleting || now - m.heard > fresh {
                 continue;
@@ -892,11 +894,11 @@
                 slowness: 1.0,
             };
             let price = cost(&view, run_s);
-            if best.is_none_or(|(b, _)| price < b) {
-                best = Some((price, name));
+            if best.is_none_or(|b| price < b.0) {
+                best = Some((price, name, image_wait_s));
             }
         }
-        best.map(|(_, n)| n.clone())
+        best.map(|(_, n, wait)| (n.clone(), wait))
     }
 
     /// Where a gang can go as a whole: None if nowhere, Some(None) if the zone
@@ -979,11 +981,6 @@
             return;
         }
         let mut blocked: HashSet<JobNo> = HashSet::new();
-        let costs: HashMap<JobNo, f64> = self
-            .jobs
-            .iter()
-            .map(|(no, j)| (*no, self.run_estimate(j)))
-            .collect();
         let mut queue = std::mem::take(&mut self.queue);
         let ranks = [
             Priority::Production,
@@ -993,67 +990,98 @@
         ];
         // Guaranteed work goes before borrowed work, higher ranks before
         // lower ones; among equals the level clocks decide.
+        // Before a machine fetches an image, tasks of the same standing whose
+        // image is there already may pass, for a bounded time.
+        let mut cold: HashSet<JobNo> = HashSet::new();
         for guaranteed in [true, false] {
             for rank in ranks {
-                loop {
-                    let taken = queue.take(
-                        |no| {
-                            !blocked.contains(no)
-                                && self.jobs.get(no).is_some_and(|j| {
-                                    j.spec.priority == rank
-                                        && j.retry_at <= now
-                                        && self.team_fits(&j.spec, guaranteed)
-                                        && self.team_fits(&j.spec, false)
-                                })
-                        },
-                        |no| costs.get(no).copied().unwrap_or(1.0),
+                for fetch in [false, true] {
+                    self.serve(
+                        &mut queue,
+                        (guaranteed, rank, fetch),
+                        &mut blocked,
+                        &mut cold,
+                        now,
                     );
-                    let Some((no, task)) = taken else { break };
-                    let Some(job) = self.jobs.get(&no) else {
-                        continue;
-                    };
-                    if job.done.get(task) || job.on.contains_key(&task) {
-                        continue;
-                    }
-                    let gang = job.spec.kind == Kind::Gang;
-                    let zone = if gang {
-                        self.gang_zone(job, now)
-                    } else {
-                        Some(None)
-                    };
-                    let name = zone
-                        .as_ref()
-                        .and_then(|z| self.best_machine(job, z.as_deref(), now));
-                    let Some(name) = name else {
-                        blocked.insert(no);
-                        queue.untake(no, task, costs.get(&no).copied().unwrap_or(1.0));
-                        continue;
-                    };
-                    let attempt = self.unique();
-                    self.place(no, task, attempt, &name, now);
-                    // There is room for all of a gang: the rest follows at
-                    // once, before anything else can take it. The tasks of a
-                    // gang find each other by their common attempt.
-                    while gang {
-                        let Some((_, task)) = queue.take(|n| *n == no, |_| costs[&no]) else {
-                            break;
-                        };
-                        let Some(job) = self.jobs.get(&no) else { break };
-                        let zone = zone.as_ref().and_then(Option::as_deref);
-                        match self.best_machine(job, zone, now) {
-                            Some(name) => self.place(no, task, attempt, &name, now),
-                            None => {
-                                queue.untake(no, task, costs[&no]);
-                                break;
-                            }
-                        }
-                    }
                 }
             }
         }
         self.queue = queue;
     }
 
+    /// Places what it can of one standing.
+    fn serve(
+        &mut self,
+        queue: &mut Queue<JobNo>,
+        (guaranteed, rank, fetch): (bool, Priority, bool),
+        blocked: &mut HashSet<JobNo>,
+        cold: &mut HashSet<JobNo>,
+        now: f64,
+    ) {
+        loop {
+            let taken = queue.take(
+                |no, since| {
+                    !blocked.contains(no)
+                        && (fetch || !cold.contains(no) || now - since >= limits::PASS_OVER_S)
+                        && self.jobs.get(no).is_some_and(|j| {
+                            j.spec.priority == rank
+                                && j.retry_at <= now
+                                && self.team_fits(&j.spec, guaranteed)
+                                && self.team_fits(&j.spec, false)
+                        })
+                },
+                |no| self.jobs.get(no).map_or(1.0, |j| self.run_estimate(j)),
+            );
+            let Some((no, task)) = taken else { return };
+            let Some(job) = self.jobs.get(&no) else {
+                continue;
+            };
+            if job.done.get(task) || job.on.contains_key(&task) {
+                continue;
+            }
+            let est = self.run_estimate(job);
+            let gang = job.spec.kind == Kind::Gang;
+            let zone = if gang {
+                self.gang_zone(job, now)
+            } else {
+                Some(None)
+            };
+            let best = zone
+                .as_ref()
+                .and_then(|z| self.best_machine(job, z.as_deref(), now));
+            let Some((name, wait)) = best else {
+                blocked.insert(no);
+                queue.untake(no, task, est);
+                continue;
+            };
+            let passed_over = now - queue.taken_since() < limits::PASS_OVER_S;
+            if !fetch && wait > limits::HOT_S && passed_over {
+                cold.insert(no);
+                queue.untake(no, task, est);
+                continue;
+            }
+            let attempt = self.unique();
+            self.place(no, task, attempt, &name, now);
+            // There is room for all of a gang: the rest follows at once, before
+            // anything else can take it. The tasks of a gang find each other by
+            // their common attempt.
+            while gang {
+                let Some((_, task)) = queue.take(|n, _| *n == no, |_| est) else {
+                    break;
+                };
+                let Some(job) = self.jobs.get(&no) else { break };
+                let zone = zone.as_ref().and_then(Option::as_deref);
+                match self.best_machine(job, zone, now) {
+                    Some((name, _)) => self.place(no, task, attempt, &name, now),
+                    None => {
+                        queue.untake(no, task, est);
+                        break;
+                    }
+                }
+            }
+        }
+    }
+
     fn place(&mut self, no: JobNo, task: u32, attempt: u64, name: &str, now: f64) {
         let (Some(job), Some(m)) = (self.jobs.get(&no), self.machines.get_mut(name)) else {
             return;
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -131,6 +131,11 @@
 /// and a dear one than a cheap one.
 pub const PACK_S: f64 = 6.0;
 pub const DEAR_S: f64 = 12.0;
+/// s until an image is there up to which a machine counts as having it.
+pub const HOT_S: f64 = 2.5;
+/// s that a task may be passed over by others of its level whose image is
+/// already on a machine with room.
+pub const PASS_OVER_S: f64 = 20.0;
 /// s that a task must have run before it is moved off a machine that is to
 /// be returned, if an aim counts its start: an earlier stop would undo it.
 pub const MOVE_AFTER_START_S: f64 = 32.0;
--- a/crates/sched/src/queue.rs
+++ b/crates/sched/src/queue.rs
@@ -103,12 +103,12 @@
     /// task, and charges it the task's expected cost over its weight.
     pub fn take(
         &mut self,
-        mut eligible: impl FnMut(&J) -> bool,
+        mut eligible: impl FnMut(&J, f64) -> bool,
         cost: impl Fn(&J) -> f64,
     ) -> Option<(J, u32)> {
         let mut found = [None; limits::LEVELS];
         for (l, level) in self.levels.iter().enumerate() {
-            found[l] = level.iter().position(|r| eligible(&r.job));
+            found[l] = level.iter().position(|r| eligible(&r.job, r.since));
         }
         let best = (0..limits::LEVELS)
             .filter(|l| found[*l].is_some())
@@ -152,6 +152,11 @@
         }
     }
 
+    /// Since when the task of the last `take` had been waiting.
+    pub fn taken_since(&self) -> f64 {
+        self.last.as_ref().map_or(0.0, |l| l.2.since)
+    }
+
     fn oldest(&self, level: usize) -> Option<(usize, f64)> {
         self.levels[level]
             .iter()
@@ -223,7 +228,7 @@
         }
         let mut served = [0; 3];
         for _ in 0..120 {
-            served[q.take(|_| true, |_| 1.0).unwrap().0] += 1;
+            served[q.take(|_, _| true, |_| 1.0).unwrap().0] += 1;
         }
         // 120 pulls of equal cost: 80, 30 and 10, within one pull each.
         for (n, want) in served.iter().zip([80i32, 30, 10]) {
@@ -236,12 +241,12 @@
         let mut q = Queue::new();
         q.push(2, 2, 0, 100, 0.0);
         for _ in 0..50 {
-            q.take(|_| true, |_| 1.0);
+            q.take(|_, _| true, |_| 1.0);
         }
         q.push(0, 0, 0, 100, 0.0);
         let mut low = 0;
         for _ in 0..18 {
-            low += i32::from(q.take(|_| true, |_| 1.0).unwrap().0 == 2);
+            low += i32::from(q.take(|_, _| true, |_| 1.0).unwrap().0 == 2);
         }
         assert_eq!(low, 2, "one in nine, not a debt of fifty");
     }
@@ -276,7 +281,7 @@
         q.push(1, 'a', 0, 2, 0.0);
         q.push(1, 'b', 0, 1, 0.0);
         q.push_front(1, 'b', 7, 0.0);
-        assert_eq!(q.take(|j| *j == 'a', |_| 1.0), Some(('a', 0)));
-        assert_eq!(q.take(|_| true, |_| 1.0), Some(('b', 7)));
+        assert_eq!(q.take(|j, _| *j == 'a', |_| 1.0), Some(('a', 0)));
+        assert_eq!(q.take(|_, _| true, |_| 1.0), Some(('b', 7)));
     }
 }
