Rent dear machines only for lasting demand, one target for renting and emptying

Cause: in arena dear machines were rented for bursts that passed before they had booted, and a queue that was not empty for a moment took every machine back that was being emptied. Now one figure (CPUs wanted, averaged over 20 s for renting and 8 s for returning) decides both.

--- a/crates/cherrywood/src/loops.rs
+++ b/crates/cherrywood/src/loops.rs
@@ -183,7 +183,7 @@
     let types = node.core().types.clone();
     let cluster = node.settings.platform.deployment.cluster.clone();
     let now = node.now();
-    let mut leader = Leader::new(node.me(), epoch, mark, cluster, types, from, now);
+    let mut leader = Leader::new(epoch, mark, cluster, types, from, now);
     leader.cheap_only = node.settings.operator.cheap_only;
     info!(epoch, "took over: {}", leader.summary());
     node.core().leader = Some(leader);
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -163,7 +163,6 @@
 
 #[derive(Debug)]
 pub struct Leader {
-    me: String,
     epoch: u64,
     mark: u64,
     counter: u64,
@@ -185,6 +184,8 @@
     delayed: Vec<(f64, JobNo, u32)>,
     predictor: Predictor,
     refused: HashMap<(String, String, bool), f64>,
+    /// CPUs wanted, averaged over a longer and a shorter time, and when.
+    wanted: Option<(f64, f64, f64)>,
     lists: u32,
     /// Keys whose marks must be read again.
     pub reread: HashSet<String>,
@@ -204,7 +205,6 @@
 
 impl Leader {
     pub fn new(
-        me: &str,
         epoch: u64,
         mark: u64,
         settings: Settings,
@@ -218,7 +218,6 @@
             None => Predictor::new(),
         };
         let mut leader = Leader {
-            me: me.to_string(),
             epoch,
             mark,
             counter: 0,
@@ -238,6 +237,7 @@
             delayed: Vec::new(),
             predictor,
             refused: HashMap::new(),
+            wanted: None,
             lists: 0,
             reread: HashSet::new(),
             deposed: false,
@@ -1531,7 +1531,17 @@
     /// return.
     pub fn fleet(&mut self, now: f64) -> Vec<CloudCall> {
         self.expire(now);
-        self.retire();
+        let wanted = self.demand().0.wanted(limits::DRAIN_DEAR_S);
+        // An empty fleet starts from what is wanted now.
+        let (mut slow, mut fast, at) = match self.wanted {
+            Some(w) if w.0 > 0.0 => w,
+            _ => (wanted, wanted, now),
+        };
+        let step = |over: f64| 1.0 - (-(now - at) / over).exp();
+        slow += (wanted - slow) * step(limits::RENT_AVERAGE_S);
+        fast += (wanted - fast) * step(limits::RETURN_AVERAGE_S);
+        self.wanted = Some((slow, fast, now));
+        self.retire(wanted.max(fast));
         let mut calls = Vec::new();
         self.mark_doomed(now);
         let doomed: Vec<String> = self
@@ -1576,42 +1586,66 @@
         }
     }
 
-    /// Empties the machine that costs most for what it does, while the
-    /// others have room for its tasks and for arrivals.
-    fn retire(&mut self) {
-        if !self.queue.is_empty() {
-            for m in self.machines.values_mut() {
-                m.retiring = false;
+    /// CPUs in use and waited for; tasks that their team's limit keeps waiting
+    /// need no machine. The first waiting job decides what is rented; jobs
+    /// with other wishes get their turn when they are first.
+    fn demand(&self) -> (Demand, Option<&Submission>) {
+        let mut demand = Demand::default();
+        for p in self.machines.values().flat_map(|m| &m.placed) {
+            demand.placed += p.cpus;
+        }
+        let mut room: HashMap<&str, f64> = self
+            .settings
+            .teams
+            .iter()
+            .map(|t| {
+                let used = self.usage.get(&t.name).map_or(0.0, |u| u.0);
+                (t.name.as_str(), (t.cpus_max - used).max(0.0))
+            })
+            .collect();
+        let mut first: Option<&Submission> = None;
+        for run in self.queue.runs() {
+            let Some(job) = self.jobs.get(&run.job) else {
+                continue;
+            };
+            let Some(room) = room.get_mut(job.spec.team.as_str()) else {
+                continue;
+            };
+            let count = f64::from(run.len()).min((*room / job.spec.cpus.max(0.001)).floor());
+            if count <= 0.0 {
+                continue;
             }
-            return;
+            *room -= count * job.spec.cpus;
+            if job.spec.kind == Kind::Array {
+                demand.add(job.spec.cpus, count, self.run_estimate(job));
+            } else {
+                // Gangs and services need all of their machines at once.
+                demand.placed += job.spec.cpus * count;
+            }
+            first.get_or_insert(&job.spec);
         }
-        while self.retire_one() {}
+        (demand, first)
     }
 
-    fn retire_one(&mut self) -> bool {
-        let cpus = |kind: &str| {
-            self.types
-                .iter()
-                .find(|t| t.name == kind)
-                .map_or(0.0, |t| t.cpus)
-        };
-        let (mut total, mut free) = (0.0, 0.0);
-        let mut worst: Option<(f64, &String, f64, f64)> = None;
+    fn cpus_of(&self, kind: &str) -> f64 {
+        self.types
+            .iter()
+            .find(|t| t.name == kind)
+            .map_or(0.0, |t| t.cpus)
+    }
+
+    /// Empties the machines that cost most for what they do, while the others
+    /// can carry what is wanted; takes machines back when they can't.
+    fn retire(&mut self, wanted: f64) {
+        let mut active = 0.0;
+        let mut retiring = Vec::new();
+        let mut others = Vec::new();
         for (name, m) in &self.machines {
-            if !m.up || m.draining || m.retiring || m.deleting {
-                continue;
-            }
-            let (all, used) = (cpus(&m.kind), m.used().0);
-            total += all;
-            free += all - used;
-            let movable = m.placed.iter().all(|p| {
-                p.job.and_then(|no| self.jobs.get(&no)).is_none_or(|j| {
-                    j.spec.kind == Kind::Array && (j.spec.spot || m.spot) && j.spec.zone.is_none()
-                })
-            });
-            if !movable || used > all * limits::RETIRE_USED_MAX {
+            if !m.up || m.draining || m.deleting {
                 continue;
             }
+            let all = self.cpus_of(&m.kind);
+            let used = m.used().0 / all.max(0.001);
             let t = self.types.iter().find(|t| t.name == m.kind);
             let price = t.map_or(0.0, |t| {
                 if m.spot {
@@ -1620,36 +1654,51 @@
                     t.price
                 }
             });
-            let waste = price * (1.0 - used / all.max(0.001));
-            if worst.is_none_or(|w| waste > w.0) {
-                worst = Some((waste, name, all, used));
+            // Dear machines first, the emptiest first.
+            let waste = price / all.max(0.001) * (1.05 - used);
+            if m.retiring {
+                retiring.push((waste, name.clone(), all));
+                continue;
+            }
+            active += all;
+            let movable = m.placed.iter().all(|p| {
+                p.job.and_then(|no| self.jobs.get(&no)).is_none_or(|j| {
+                    j.spec.kind == Kind::Array && (j.spec.spot || m.spot) && j.spec.zone.is_none()
+                })
+            });
+            if movable {
+                others.push((waste, name.clone(), all, m.spot));
             }
         }
-        let Some((_, name, all, used)) = worst else {
-            return false;
-        };
-        let name = name.clone();
-        let spot = self.machines.get(&name).is_some_and(|m| m.spot);
-        let spare = if spot {
-            limits::RETIRE_SPARE
-        } else {
-            limits::RETIRE_SPARE_DEAR
-        };
-        // What is on its way off other machines needs room as well.
-        let moving: f64 = self
-            .machines
-            .values()
-            .filter(|m| m.retiring)
-            .map(|m| m.used().0)
-            .sum();
-        let fits = free - (all - used) >= used + moving + total * spare;
-        if fits {
-            info!(machine = name, used, free, "emptied: the others have room");
+        retiring.sort_by(|a, b| a.0.total_cmp(&b.0));
+        for (_, name, all) in retiring {
+            if active >= wanted {
+                break;
+            }
+            active += all;
+            if let Some(m) = self.machines.get_mut(&name) {
+                m.retiring = false;
+            }
+        }
+        others.sort_by(|a, b| b.0.total_cmp(&a.0));
+        for (_, name, all, spot) in others {
+            let spare = if spot {
+                limits::RETIRE_SPARE
+            } else {
+                limits::RETIRE_SPARE_DEAR
+            };
+            if active - all < wanted * (1.0 + spare) {
+                continue;
+            }
+            active -= all;
             if let Some(m) = self.machines.get_mut(&name) {
+                info!(
+                    machine = name,
+                    wanted, active, "emptied: the others suffice"
+                );
                 m.retiring = true;
             }
         }
-        fits
     }
 
     fn mark_doomed(&mut self, now: f64) {
@@ -1704,54 +1753,16 @@
     }
 
     fn rentals(&mut self, now: f64) -> Vec<CloudCall> {
-        let mut demand = Demand::default();
-        for p in self.machines.values().flat_map(|m| &m.placed) {
-            demand.placed += p.cpus;
-        }
-        // Tasks that their team's limit keeps waiting need no machine.
-        let mut room: HashMap<&str, f64> = self
-            .settings
-            .teams
-            .iter()
-            .map(|t| {
-                let used = self.usage.get(&t.name).map_or(0.0, |u| u.0);
-                (t.name.as_str(), (t.cpus_max - used).max(0.0))
-            })
-            .collect();
-        let mut allowed: Option<&Submission> = None;
-        for run in self.queue.runs() {
-            let Some(job) = self.jobs.get(&run.job) else {
-                continue;
-            };
-            let Some(room) = room.get_mut(job.spec.team.as_str()) else {
-                continue;
-            };
-            let count = f64::from(run.len()).min((*room / job.spec.cpus.max(0.001)).floor());
-            if count <= 0.0 {
-                continue;
-            }
-            *room -= count * job.spec.cpus;
-            if job.spec.kind == Kind::Array {
-                demand.add(job.spec.cpus, count, self.run_estimate(job));
-            } else {
-                // Gangs and services need all of their machines at once.
-                demand.placed += job.spec.cpus * count;
-            }
-            // The first waiting job decides what is rented; jobs with other
-            // wishes get their turn when they are first.
-            allowed.get_or_insert(&job.spec);
-        }
-        let Some(spec) = allowed else {
+        let (demand, first) = self.demand();
+        let Some(spec) = first.cloned() else {
             return Vec::new();
         };
-        let types: HashMap<&str, &MachineType> =
-            self.types.iter().map(|t| (t.name.as_str(), t)).collect();
+        let spec = &spec;
         let have: f64 = self
             .machines
             .values()
             .filter(|m| !m.draining && !m.deleting && Self::allowed(spec, &m.kind, &m.zone, m.spot))
-            .filter_map(|m| types.get(m.kind.as_str()))
-            .map(|t| t.cpus)
+            .map(|m| self.cpus_of(&m.kind))
             .sum();
         let short = demand.wanted(limits::DRAIN_S) - have;
         if short <= 0.0 {
@@ -1794,7 +1805,28 @@
                 }
             }
         }
-        let buy = shop(short, &mut offers);
+        // Dear machines only for what cheap ones can't be had for, and only
+        // if it would wait for long.
+        let dear = |o: &Offer| spec.spot && !o.spot;
+        let (mut dear, mut cheap): (Vec<_>, Vec<_>) = offers.into_iter().partition(dear);
+        let mut buy = shop(short, &mut cheap);
+        let bought: f64 = buy
+            .iter()
+            .map(|(i, n)| cheap[*i].cpus * f64::from(*n))
+            .sum();
+        let wanted = demand.wanted(limits::DRAIN_DEAR_S);
+        let lasting = self.wanted.map_or(wanted, |w| w.0.min(wanted));
+        let short = lasting - have - bought;
+        let least = dear.iter().map(|o| o.cpus).fold(f64::INFINITY, f64::min);
+        if short >= least / 2.0 {
+            buy.extend(
+                shop(short, &mut dear)
+                    .into_iter()
+                    .map(|(i, n)| (i + cheap.len(), n)),
+            );
+        }
+        cheap.append(&mut dear);
+        let offers = cheap;
         let mut calls = Vec::new();
         for (i, count) in buy {
             self.rent_counter += 1;
@@ -1856,13 +1888,25 @@
         let waiting: Vec<u32> = (0..limits::LEVELS)
             .map(|l| self.queue.level_len(l))
             .collect();
+        let all = |m: &&Machine| m.up && !m.deleting;
+        let cpus: f64 = self
+            .machines
+            .values()
+            .filter(all)
+            .map(|m| self.cpus_of(&m.kind))
+            .sum();
+        let dear = self.machines.values().filter(|m| !m.spot).count();
+        let rows = || self.machines.values().flat_map(|m| &m.placed);
+        let used: f64 = rows().map(|p| p.cpus).sum();
+        let running: f64 = rows().filter(|p| p.running).map(|p| p.cpus).sum();
         format!(
-            "{} jobs, {} machines ({} up), {placed} placed, waiting {waiting:?}, delayed {}, leads {}",
+            "{} jobs, {} machines ({} up, {dear} dear), {placed} placed, waiting {waiting:?}, \
+             delayed {}, cpus {cpus} up, {used} placed, {running} running, {:.0} wanted",
             self.jobs.len(),
             self.machines.len(),
             up,
             self.delayed.len(),
-            self.me,
+            self.demand().0.wanted(limits::DRAIN_DEAR_S),
         )
     }
 }
--- a/crates/control/tests/leader.rs
+++ b/crates/control/tests/leader.rs
@@ -71,7 +71,7 @@
                 _ => {}
             }
         }
-        Leader::new("n", epoch, mark, settings(), types(), from, now)
+        Leader::new(epoch, mark, settings(), types(), from, now)
     }
 
     /// A user's submission that some node accepted.
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -117,8 +117,14 @@
 /// s without a task after which a cheap and a dear machine may be returned.
 pub const IDLE_RETURN_S: f64 = 8.0;
 pub const IDLE_RETURN_DEAR_S: f64 = 4.0;
-/// s in which waiting work should be drained; sets how much is rented.
-pub const DRAIN_S: f64 = 60.0;
+/// s in which waiting work should be drained; sets how many cheap machines
+/// are rented, and how many dear ones are rented and kept.
+pub const DRAIN_S: f64 = 20.0;
+pub const DRAIN_DEAR_S: f64 = 50.0;
+/// s over which the CPUs wanted are averaged before dear machines come, and
+/// before machines go: a burst or a lull that passes sooner isn't worth a boot.
+pub const RENT_AVERAGE_S: f64 = 20.0;
+pub const RETURN_AVERAGE_S: f64 = 8.0;
 /// s between two looks at the fleet.
 pub const FLEET_EVERY_S: f64 = 1.0;
 /// Names in one deletion and machines in one rental (protocol).
@@ -141,12 +147,10 @@
 pub const MOVE_AFTER_START_S: f64 = 32.0;
 /// The same for other tasks: long enough that saving is worth it.
 pub const MOVE_AFTER_S: f64 = 6.0;
-/// Share of a machine's CPUs in use up to which it may be emptied.
-pub const RETIRE_USED_MAX: f64 = 0.85;
-/// Share of all CPUs that must stay free for arrivals when a dear and a cheap
-/// machine is emptied.
+/// Share of the CPUs wanted that must stay free for arrivals when a dear and
+/// a cheap machine is emptied.
 pub const RETIRE_SPARE_DEAR: f64 = 0.06;
-pub const RETIRE_SPARE: f64 = 0.15;
+pub const RETIRE_SPARE: f64 = 0.2;
 
 // --- bounds ---
 
