--- a/crates/cherrywood/src/api.rs
+++ b/crates/cherrywood/src/api.rs
@@ -104,9 +104,7 @@
     if let Err(why) = possible(&job, &cluster.teams, &types) {
         return refuse(422, why);
     }
-    let at_ms = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .map_or(0, |d| d.as_millis() as u64);
+    let at_ms = wall_ms();
     let txn = Txn {
         guards: vec![
             Guard {
@@ -281,3 +279,10 @@
     }
     Response::busy()
 }
+
+/// Time of day, ms; within the platform's bound of true time.
+pub fn wall_ms() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |d| d.as_millis() as u64)
+}
--- a/crates/cherrywood/src/loops.rs
+++ b/crates/cherrywood/src/loops.rs
@@ -180,6 +180,7 @@
     from.histograms = saved.map(|i| i.value);
     let rows = insist!(node, node.state.list::<JobValue>(keys::JOBS)).0;
     from.jobs = rows.into_iter().map(|i| (i.value, i.version)).collect();
+    from.wall_ms = crate::api::wall_ms();
     let types = node.core().types.clone();
     let cluster = node.settings.platform.deployment.cluster.clone();
     let now = node.now();
--- a/crates/control/src/cluster.rs
+++ b/crates/control/src/cluster.rs
@@ -42,6 +42,8 @@
     pub kind: String,
     #[serde(default)]
     pub class: String,
+    #[serde(default)]
+    pub within_s: f64,
 }
 
 #[derive(Debug, Clone, Deserialize)]
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -28,6 +28,8 @@
 struct Job {
     spec: Submission,
     key: String,
+    /// When it was accepted, on this leader's clock.
+    born: f64,
     mark: u64,
     done: Bitmap,
     /// What the state service has of `done`.
@@ -56,6 +58,17 @@
     Durable,
 }
 
+/// How tasks of one standing are served, in this order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Order {
+    /// Jobs about to miss an aim that they can still meet, least slack first.
+    Due,
+    /// By the level clocks, those whose image is on a machine with room.
+    Hot,
+    /// By the level clocks.
+    Any,
+}
+
 #[derive(Debug, Clone)]
 struct Placement {
     id: String,
@@ -170,6 +183,8 @@
     settings: Settings,
     pub timing: Timing,
     since: f64,
+    /// Time of day less this leader's clock, s.
+    wall_offset: f64,
     types: Vec<MachineType>,
     jobs: HashMap<JobNo, Job>,
     ids: HashMap<String, JobNo>,
@@ -197,6 +212,8 @@
 /// What a new leader reads before it acts.
 #[derive(Debug, Default)]
 pub struct Inheritance {
+    /// Time of day, ms.
+    pub wall_ms: u64,
     pub jobs: Vec<(JobValue, u64)>,
     pub progress: Vec<(String, ProgressValue, u64)>,
     pub ledger: Vec<(String, LedgerValue, u64)>,
@@ -225,6 +242,7 @@
             settings,
             timing,
             since: now,
+            wall_offset: from.wall_ms as f64 / 1000.0 - now,
             types,
             jobs: HashMap::new(),
             ids: HashMap::new(),
@@ -387,6 +405,7 @@
             no,
             Job {
                 key,
+                born: (value.at_ms as f64 / 1000.0 - self.wall_offset).min(now),
                 mark,
                 durable: done.clone(),
                 done,
@@ -848,6 +867,31 @@
             .max(1.0)
     }
 
+    /// s until the job's waiting tasks must be started for the next aim on its
+    /// class that it can still meet; None if there is none.
+    fn slack(&self, job: &Job, now: f64) -> Option<f64> {
+        let age = now - job.born;
+        let mut least: Option<f64> = None;
+        for o in &self.settings.objectives {
+            if o.class != job.spec.class {
+                continue;
+            }
+            let run = match o.kind.as_str() {
+                "finished" => self
+                    .predictor
+                    .tail(&job.key)
+                    .unwrap_or(job.spec.estimate_s * limits::TAIL_GUESS),
+                "wait" => 0.0,
+                _ => continue,
+            };
+            let slack = o.within_s - age - run;
+            if slack >= 0.0 && least.is_none_or(|l| slack < l) {
+                least = Some(slack);
+            }
+        }
+        least
+    }
+
     /// The machine that suits a task of the job best, and the s until its
     /// image could be there.
     fn best_machine(&self, job: &Job, zone: Option<&str>, now: f64) -> Option<(String, f64)> {
@@ -995,10 +1039,10 @@
         let mut cold: HashSet<JobNo> = HashSet::new();
         for guaranteed in [true, false] {
             for rank in ranks {
-                for fetch in [false, true] {
+                for order in [Order::Due, Order::Hot, Order::Any] {
                     self.serve(
                         &mut queue,
-                        (guaranteed, rank, fetch),
+                        (guaranteed, rank, order),
                         &mut blocked,
                         &mut cold,
                         now,
@@ -1013,25 +1057,34 @@
     fn serve(
         &mut self,
         queue: &mut Queue<JobNo>,
-        (guaranteed, rank, fetch): (bool, Priority, bool),
+        (guaranteed, rank, order): (bool, Priority, Order),
         blocked: &mut HashSet<JobNo>,
         cold: &mut HashSet<JobNo>,
         now: f64,
     ) {
         loop {
-            let taken = queue.take(
-                |no, since| {
-                    !blocked.contains(no)
-                        && (fetch || !cold.contains(no) || now - since >= limits::PASS_OVER_S)
-                        && self.jobs.get(no).is_some_and(|j| {
-                            j.spec.priority == rank
-                                && j.retry_at <= now
-                                && self.team_fits(&j.spec, guaranteed)
-                                && self.team_fits(&j.spec, false)
-                        })
-                },
-                |no| self.jobs.get(no).map_or(1.0, |j| self.run_estimate(j)),
-            );
+            let ready = |no: &JobNo| {
+                !blocked.contains(no)
+                    && self.jobs.get(no).is_some_and(|j| {
+                        j.spec.priority == rank
+                            && j.retry_at <= now
+                            && self.team_fits(&j.spec, guaranteed)
+                            && self.team_fits(&j.spec, false)
+                    })
+            };
+            let price = |no: &JobNo| self.jobs.get(no).map_or(1.0, |j| self.run_estimate(j));
+            let taken = if order == Order::Due {
+                let risk = |no: &JobNo| {
+                    let slack = self.slack(self.jobs.get(no)?, now)?;
+                    (slack < limits::RISK_S && ready(no)).then_some(slack)
+                };
+                queue.take_least(risk, price)
+            } else {
+                let passes = |no: &JobNo, since| {
+                    order == Order::Any || !cold.contains(no) || now - since >= limits::PASS_OVER_S
+                };
+                queue.take(|no, since| passes(no, since) && ready(no), price)
+            };
             let Some((no, task)) = taken else { return };
             let Some(job) = self.jobs.get(&no) else {
                 continue;
@@ -1055,7 +1108,7 @@
                 continue;
             };
             let passed_over = now - queue.taken_since() < limits::PASS_OVER_S;
-            if !fetch && wait > limits::HOT_S && passed_over {
+            if order == Order::Hot && wait > limits::HOT_S && passed_over {
                 cold.insert(no);
                 queue.untake(no, task, est);
                 continue;
@@ -1065,10 +1118,7 @@
             // There is room for all of a gang: the rest follows at once, before
             // anything else can take it. The tasks of a gang find each other by
             // their common attempt.
-            while gang {
-                let Some((_, task)) = queue.take(|n, _| *n == no, |_| est) else {
-                    break;
-                };
+            while let Some((_, task)) = queue.take(|n, _| gang && *n == no, |_| est) {
                 let Some(job) = self.jobs.get(&no) else { break };
                 let zone = zone.as_ref().and_then(Option::as_deref);
                 match self.best_machine(job, zone, now) {
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -142,6 +142,11 @@
 /// s that a task may be passed over by others of its level whose image is
 /// already on a machine with room.
 pub const PASS_OVER_S: f64 = 20.0;
+/// s of slack below which a job that can still meet an aim on its class is
+/// served by its slack, before the level clocks decide.
+pub const RISK_S: f64 = 40.0;
+/// Estimates that a job's slowest task takes while its key has no history.
+pub const TAIL_GUESS: f64 = 2.0;
 /// s that a task must have run before it is moved off a machine that is to
 /// be returned, if an aim counts its start: an earlier stop would undo it.
 pub const MOVE_AFTER_START_S: f64 = 32.0;
--- a/crates/sched/src/predictor.rs
+++ b/crates/sched/src/predictor.rs
@@ -186,6 +186,12 @@
         (k.seen >= limits::KEY_MIN).then(|| k.hist.quantile(0.5))?
     }
 
+    /// What nearly all of the key's tasks stay below.
+    pub fn tail(&self, key: &str) -> Option<f64> {
+        let k = self.keys.get(key)?;
+        (k.seen >= limits::KEY_MIN).then(|| k.hist.quantile(0.95))?
+    }
+
     /// The estimate if every trust check holds.
     pub fn trusted(&self, key: &str, now: f64) -> Option<f64> {
         let k = self.keys.get(key)?;
--- a/crates/sched/src/queue.rs
+++ b/crates/sched/src/queue.rs
@@ -119,16 +119,40 @@
                 self.clocks[l] = self.clocks[l].max(self.clocks[best]);
             }
         }
-        let at = found[best]?;
-        let run = &mut self.levels[best][at];
+        Some(self.remove(best, found[best]?, cost))
+    }
+
+    /// Serves the run with the least value of `rank`, whatever the clocks
+    /// say; its level is charged all the same.
+    pub fn take_least(
+        &mut self,
+        mut rank: impl FnMut(&J) -> Option<f64>,
+        cost: impl Fn(&J) -> f64,
+    ) -> Option<(J, u32)> {
+        let mut best: Option<(f64, usize, usize)> = None;
+        for (l, level) in self.levels.iter().enumerate() {
+            for (at, run) in level.iter().enumerate() {
+                if let Some(r) = rank(&run.job)
+                    && best.is_none_or(|b| r < b.0)
+                {
+                    best = Some((r, l, at));
+                }
+            }
+        }
+        let (_, level, at) = best?;
+        Some(self.remove(level, at, cost))
+    }
+
+    fn remove(&mut self, level: usize, at: usize, cost: impl Fn(&J) -> f64) -> (J, u32) {
+        let run = &mut self.levels[level][at];
         let (job, task) = (run.job.clone(), run.first);
-        self.last = Some((best, at, run.clone()));
+        self.last = Some((level, at, run.clone()));
         run.first += 1;
         if run.is_empty() {
-            self.levels[best].remove(at);
+            self.levels[level].remove(at);
         }
-        self.clocks[best] += cost(&job).max(0.001) / limits::LEVEL_WEIGHTS[best];
-        Some((job, task))
+        self.clocks[level] += cost(&job).max(0.001) / limits::LEVEL_WEIGHTS[level];
+        (job, task)
     }
 
     /// Takes back a `take` that found no machine: the task waits where it
