--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -151,7 +151,7 @@
 /// be returned, if an aim counts its start: an earlier stop would undo it.
 pub const MOVE_AFTER_START_S: f64 = 32.0;
 /// The same for other tasks: long enough that saving is worth it.
-pub const MOVE_AFTER_S: f64 = 6.0;
+pub const MOVE_AFTER_S: f64 = 20.0;
 /// Share of the CPUs wanted that must stay free for arrivals when a dear and
 /// a cheap machine is emptied.
 pub const RETIRE_SPARE_DEAR: f64 = 0.06;
