A team near its limit waits for few images at once

Cause: waiting for an image uses up a team's limit; in arena boxoffice (192 CPUs) was the bottleneck and a fifth of its CPUs fetched.

--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -867,6 +867,35 @@
             .max(1.0)
     }
 
+    /// Is the job's team near its limit, with enough of it waiting for images
+    /// already, and the job's image to be had without another fetch?
+    fn scarce(&self, spec: &Submission) -> bool {
+        let Some(team) = self.settings.teams.iter().find(|t| t.name == spec.team) else {
+            return false;
+        };
+        let used = self.usage.get(&spec.team).map_or(0.0, |u| u.0);
+        if used < team.cpus_max * limits::SCARCE {
+            return false;
+        }
+        let mut fetching = 0.0;
+        let mut there = false;
+        for m in self
+            .machines
+            .values()
+            .filter(|m| m.up && !m.draining && !m.deleting)
+        {
+            there |= m.images.iter().any(|i| i.name == spec.image);
+            for p in m
+                .placed
+                .iter()
+                .filter(|p| p.team == spec.team && !p.running)
+            {
+                fetching += p.cpus;
+            }
+        }
+        there && fetching > team.cpus_max * limits::SCARCE_FETCHING
+    }
+
     /// s until the job's waiting tasks must be started for the next aim on its
     /// class that it can still meet; None if there is none.
     fn slack(&self, job: &Job, now: f64) -> Option<f64> {
@@ -1076,7 +1105,7 @@
             let taken = if order == Order::Due {
                 let risk = |no: &JobNo| {
                     let slack = self.slack(self.jobs.get(no)?, now)?;
-                    (slack < limits::RISK_S && ready(no)).then_some(slack)
+                    (slack < limits::RISK_S && !cold.contains(no) && ready(no)).then_some(slack)
                 };
                 queue.take_least(risk, price)
             } else {
@@ -1107,11 +1136,23 @@
                 queue.untake(no, task, est);
                 continue;
             };
-            let passed_over = now - queue.taken_since() < limits::PASS_OVER_S;
-            if order == Order::Hot && wait > limits::HOT_S && passed_over {
-                cold.insert(no);
-                queue.untake(no, task, est);
-                continue;
+            if wait > limits::HOT_S {
+                let young = now - queue.taken_since() < limits::PASS_OVER_S;
+                let calm = self.slack(job, now).is_none_or(|s| s > wait);
+                let pass = match order {
+                    Order::Due => calm,
+                    Order::Hot => young,
+                    Order::Any => false,
+                };
+                if pass || self.scarce(&job.spec) {
+                    if pass {
+                        cold.insert(no);
+                    } else {
+                        blocked.insert(no);
+                    }
+                    queue.untake(no, task, est);
+                    continue;
+                }
             }
             let attempt = self.unique();
             self.place(no, task, attempt, &name, now);
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -142,6 +142,10 @@
 /// s that a task may be passed over by others of its level whose image is
 /// already on a machine with room.
 pub const PASS_OVER_S: f64 = 20.0;
+/// Share of its limit from which a team's CPUs are scarce, and share of it
+/// that may then wait for images: waiting uses up the limit for nothing.
+pub const SCARCE: f64 = 0.7;
+pub const SCARCE_FETCHING: f64 = 0.12;
 /// s of slack below which a job that can still meet an aim on its class is
 /// served by its slack, before the level clocks decide.
 pub const RISK_S: f64 = 40.0;
