--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -9,7 +9,7 @@
 use crate::keys;
 use crate::{Settings, Timing};
 use cherrywood_limits as limits;
-use cherrywood_sched::fleet::{Demand, Offer, shop};
+use cherrywood_sched::fleet::{Demand, Offer, Waiting, shop};
 use cherrywood_sched::place::{View, cost};
 use cherrywood_sched::{Predictor, Queue};
 use cherrywood_wire::agent::{Command, Report, TaskState, Why};
@@ -1677,21 +1677,22 @@
         }
     }
 
-    /// CPUs in use and waited for; tasks that their team's limit keeps waiting
-    /// need no machine. The first waiting job decides what is rented; jobs
+    /// CPUs in use and waited for. The first waiting job decides what is rented; jobs
     /// with other wishes get their turn when they are first.
     fn demand(&self) -> (Demand, Option<&Submission>) {
         let mut demand = Demand::default();
         for p in self.machines.values().flat_map(|m| &m.placed) {
             demand.placed += p.cpus;
         }
-        let mut room: HashMap<&str, f64> = self
-            .settings
-            .teams
+        let teams = &self.settings.teams;
+        demand.teams = teams
             .iter()
             .map(|t| {
                 let used = self.usage.get(&t.name).map_or(0.0, |u| u.0);
-                (t.name.as_str(), (t.cpus_max - used).max(0.0))
+                Waiting {
+                    room: (t.cpus_max - used).max(0.0),
+                    ..Waiting::default()
+                }
             })
             .collect();
         let mut first: Option<&Submission> = None;
@@ -1699,16 +1700,15 @@
             let Some(job) = self.jobs.get(&run.job) else {
                 continue;
             };
-            let Some(room) = room.get_mut(job.spec.team.as_str()) else {
+            let Some(at) = teams.iter().position(|t| t.name == job.spec.team) else {
                 continue;
             };
-            let count = f64::from(run.len()).min((*room / job.spec.cpus.max(0.001)).floor());
-            if count <= 0.0 {
+            if demand.teams[at].room < job.spec.cpus {
                 continue;
             }
-            *room -= count * job.spec.cpus;
+            let count = f64::from(run.len());
             if job.spec.kind == Kind::Array {
-                demand.add(job.spec.cpus, count, self.run_estimate(job));
+                demand.teams[at].add(job.spec.cpus, count, self.run_estimate(job));
             } else {
                 // Gangs and services need all of their machines at once.
                 demand.placed += job.spec.cpus * count;
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -2,27 +2,42 @@
 
 use cherrywood_limits as limits;
 
-/// Work of jobs that are allowed on the same machines.
+/// Waiting work of one team.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
-pub struct Demand {
-    /// CPUs of tasks on machines now.
-    pub placed: f64,
-    /// CPUs that waiting tasks would use all at once.
-    pub waiting: f64,
-    /// CPU-seconds of waiting tasks, by their estimates.
+pub struct Waiting {
+    /// CPUs that the team may still use.
+    pub room: f64,
+    /// CPUs that its waiting tasks would use all at once.
+    pub cpus: f64,
+    /// CPU-seconds of its waiting tasks, by their estimates.
     pub work: f64,
 }
 
-impl Demand {
+impl Waiting {
     pub fn add(&mut self, cpus: f64, count: f64, run_s: f64) {
-        self.waiting += cpus * count;
+        self.cpus += cpus * count;
         self.work += cpus * count * run_s;
     }
+}
 
+/// What the fleet is needed for.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Demand {
+    /// CPUs of tasks on machines now, and of tasks that must all run at once.
+    pub placed: f64,
+    pub teams: Vec<Waiting>,
+}
+
+impl Demand {
     /// CPUs that drain the waiting work in `drain_s` beside what runs; never
-    /// more than the waiting tasks could use at once.
+    /// more than a team's tasks could or may use at once.
     pub fn wanted(&self, drain_s: f64) -> f64 {
-        self.placed + self.waiting.min(self.work / drain_s)
+        let more: f64 = self
+            .teams
+            .iter()
+            .map(|t| t.cpus.min(t.room).min(t.work / drain_s).max(0.0))
+            .sum();
+        self.placed + more
     }
 }
 
@@ -91,13 +106,20 @@
     }
 
     #[test]
-    fn wanted_is_bounded_by_what_waits() {
-        let mut d = Demand {
+    fn wanted_is_bounded_by_what_waits_and_what_the_team_may_use() {
+        let mut w = Waiting {
+            room: 1000.0,
+            ..Waiting::default()
+        };
+        w.add(2.0, 100.0, 30.0);
+        let d = |w| Demand {
             placed: 10.0,
-            ..Demand::default()
+            teams: vec![w],
         };
-        d.add(2.0, 100.0, 30.0);
-        assert_eq!(d.wanted(60.0), 110.0);
-        assert_eq!(d.wanted(1.0), 210.0);
+        assert_eq!(d(w).wanted(60.0), 110.0);
+        assert_eq!(d(w).wanted(1.0), 210.0);
+        // A long queue behind a small limit keeps just that limit busy.
+        w.room = 40.0;
+        assert_eq!(d(w).wanted(60.0), 50.0);
     }
 }
