--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -974,6 +974,13 @@
         there && fetching > team.cpus_max * limits::SCARCE_FETCHING
     }
 
+    /// CPU-seconds of the job's tasks that are not on a machine.
+    fn work_left(&self, job: &Job) -> f64 {
+        let gone = job.done.count() as usize + job.on.len();
+        let left = (job.spec.tasks as usize).saturating_sub(gone);
+        left as f64 * job.spec.cpus * self.run_estimate(job)
+    }
+
     /// s until the job's waiting tasks must be started for the next aim on its
     /// class that it can still meet; None if there is none.
     fn slack(&self, job: &Job, now: f64) -> Option<f64> {
@@ -1182,8 +1189,9 @@
             let price = |no: &JobNo| self.jobs.get(no).map_or(1.0, |j| self.run_estimate(j));
             let taken = if order == Order::Due {
                 let risk = |no: &JobNo| {
-                    let slack = self.slack(self.jobs.get(no)?, now)?;
-                    (slack < limits::RISK_S && !cold.contains(no) && ready(no)).then_some(slack)
+                    let job = self.jobs.get(no)?;
+                    let due = self.slack(job, now)? < limits::RISK_S;
+                    (due && !cold.contains(no) && ready(no)).then(|| self.work_left(job))
                 };
                 queue.take_least(risk, price)
             } else {
