Answers are matched with the epoch they belong to; quantiles are kept, not asked for

Answers now carry their epoch, a job that comes back keeps its placements, medians are computed once per observation, and a takeover that lost its lease meanwhile leaves no leader.

--- a/crates/cherrywood/src/loops.rs
+++ b/crates/cherrywood/src/loops.rs
@@ -118,7 +118,7 @@
         core.known = Some(node.me().to_string());
     }
     node.state.set_leading(true);
-    if let Err(e) = take_over(node, epoch, mark).await {
+    if let Err(e) = take_over(node, lease, epoch, mark).await {
         warn!(%e, "could not take over; giving the lease back");
         depose(node, "takeover failed");
         let _ = node.state.end_lease(lease).await;
@@ -159,7 +159,7 @@
     }};
 }
 
-async fn take_over(node: &Arc<Node>, epoch: u64, mark: u64) -> Result<(), NetError> {
+async fn take_over(node: &Arc<Node>, lease: u64, epoch: u64, mark: u64) -> Result<(), NetError> {
     let mut from = Inheritance::default();
     // Jobs last: a job that ends meanwhile only loses a race at its guard.
     let rows = insist!(node, node.state.list::<LedgerValue>(keys::LEDGER)).0;
@@ -189,7 +189,13 @@
     let mut leader = Leader::new(epoch, mark, cluster, types, from, now);
     leader.cheap_only = node.settings.operator.cheap_only;
     info!(epoch, "took over: {}", leader.summary());
-    node.core().leader = Some(leader);
+    let mut core = node.core();
+    if core.lease != lease {
+        // Deposed meanwhile: the next election is open to this node again.
+        return Ok(());
+    }
+    core.leader = Some(leader);
+    drop(core);
     node.ledger_due.notify_one();
     Ok(())
 }
@@ -238,7 +244,7 @@
         };
         let from = match seen {
             Some((e, revision)) if e == epoch => revision,
-            _ => match reconcile(&node).await {
+            _ => match reconcile(&node, epoch).await {
                 Ok(revision) => {
                     seen = Some((epoch, revision));
                     revision
@@ -275,17 +281,16 @@
 }
 
 /// Reads all live jobs again.
-async fn reconcile(node: &Node) -> Result<u64, NetError> {
+async fn reconcile(node: &Node, epoch: u64) -> Result<u64, NetError> {
     let before = node
         .core()
-        .leader
-        .as_ref()
-        .map(Leader::live_jobs)
+        .leader_of(epoch)
+        .map(|l| l.live_jobs())
         .unwrap_or_default();
     let (rows, revision) = node.state.list::<JobValue>(keys::JOBS).await?;
     let now = node.now();
     let mut core = node.core();
-    let Some(leader) = core.leader.as_mut() else {
+    let Some(leader) = core.leader_of(epoch) else {
         return Ok(revision);
     };
     let live: std::collections::HashSet<&str> =
@@ -304,11 +309,11 @@
 // --- writes ---
 
 /// Sends a transaction until it is known whether it was applied.
-async fn commit(node: &Node, txn: &Txn, class: Class) -> Outcome {
+async fn commit(node: &Node, epoch: u64, txn: &Txn, class: Class) -> Outcome {
     let mut unsure = false;
     for _ in 0..limits::COMMIT_TRIES {
         let now = node.now();
-        if node.core().leading(now).is_none() {
+        if node.core().leading(now).is_none_or(|l| l.epoch() != epoch) {
             break;
         }
         match node.state.txn(txn, class).await {
@@ -332,17 +337,14 @@
 }
 
 async fn reread(node: &Node) {
-    let keys: Vec<String> = {
+    let (epoch, keys): (u64, Vec<String>) = {
         let core = node.core();
-        core.leader
-            .iter()
-            .flat_map(|l| l.reread.iter().cloned())
-            .take(20)
-            .collect()
+        let Some(l) = &core.leader else { return };
+        (l.epoch(), l.reread.iter().take(20).cloned().collect())
     };
     for key in keys {
         if let Ok(item) = node.state.get::<serde::de::IgnoredAny>(&key).await
-            && let Some(leader) = node.core().leader.as_mut()
+            && let Some(leader) = node.core().leader_of(epoch)
         {
             leader.reread_done(&key, item.map_or(0, |i| i.version));
         }
@@ -354,11 +356,14 @@
         node.ledger_due.notified().await;
         loop {
             let now = node.now();
-            let batch = node.core().leading(now).and_then(|l| l.ledger_batch());
-            let Some(batch) = batch else { break };
-            let outcome = commit(&node, &batch.txn, Class::Place).await;
+            let batch = node
+                .core()
+                .leading(now)
+                .and_then(|l| Some((l.epoch(), l.ledger_batch()?)));
+            let Some((epoch, batch)) = batch else { break };
+            let outcome = commit(&node, epoch, &batch.txn, Class::Place).await;
             let ok = matches!(outcome, Outcome::Applied(_));
-            if let Some(leader) = node.core().leader.as_mut() {
+            if let Some(leader) = node.core().leader_of(epoch) {
                 leader.ledger_done(batch, &outcome);
             }
             node.rounds.send_modify(|n| *n += 1);
@@ -366,10 +371,11 @@
             let orders = node
                 .core()
                 .leading(now)
+                .filter(|l| l.epoch() == epoch)
                 .map(|l| l.orders(now))
                 .unwrap_or_default();
             for (machine, addr, orders) in orders {
-                tokio::spawn(order(node.clone(), machine, addr, orders));
+                tokio::spawn(order(node.clone(), epoch, machine, addr, orders));
             }
             if !ok {
                 reread(&node).await;
@@ -382,7 +388,7 @@
 }
 
 /// Sends starts straight to a worker; its next report tells the rest.
-async fn order(node: Arc<Node>, machine: String, addr: String, orders: Orders) {
+async fn order(node: Arc<Node>, epoch: u64, machine: String, addr: String, orders: Orders) {
     let executed = match addr.parse() {
         Ok(addr) => {
             let body = cherrywood_wire::encode(&orders);
@@ -398,7 +404,7 @@
         }
         Err(_) => Some(false),
     };
-    if let Some(leader) = node.core().leader.as_mut() {
+    if let Some(leader) = node.core().leader_of(epoch) {
         leader.ordered(&machine, &orders, executed);
     }
 }
@@ -410,14 +416,17 @@
         loop {
             let now = node.now();
             let progress = now - wrote >= limits::PROGRESS_GAP_S;
-            let batch = node.core().leading(now).and_then(|l| l.job_batch(progress));
-            let Some(batch) = batch else { break };
+            let batch = node
+                .core()
+                .leading(now)
+                .and_then(|l| Some((l.epoch(), l.job_batch(progress)?)));
+            let Some((epoch, batch)) = batch else { break };
             if progress {
                 wrote = now;
             }
-            let outcome = commit(&node, &batch.txn, Class::First).await;
+            let outcome = commit(&node, epoch, &batch.txn, Class::First).await;
             let ok = matches!(outcome, Outcome::Applied(_));
-            if let Some(leader) = node.core().leader.as_mut() {
+            if let Some(leader) = node.core().leader_of(epoch) {
                 leader.job_done(batch, &outcome);
             }
             if !ok {
--- a/crates/cherrywood/src/node.rs
+++ b/crates/cherrywood/src/node.rs
@@ -45,6 +45,13 @@
         }
     }
 
+    /// The leader of this epoch, if it is still here. Answers that arrive
+    /// later belong to a past whose job numbers mean nothing to a new leader
+    /// on the same node.
+    pub fn leader_of(&mut self, epoch: u64) -> Option<&mut Leader> {
+        self.leader.as_mut().filter(|l| l.epoch() == epoch)
+    }
+
     pub fn remember(&mut self, id: &str, value: FinalValue) {
         if self.finals.insert(id.to_string(), value).is_none() {
             self.final_order.push_back(id.to_string());
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -443,7 +443,33 @@
                     job.mark = mark;
                 }
             }
-            None => self.enter(value, mark, None, None, now),
+            None => {
+                // Rows may still name tasks of a job that was taken for ended:
+                // they are where the ledger says, not waiting.
+                let id = value.job.id.clone();
+                let own = |p: &Placement| split_task(&p.id).is_some_and(|(j, _)| j == id);
+                let there: HashSet<u32> = self
+                    .machines
+                    .values()
+                    .flat_map(|m| &m.placed)
+                    .filter(|p| own(p))
+                    .map(|p| p.task)
+                    .collect();
+                self.enter(value, mark, None, Some(&there), now);
+                let no = self.next_job - 1;
+                let Some(job) = self.jobs.get_mut(&no) else {
+                    return;
+                };
+                for m in self.machines.values_mut() {
+                    for p in m.placed.iter_mut().filter(|p| own(p)) {
+                        p.job = Some(no);
+                        job.placed += 1;
+                        job.running += u32::from(p.running);
+                        *job.on.entry(p.task).or_default() += 1;
+                        *job.zones.entry(m.zone.clone()).or_default() += 1;
+                    }
+                }
+            }
         }
     }
 
--- a/crates/control/tests/leader.rs
+++ b/crates/control/tests/leader.rs
@@ -826,3 +826,21 @@
     beat(&mut l, &mut s, &mut cheap, "n1", 40.0);
     assert_eq!((dear.running(), cheap.running()), (0, 3));
 }
+
+/// A job that was taken for ended and turns out to be live comes back with
+/// its tasks where the ledger has them; they once were queued afresh.
+#[test]
+fn a_job_that_comes_back_keeps_its_placements() {
+    let (mut s, mut a, mut b) = (Store::default(), Worker::new("vm-1"), Worker::new("vm-2"));
+    let mut l = s.elect(1, 0.0);
+    let j = job("wk-000001", 3);
+    submit(&mut l, &mut s, &j, 0.0);
+    beat(&mut l, &mut s, &mut a, "n1", 1.0);
+    assert_eq!(a.running(), 3);
+    l.remove_job("wk-000001");
+    let value = JobValue { job: j, at_ms: 0 };
+    l.add_job(value, s.mark(&keys::job("wk-000001")), 2.0);
+    beat(&mut l, &mut s, &mut b, "n1", 2.5);
+    beat(&mut l, &mut s, &mut a, "n1", 3.0);
+    assert_eq!((a.running(), b.running()), (3, 0));
+}
--- a/crates/sched/src/predictor.rs
+++ b/crates/sched/src/predictor.rs
@@ -88,12 +88,19 @@
 #[derive(Debug, Clone)]
 struct Key {
     hist: Decayed,
+    /// The 0.5, 0.95 and 0.99 quantiles, computed with each observation:
+    /// asking the histogram for every waiting job took most of a core's share.
+    quantiles: [f64; 3],
     seen: u64,
     /// Decayed share of tasks that were lost or failed (censored).
     lost: f64,
     active: f64,
 }
 
+fn quantiles(hist: &Decayed) -> [f64; 3] {
+    [0.5, 0.95, 0.99].map(|q| hist.quantile(q).unwrap_or(0.0))
+}
+
 #[derive(Debug)]
 pub struct Predictor {
     keys: HashMap<String, Key>,
@@ -131,6 +138,7 @@
             }
             let fresh = Key {
                 hist: Decayed::new(limits::KEY_DECAY),
+                quantiles: [0.0; 3],
                 seen: 0,
                 lost: 0.0,
                 active: now,
@@ -146,6 +154,7 @@
         k.hist
             .fade((now - k.active).max(0.0) / limits::IDLE_HALF_LIFE_S);
         k.hist.record(secs);
+        k.quantiles = quantiles(&k.hist);
         k.seen += 1;
         k.lost *= limits::KEY_DECAY;
         k.active = now;
@@ -183,20 +192,20 @@
     /// The key's median, once there are observations enough to use it.
     pub fn estimate(&self, key: &str) -> Option<f64> {
         let k = self.keys.get(key)?;
-        (k.seen >= limits::KEY_MIN).then(|| k.hist.quantile(0.5))?
+        (k.seen >= limits::KEY_MIN).then_some(k.quantiles[0])
     }
 
     /// What nearly all of the key's tasks stay below.
     pub fn tail(&self, key: &str) -> Option<f64> {
         let k = self.keys.get(key)?;
-        (k.seen >= limits::KEY_MIN).then(|| k.hist.quantile(0.95))?
+        (k.seen >= limits::KEY_MIN).then_some(k.quantiles[1])
     }
 
     /// The estimate if every trust check holds.
     pub fn trusted(&self, key: &str, now: f64) -> Option<f64> {
         let k = self.keys.get(key)?;
         let median = self.estimate(key)?;
-        let tail = k.hist.quantile(0.99)?;
+        let tail = k.quantiles[2];
         let ok = now - k.active <= limits::IDLE_S
             && tail <= limits::SPREAD_MAX * median
             && k.lost <= limits::LOST_MAX;
@@ -238,6 +247,7 @@
             if let Some(hist) = Decayed::from_text(text, limits::KEY_DECAY) {
                 p.pooled_seen += seen;
                 let key = Key {
+                    quantiles: quantiles(&hist),
                     hist,
                     seen: *seen,
                     lost: *lost,
