--- a/crates/cherrywood/src/cli.rs
+++ b/crates/cherrywood/src/cli.rs
@@ -34,9 +34,6 @@
     Cancel { node: SocketAddr, id: String },
 }
 
-/// s that the client waits for an answer.
-const WAIT_S: f64 = 5.0;
-
 /// Runs a client command and prints the job's state.
 pub async fn client(command: Command) -> anyhow::Result<()> {
     let (node, method, path, body) = match command {
@@ -60,7 +57,12 @@
         ),
     };
     let answer = Client::new(node)
-        .send(method, &path, body.as_deref(), WAIT_S)
+        .send(
+            method,
+            &path,
+            body.as_deref(),
+            cherrywood_limits::CLIENT_WAIT_S,
+        )
         .await?;
     if !matches!(answer.status, 200 | 201) {
         bail!("status {}", answer.status);
--- a/crates/cherrywood/src/loops.rs
+++ b/crates/cherrywood/src/loops.rs
@@ -445,7 +445,7 @@
         let now = node.now();
         {
             let mut core = node.core();
-            core.holder.forget_old(now, 120.0);
+            core.holder.forget_old(now, limits::UNHEARD_S);
             if let Some(leader) = core.leading(now) {
                 leader.plan(now);
                 beats += 1;
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -109,8 +109,6 @@
     up: bool,
     session: u64,
     seq: u64,
-    /// Highest token its worker said it has seen.
-    seen_token: u64,
     holder: String,
     token: u64,
     /// When every grant ever given for it has expired.
@@ -209,7 +207,6 @@
     refused: HashMap<(String, String, bool), f64>,
     /// CPUs wanted, averaged over a longer and a shorter time, and when.
     wanted: Option<(f64, f64, f64)>,
-    lists: u32,
     /// Keys whose marks must be read again.
     pub reread: HashSet<String>,
     pub deposed: bool,
@@ -264,7 +261,6 @@
             predictor,
             refused: HashMap::new(),
             wanted: None,
-            lists: 0,
             reread: HashSet::new(),
             deposed: false,
             cheap_only: false,
@@ -279,7 +275,7 @@
 
     fn unique(&mut self) -> u64 {
         self.counter += 1;
-        (self.epoch << 32) | self.counter
+        (self.epoch << limits::EPOCH_SHIFT) | self.counter
     }
 
     fn inherit(&mut self, from: Inheritance, now: f64) {
@@ -356,7 +352,6 @@
             up: false,
             session: 0,
             seq: 0,
-            seen_token: 0,
             holder: String::new(),
             token: 0,
             granted_until: 0.0,
@@ -603,7 +598,6 @@
             self.lose_all(dead, &m.zone, now);
         }
         (m.session, m.seq, m.up, m.heard) = (r.session, r.seq, true, now);
-        m.seen_token = m.seen_token.max(r.token);
         m.notice = r.notice_s;
         m.taken_at = r.notice_s.map(|s| now + s);
         m.addr.clone_from(&r.addr);
@@ -1692,7 +1686,6 @@
     /// The cloud's list, complete, as old as the settings say.
     pub fn listed(&mut self, list: &[Listed], now: f64) {
         let lag = self.settings.cloud.list_lag_s;
-        self.lists += 1;
         let names: HashSet<&str> = list.iter().map(|l| l.id.as_str()).collect();
         for l in list {
             if self.gone.contains_key(&l.id) {
@@ -1727,7 +1720,7 @@
             }
         }
         self.gone
-            .retain(|n, t| now - *t < 600.0 || names.contains(n.as_str()));
+            .retain(|n, t| now - *t < limits::GONE_S || names.contains(n.as_str()));
     }
 
     /// Frees what time alone has proved gone, and picks what to rent and
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -194,3 +194,18 @@
 pub const CANCEL_TRIES: u32 = 3;
 /// s that a poll waits for the leader's counts, which are only for display.
 pub const COUNTS_WAIT_S: f64 = 0.4;
+
+/// s for which an unused connection is kept, and how many to one address.
+pub const KEEP_S: f64 = 15.0;
+pub const KEEP_MAX: usize = 6;
+/// Connections kept to one peer: one for each report on its way.
+pub const KEEP_PEER_MAX: usize = 16;
+/// s that the client commands wait for an answer, as users do.
+pub const CLIENT_WAIT_S: f64 = 5.0;
+/// s for which a holder remembers a machine that no longer reports to it.
+pub const UNHEARD_S: f64 = 120.0;
+/// s for which late reports of a deleted machine are recognised; messages may
+/// be minutes late.
+pub const GONE_S: f64 = 600.0;
+/// Tokens and attempts carry the epoch above their counter.
+pub const EPOCH_SHIFT: u32 = 32;
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -8,10 +8,6 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout_at};
 
-/// s for which an unused connection is kept, and how many are.
-const KEEP_S: f64 = 15.0;
-const KEEP_MAX: usize = 6;
-
 #[derive(Debug)]
 pub struct Client {
     addr: SocketAddr,
@@ -35,7 +31,7 @@
     fn kept(&self) -> Option<TcpStream> {
         let mut idle = self.idle.lock().expect("no panic while held");
         while let Some((stream, since)) = idle.pop() {
-            if since.elapsed() < secs(KEEP_S) {
+            if since.elapsed() < secs(limits::KEEP_S) {
                 return Some(stream);
             }
         }
@@ -83,7 +79,7 @@
         match timeout_at(deadline, talk).await {
             Ok(Ok((answer, close))) => {
                 let mut idle = self.idle.lock().expect("no panic while held");
-                if !close && idle.len() < KEEP_MAX {
+                if !close && idle.len() < limits::KEEP_MAX {
                     idle.push((stream, Instant::now()));
                 }
                 Ok(answer)
--- a/crates/net/src/peer.rs
+++ b/crates/net/src/peer.rs
@@ -13,9 +13,6 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
 
-/// Connections kept to one peer.
-const KEEP_MAX: usize = 16;
-
 async fn send<T: Encode>(stream: &mut TcpStream, value: &T) -> std::io::Result<()> {
     let body = bitcode::encode(value);
     let mut bytes = (body.len() as u32).to_be_bytes().to_vec();
@@ -63,7 +60,7 @@
             send(&mut stream, request).await?;
             let reply: Reply = receive(&mut stream).await?;
             let mut idle = self.idle.lock().expect("no panic while held");
-            if idle.len() < KEEP_MAX {
+            if idle.len() < limits::KEEP_PEER_MAX {
                 idle.push(stream);
             }
             Ok::<_, std::io::Error>(reply)
