--- a/crates/cherrywood/src/api.rs
+++ b/crates/cherrywood/src/api.rs
@@ -286,3 +286,175 @@
         .duration_since(UNIX_EPOCH)
         .map_or(0, |d| d.as_millis() as u64)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::settings::{EXAMPLE, Operator, Settings};
+    use cherrywood_control::Leader;
+    use cherrywood_control::leader::Inheritance;
+    use cherrywood_wire::cloud::MachineType;
+    use cherrywood_wire::user::Priority;
+
+    fn node() -> Node {
+        let platform = Settings::platform(EXAMPLE).unwrap();
+        Node::new(Settings {
+            platform,
+            operator: Operator::default(),
+        })
+    }
+
+    fn ask(node: &Node, method: &str, path: &str, body: Vec<u8>) -> Response {
+        let request = Request {
+            method: method.into(),
+            path: path.into(),
+            body,
+        };
+        let rt = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .unwrap();
+        rt.block_on(answer(node, request))
+    }
+
+    fn job() -> Submission {
+        Submission {
+            id: "wk-000001".into(),
+            class: "c".into(),
+            team: "t".into(),
+            kind: Kind::Array,
+            priority: Priority::Normal,
+            tasks: 1,
+            cpus: 2.0,
+            gpus: 0.0,
+            memory_gb: 1.0,
+            image: "i".into(),
+            image_gb: 1.0,
+            types: None,
+            zone: None,
+            one_zone: false,
+            spread: false,
+            spot: true,
+            estimate_s: 1.0,
+            checkpoint_s: 0.0,
+            save_s: 0.0,
+            deadline_s: None,
+        }
+    }
+
+    fn types() -> Vec<MachineType> {
+        vec![MachineType {
+            name: "m8".into(),
+            cpus: 8.0,
+            gpus: 0.0,
+            memory_gb: 32.0,
+            cache_gb: 10.0,
+            fetch_gb_per_s: 1.0,
+            price: 1.0,
+            spot_price: None,
+            boot_s: 30.0,
+            zones: vec!["a".into()],
+        }]
+    }
+
+    #[test]
+    fn bad_submissions_are_400() {
+        let node = node();
+        node.core().types = types();
+        let bad = |change: &dyn Fn(&mut Submission)| {
+            let mut j = job();
+            change(&mut j);
+            ask(&node, "POST", "/submissions", encode(&j)).status
+        };
+        assert_eq!(bad(&|j| j.id = "000412".into()), 400);
+        assert_eq!(bad(&|j| j.id = "wk-12x456".into()), 400);
+        assert_eq!(bad(&|j| j.tasks = 0), 400);
+        assert_eq!(bad(&|j| j.tasks = 100_001), 400);
+        assert_eq!(bad(&|j| j.cpus = f64::NAN), 400);
+        assert_eq!(bad(&|j| j.memory_gb = -1.0), 400);
+        assert_eq!(bad(&|j| j.deadline_s = Some(f64::INFINITY)), 400);
+        assert_eq!(bad(&|j| j.image.clear()), 400);
+        let raw = |body: Vec<u8>| ask(&node, "POST", "/submissions", body).status;
+        assert_eq!(raw(b"{\"name_id\":1}".to_vec()), 400, "not MessagePack");
+        assert_eq!(raw(vec![0x91, 0x01]), 400, "not a map");
+        assert_eq!(raw(vec![0x80]), 400, "fields missing");
+        assert_eq!(raw(vec![]), 400);
+        let mut wrong_type = encode(&job());
+        let at = wrong_type.windows(6).position(|w| w == b"chores").unwrap() + 6;
+        wrong_type[at] = 0xc0;
+        assert_eq!(raw(wrong_type), 400);
+        let mut trailing = encode(&job());
+        trailing.push(0);
+        assert_eq!(raw(trailing), 400);
+    }
+
+    #[test]
+    fn impossible_jobs_are_422_and_undecidable_ones_503() {
+        let node = node();
+        let send = |j: &Submission| ask(&node, "POST", "/submissions", encode(j));
+        let answer = send(&job());
+        assert_eq!(
+            (answer.status, answer.retry_after_s),
+            (503, Some(1)),
+            "types unknown"
+        );
+        node.core().types = types();
+        assert_eq!(
+            send(&Submission {
+                team: "x".into(),
+                ..job()
+            })
+            .status,
+            422
+        );
+        assert_eq!(send(&Submission { cpus: 9.0, ..job() }).status, 422);
+        assert_eq!(
+            send(&Submission {
+                types: Some(vec!["y".into()]),
+                ..job()
+            })
+            .status,
+            422
+        );
+        let service = Submission {
+            kind: Kind::Service,
+            tasks: 9,
+            ..job()
+        };
+        assert_eq!(send(&service).status, 422, "18 of 16 CPUs");
+    }
+
+    #[test]
+    fn unknown_paths_and_methods() {
+        let node = node();
+        assert_eq!(ask(&node, "GET", "/nothing", vec![]).status, 404);
+        assert_eq!(ask(&node, "GET", "/submissions", vec![]).status, 405);
+        assert_eq!(
+            ask(&node, "DELETE", "/submissions/wk-000001", vec![]).status,
+            405
+        );
+        assert_eq!(
+            ask(&node, "GET", "/submissions/wk-000001/cancel", vec![]).status,
+            405
+        );
+        assert_eq!(ask(&node, "GET", "/submissions/what", vec![]).status, 404);
+        assert_eq!(ask(&node, "POST", "/agent/beat", vec![0x80]).status, 400);
+        assert_eq!(
+            ask(&node, "GET", "/healthz", vec![]).status,
+            503,
+            "no state contact yet"
+        );
+    }
+
+    /// An answer of an earlier epoch once reached a new leader on the same
+    /// node, whose job numbers are others.
+    #[test]
+    fn an_old_epochs_answer_finds_no_leader() {
+        let node = node();
+        let cluster = node.settings.platform.deployment.cluster.clone();
+        let leader = Leader::new(2, 7, cluster, types(), Inheritance::default(), 0.0);
+        node.core().leader = Some(leader);
+        assert!(node.core().leader_of(1).is_none());
+        assert!(node.core().leader_of(2).is_some());
+    }
+}
