--- a/crates/control/tests/leader.rs
+++ b/crates/control/tests/leader.rs
@@ -841,3 +841,26 @@
     beat(&mut l, &mut s, &mut a, "n1", 3.0);
     assert_eq!((a.running(), b.running()), (3, 0));
 }
+
+/// A start whose answer was lost and whose job was then cancelled: its room
+/// must come free, though no start is sent again.
+#[test]
+fn a_cancelled_placement_that_never_arrived_is_freed() {
+    let (mut s, mut w) = (Store::default(), Worker::new("vm-1"));
+    let mut l = s.elect(1, 0.0);
+    beat(&mut l, &mut s, &mut w, "n1", 0.5);
+    submit(&mut l, &mut s, &job("wk-000001", 4), 0.6);
+    let r = w.report();
+    l.report("n1", &r, &[], 1.0);
+    l.plan(1.0);
+    flush(&mut l, &mut s);
+    assert_eq!(l.commands(&r, 1.0).len(), 4, "lost on its way");
+    s.cancel("wk-000001");
+    l.remove_job("wk-000001");
+    submit(&mut l, &mut s, &job("wk-000002", 4), 1.5);
+    for now in 2..6 {
+        beat(&mut l, &mut s, &mut w, "n1", f64::from(now));
+    }
+    assert_eq!(w.running(), 4);
+    assert!(w.tasks.iter().all(|t| t.0.starts_with("wk-000002")));
+}
