--- a/crates/control/src/leader/reports.rs
+++ b/crates/control/src/leader/reports.rs
@@ -158,6 +158,10 @@
                 if listed.contains(&(p.id.as_str(), p.attempt))
                     || !trusted
                     || p.stage != Stage::Durable
+                    // A direct start without an answer may still arrive, however
+                    // many reports come first: a leader short of processor
+                    // time sends it late.
+                    || m.open_orders.contains(&p.attempt)
                 {
                     return false;
                 }
--- a/crates/control/tests/leader.rs
+++ b/crates/control/tests/leader.rs
@@ -756,6 +756,42 @@
     assert_eq!(w.tasks.len(), before, "fenced");
 }
 
+/// A leader short of processor time sent its orders so late that four reports
+/// without the task came first; given up then, it ran on two machines.
+#[test]
+fn an_order_still_open_is_not_given_up_however_many_reports_lack_its_task() {
+    let (mut s, mut w) = (Store::default(), Worker::new("vm-1"));
+    let mut l = s.elect(1, 0.0);
+    beat(&mut l, &mut s, &mut w, "n1", 1.0);
+    submit(&mut l, &mut s, &job("wk-000001", 1), 2.0);
+    l.plan(2.0);
+    flush(&mut l, &mut s);
+    let (machine, _, late) = l.orders(2.0).remove(0);
+    // The answers to these reports never reach the worker.
+    for i in 0..8 {
+        let mut r = w.report();
+        // With a notice, nothing more is placed there.
+        r.notice_s = Some(100.0);
+        let token = l.report("n1", &r, &[], 3.0 + f64::from(i)).unwrap();
+        l.commands(&r, 3.0 + f64::from(i));
+        w.obey(token, &[]);
+    }
+    assert_eq!(l.counts("wk-000001"), Some((0, 0)));
+    let mut other = Worker::new("vm-2");
+    beat(&mut l, &mut s, &mut other, "n1", 11.5);
+    beat(&mut l, &mut s, &mut other, "n1", 12.0);
+    assert_eq!(other.running(), 0, "it may yet start on vm-1");
+    // Unanswered, the order is fenced; only then the task may go elsewhere.
+    l.ordered(&machine, &late, None);
+    for i in 0..3 {
+        beat(&mut l, &mut s, &mut w, "n1", 13.0 + f64::from(i));
+    }
+    beat(&mut l, &mut s, &mut other, "n1", 16.5);
+    beat(&mut l, &mut s, &mut other, "n1", 17.0);
+    w.obey(late.token, &late.commands);
+    assert_eq!(w.running() + other.running(), 1);
+}
+
 #[test]
 fn a_machine_silent_after_its_notice_is_deleted_without_further_delay() {
     let (mut s, mut w, mut o) = (Store::default(), Worker::new("vm-1"), Worker::new("vm-2"));
