Place tasks in groups and look at the queue once a ledger round

Now one pass serves the news of many reports, a run of like tasks goes to the best machine as a group (its level charged for each), and only machines with room are looked at.

--- a/crates/cherrywood/src/loops.rs
+++ b/crates/cherrywood/src/loops.rs
@@ -268,7 +268,6 @@
                             _ => {}
                         }
                     }
-                    leader.plan(now);
                     seen = Some((epoch, events.revision));
                 }
                 drop(core);
@@ -356,17 +355,17 @@
         node.ledger_due.notified().await;
         loop {
             let now = node.now();
-            let batch = node
-                .core()
-                .leading(now)
-                .and_then(|l| Some((l.epoch(), l.ledger_batch()?)));
+            // Reports of many workers share one look at the queue.
+            let batch = node.core().leading(now).and_then(|l| {
+                l.plan(now);
+                Some((l.epoch(), l.ledger_batch()?))
+            });
             let Some((epoch, batch)) = batch else { break };
             let outcome = commit(&node, epoch, &batch.txn, Class::Place).await;
             let ok = matches!(outcome, Outcome::Applied(_));
             if let Some(leader) = node.core().leader_of(epoch) {
                 leader.ledger_done(batch, &outcome);
             }
-            node.rounds.send_modify(|n| *n += 1);
             let now = node.now();
             let orders = node
                 .core()
@@ -383,7 +382,7 @@
             }
             sleep(limits::FLUSH_GAP_S).await;
         }
-        node.rounds.send_modify(|n| *n += 1);
+        sleep(limits::FLUSH_GAP_S).await;
     }
 }
 
@@ -447,7 +446,6 @@
             let mut core = node.core();
             core.holder.forget_old(now, limits::UNHEARD_S);
             if let Some(leader) = core.leading(now) {
-                leader.plan(now);
                 beats += 1;
                 if beats.is_multiple_of(20) {
                     info!("{}", leader.summary());
--- a/crates/cherrywood/src/node.rs
+++ b/crates/cherrywood/src/node.rs
@@ -13,8 +13,7 @@
 use cherrywood_wire::state::FinalValue;
 use std::collections::{HashMap, VecDeque};
 use std::sync::{Mutex, MutexGuard};
-use std::time::Duration;
-use tokio::sync::{Notify, watch};
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 /// Shared state; locked for moments, never across an await.
@@ -77,8 +76,6 @@
     pub ledger_due: Notify,
     /// Jobs have news for the state service.
     pub jobs_due: Notify,
-    /// Counts ledger rounds; a report waits for the round after its news.
-    pub rounds: watch::Sender<u64>,
 }
 
 impl Node {
@@ -103,7 +100,6 @@
             start: Instant::now(),
             ledger_due: Notify::new(),
             jobs_due: Notify::new(),
-            rounds: watch::channel(0).0,
             settings,
         }
     }
@@ -152,7 +148,7 @@
         };
         let machine = report.machine.clone();
         let led = if here {
-            self.lead_report(self.me(), report, &finished).await
+            self.lead_report(self.me(), &report, &finished)
         } else {
             let peer = self.peers.iter().find(|p| Some(&p.label) == known.as_ref());
             match peer {
@@ -188,40 +184,22 @@
         }
     }
 
-    /// The leader's part of a report.
-    async fn lead_report(
+    /// The leader's part of a report. What it frees is placed by the next
+    /// round of the ledger, whose starts go straight to the workers.
+    fn lead_report(
         &self,
         holder: &str,
-        report: Report,
+        report: &Report,
         finished: &[(String, f64)],
     ) -> Option<(u64, Vec<Command>)> {
-        let now = self.now();
-        let mut rounds = self.rounds.subscribe();
-        let (token, wait) = {
-            let mut core = self.core();
-            let leader = core.leading(now)?;
-            let token = leader.report(holder, &report, finished, now)?;
-            leader.plan(now);
-            (token, leader.planned(&report.machine))
-        };
-        self.jobs_due.notify_one();
-        if wait {
-            self.ledger_due.notify_one();
-            let deadline = Instant::now() + Duration::from_secs_f64(limits::FLUSH_WAIT_S);
-            loop {
-                match tokio::time::timeout_at(deadline, rounds.changed()).await {
-                    Ok(Ok(())) => {}
-                    _ => break,
-                }
-                let mut core = self.core();
-                if !core.leading(now)?.planned(&report.machine) {
-                    break;
-                }
-            }
-        }
         let now = self.now();
         let mut core = self.core();
-        let commands = core.leading(now)?.commands(&report, now);
+        let leader = core.leading(now)?;
+        let token = leader.report(holder, report, finished, now)?;
+        let commands = leader.commands(report, now);
+        drop(core);
+        self.ledger_due.notify_one();
+        self.jobs_due.notify_one();
         Some((token, commands))
     }
 
@@ -251,7 +229,7 @@
                 from,
                 report,
                 finished,
-            } => match self.lead_report(&from, report, &finished).await {
+            } => match self.lead_report(&from, &report, &finished) {
                 Some((token, commands)) => Reply::Report { token, commands },
                 None => Reply::No,
             },
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -19,7 +19,8 @@
     Txn, Value,
 };
 use cherrywood_wire::user::{JobState, Kind, Priority, Submission, split_task};
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use tracing::info;
 
 mod fleet;
@@ -34,6 +35,8 @@
 struct Job {
     spec: Submission,
     key: String,
+    /// Stands for the image's name; see `image_no`.
+    image: u64,
     /// When it was accepted, on this leader's clock.
     born: f64,
     mark: u64,
@@ -64,17 +67,6 @@
     Durable,
 }
 
-/// How tasks of one standing are served, in this order.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Order {
-    /// Jobs about to miss an aim that they can still meet, least slack first.
-    Due,
-    /// By the level clocks, those whose image is on a machine with room.
-    Hot,
-    /// By the level clocks.
-    Any,
-}
-
 #[derive(Debug, Clone)]
 struct Placement {
     id: String,
@@ -90,7 +82,7 @@
     seen: bool,
     running: bool,
     run_since: f64,
-    image: String,
+    image: u64,
     team: String,
     cpus: f64,
     gpus: f64,
@@ -100,7 +92,7 @@
 
 #[derive(Debug)]
 struct Image {
-    name: String,
+    no: u64,
     gb: f64,
     ready_at: f64,
     used: f64,
@@ -209,6 +201,10 @@
     usage: HashMap<String, (f64, f64)>,
     queue: Queue<JobNo>,
     delayed: Vec<(f64, JobNo, u32)>,
+    /// Machines with placements that are not yet in the ledger.
+    planned: BTreeSet<String>,
+    /// Machines looked at while placing, in all: what placing costs.
+    pub looks: u64,
     predictor: Predictor,
     refused: HashMap<(String, String, bool), f64>,
     /// CPUs wanted, averaged over a longer and a shorter time, and when.
@@ -264,6 +260,8 @@
             usage: HashMap::new(),
             queue: Queue::new(),
             delayed: Vec::new(),
+            planned: BTreeSet::new(),
+            looks: 0,
             predictor,
             refused: HashMap::new(),
             wanted: None,
@@ -317,10 +315,7 @@
                     continue;
                 };
                 let no = self.ids.get(job).copied();
-                let image = no
-                    .and_then(|n| self.jobs.get(&n))
-                    .map(|j| j.spec.image.clone())
-                    .unwrap_or_default();
+                let image = no.and_then(|n| self.jobs.get(&n)).map_or(0, |j| j.image);
                 machine.placed.push(Placement {
                     id: row.t.clone(),
                     job: no,
@@ -418,6 +413,7 @@
             no,
             Job {
                 key,
+                image: image_no(&spec.image),
                 born: (value.at_ms as f64 / 1000.0 - self.wall_offset).min(now),
                 mark,
                 durable: done.clone(),
@@ -508,31 +504,8 @@
         Some((job.done.count(), job.running))
     }
 
-    /// Keeps the sums in step with a placement that appears (+1) or goes (-1).
     fn count(&mut self, p: &Placement, zone: &str, sign: f64) {
-        let u = self.usage.entry(p.team.clone()).or_default();
-        u.0 += sign * p.cpus;
-        u.1 += sign * p.gpus;
-        if let Some(job) = p.job.and_then(|no| self.jobs.get_mut(&no)) {
-            let z = job.zones.entry(zone.to_string()).or_default();
-            if sign > 0.0 {
-                job.placed += 1;
-                *job.on.entry(p.task).or_default() += 1;
-                *z += 1;
-            } else {
-                if let Some(n) = job.on.get_mut(&p.task) {
-                    *n -= 1;
-                    if *n == 0 {
-                        job.on.remove(&p.task);
-                    }
-                }
-                job.placed = job.placed.saturating_sub(1);
-                *z = z.saturating_sub(1);
-                if p.running {
-                    job.running = job.running.saturating_sub(1);
-                }
-            }
-        }
+        count(&mut self.usage, &mut self.jobs, p, zone, sign);
     }
 
     /// A placement is off its machine for certain; its task waits again
@@ -556,3 +529,51 @@
         }
     }
 }
+
+/// A number for an image's name, so that looking for it compares no text. Two
+/// names with one number would only misjudge a wait.
+fn image_no(name: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    name.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// Keeps the sums in step with a placement that appears (+1) or goes (-1).
+fn count(
+    usage: &mut HashMap<String, (f64, f64)>,
+    jobs: &mut HashMap<JobNo, Job>,
+    p: &Placement,
+    zone: &str,
+    sign: f64,
+) {
+    let u = match usage.get_mut(&p.team) {
+        Some(u) => u,
+        None => usage.entry(p.team.clone()).or_default(),
+    };
+    u.0 += sign * p.cpus;
+    u.1 += sign * p.gpus;
+    let Some(job) = p.job.and_then(|no| jobs.get_mut(&no)) else {
+        return;
+    };
+    let z = match job.zones.get_mut(zone) {
+        Some(z) => z,
+        None => job.zones.entry(zone.to_string()).or_default(),
+    };
+    if sign > 0.0 {
+        job.placed += 1;
+        *job.on.entry(p.task).or_default() += 1;
+        *z += 1;
+    } else {
+        if let Some(n) = job.on.get_mut(&p.task) {
+            *n -= 1;
+            if *n == 0 {
+                job.on.remove(&p.task);
+            }
+        }
+        job.placed = job.placed.saturating_sub(1);
+        *z = z.saturating_sub(1);
+        if p.running {
+            job.running = job.running.saturating_sub(1);
+        }
+    }
+}
--- a/crates/control/src/leader/placing.rs
+++ b/crates/control/src/leader/placing.rs
@@ -1,401 +1,570 @@
 //! Serving the queue: which waiting task goes to which machine.
+//!
+//! The tasks of a run are alike, so they are placed in groups: one search of
+//! the machines with room serves as many tasks as the best of them takes, and
+//! the level's clock is charged for each. Work depends on what waits and on
+//! the machines that have room, not on all that runs.
 
 use super::*;
+use cherrywood_sched::queue::Pick;
 
-impl Leader {
-    pub(super) fn team_fits(&self, spec: &Submission, guaranteed: bool) -> bool {
-        let Some(t) = self.settings.teams.iter().find(|t| t.name == spec.team) else {
-            return false;
-        };
-        let (c, g) = self.usage.get(&spec.team).copied().unwrap_or_default();
-        let (cm, gm) = if guaranteed {
-            (t.cpus, t.gpus)
-        } else {
-            (t.cpus_max, t.gpus_max)
+/// How tasks of one standing are served, in this order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Order {
+    /// Jobs about to miss an aim that they can still meet, least work first.
+    Due,
+    /// By the level clocks, those whose image is on a machine with room.
+    Hot,
+    /// By the level clocks.
+    Any,
+}
+
+/// A machine that takes work now.
+struct Site<'a> {
+    name: &'a str,
+    m: &'a mut Machine,
+    kind: &'a MachineType,
+    /// Free CPUs, accelerators, memory.
+    free: (f64, f64, f64),
+    /// When its fetches are over.
+    fetched: f64,
+}
+
+impl Site<'_> {
+    /// Tasks of this shape that still fit.
+    fn fits(&self, s: &Submission) -> u32 {
+        let fit = |free: f64, each: f64| {
+            if each > 0.0 {
+                ((free + 1e-6) / each).floor().max(0.0) as u32
+            } else {
+                u32::MAX
+            }
         };
-        c + spec.cpus <= cm + 1e-6 && g + spec.gpus <= gm + 1e-6
+        fit(self.free.0, s.cpus)
+            .min(fit(self.free.1, s.gpus))
+            .min(fit(self.free.2, s.memory_gb))
     }
 
-    pub(super) fn allowed(spec: &Submission, kind: &str, zone: &str, spot: bool) -> bool {
-        (spec.spot || !spot)
-            && spec
-                .types
-                .as_ref()
-                .is_none_or(|t| t.iter().any(|t| t == kind))
-            && spec.zone.as_ref().is_none_or(|z| z == zone)
+    fn image_wait_s(&self, job: &Job, now: f64) -> f64 {
+        match self.m.images.iter().find(|i| i.no == job.image) {
+            Some(i) => (i.ready_at - now).max(0.0),
+            None => {
+                (self.fetched - now).max(0.0)
+                    + job.spec.image_gb / self.kind.fetch_gb_per_s.max(0.001)
+            }
+        }
     }
+}
+
+/// What is known of a waiting job for the length of one plan.
+struct Waiter {
+    est: f64,
+    slack: Option<f64>,
+    /// Place of its team in the settings.
+    team: usize,
+    /// No machine takes it, or it must wait for its team's images.
+    blocked: bool,
+    /// Passes others whose image is at hand.
+    cold: bool,
+    /// The best machine, as of this many groups placed.
+    best: Option<(u64, Option<(usize, f64)>)>,
+}
+
+/// One pass over the queue: the leader's parts, borrowed side by side.
+struct Plan<'a> {
+    now: f64,
+    settings: &'a Settings,
+    jobs: &'a mut HashMap<JobNo, Job>,
+    usage: &'a mut HashMap<String, (f64, f64)>,
+    sites: Vec<Site<'a>>,
+    waiters: HashMap<JobNo, Waiter>,
+    used: Vec<(f64, f64)>,
+    /// CPUs of each team that wait for images, and the images that are on
+    /// machines; counted when first asked for.
+    fetching: &'a (Vec<f64>, HashSet<u64>),
+    epoch: u64,
+    counter: &'a mut u64,
+    planned: &'a mut BTreeSet<String>,
+    groups: u64,
+    looks: &'a mut u64,
+}
+
+fn allowed(spec: &Submission, kind: &str, zone: &str, spot: bool) -> bool {
+    (spec.spot || !spot)
+        && spec
+            .types
+            .as_ref()
+            .is_none_or(|t| t.iter().any(|t| t == kind))
+        && spec.zone.as_ref().is_none_or(|z| z == zone)
+}
 
-    /// The rules about zones, given all tasks of the job that may be anywhere.
-    pub(super) fn zone_ok(job: &Job, zone: &str) -> bool {
-        let here = job.zones.get(zone).copied().unwrap_or(0);
-        (!job.spec.one_zone || here == job.placed)
-            && (!job.spec.spread || here < job.spec.tasks.div_ceil(2))
+/// Tasks that the rules about zones leave for `zone`, given all tasks of the
+/// job that may be anywhere.
+fn zone_room(job: &Job, zone: &str) -> u32 {
+    let here = job.zones.get(zone).copied().unwrap_or(0);
+    if job.spec.one_zone && here != job.placed {
+        0
+    } else if job.spec.spread {
+        job.spec.tasks.div_ceil(2).saturating_sub(here)
+    } else {
+        u32::MAX
+    }
+}
+
+impl Leader {
+    pub(super) fn allowed(spec: &Submission, kind: &str, zone: &str, spot: bool) -> bool {
+        allowed(spec, kind, zone, spot)
     }
 
     pub(super) fn run_estimate(&self, job: &Job) -> f64 {
-        self.predictor
-            .estimate(&job.key)
-            .unwrap_or(job.spec.estimate_s)
-            .max(1.0)
+        run_estimate(&self.predictor, job)
     }
 
-    /// Is the job's team near its limit, with enough of it waiting for images
-    /// already, and the job's image to be had without another fetch?
-    pub(super) fn scarce(&self, spec: &Submission) -> bool {
-        let Some(team) = self.settings.teams.iter().find(|t| t.name == spec.team) else {
-            return false;
+    /// Serves the queue: every task that can go somewhere is planned there.
+    pub fn plan(&mut self, now: f64) {
+        self.queue.age(now);
+        let (due, later): (Vec<_>, Vec<_>) = std::mem::take(&mut self.delayed)
+            .into_iter()
+            .partition(|d| d.0 <= now);
+        self.delayed = later;
+        for (_, no, task) in due {
+            if let Some(job) = self.jobs.get(&no) {
+                let level = self.predictor.level(&job.key, now);
+                self.queue.push_front(level, no, task, now);
+            }
+        }
+        if self.queue.is_empty() {
+            return;
+        }
+        let teams = &self.settings.teams;
+        let team_no: HashMap<&str, usize> = teams
+            .iter()
+            .enumerate()
+            .map(|(i, t)| (t.name.as_str(), i))
+            .collect();
+        // The smallest shape that waits: machines without room for it are
+        // not looked at again.
+        let mut waiters = HashMap::new();
+        let mut ranks = Vec::new();
+        let mut least = (f64::INFINITY, f64::INFINITY, f64::INFINITY);
+        for run in self.queue.runs() {
+            if waiters.contains_key(&run.job) {
+                continue;
+            }
+            let Some(job) = self.jobs.get(&run.job) else {
+                continue;
+            };
+            let Some(team) = team_no.get(job.spec.team.as_str()) else {
+                continue;
+            };
+            let s = &job.spec;
+            least = (
+                least.0.min(s.cpus),
+                least.1.min(s.gpus),
+                least.2.min(s.memory_gb),
+            );
+            if !ranks.contains(&s.priority) {
+                ranks.push(s.priority);
+            }
+            let waiter = Waiter {
+                est: run_estimate(&self.predictor, job),
+                slack: slack(&self.settings, &self.predictor, job, now),
+                team: *team,
+                blocked: job.retry_at > now,
+                cold: false,
+                best: None,
+            };
+            waiters.insert(run.job, waiter);
+        }
+        ranks.sort_unstable();
+        let fetching = self.fetching(&team_no);
+        let fresh = limits::MISSED_REPORTS * self.settings.workers.report_s;
+        let mut sites = Vec::new();
+        for (name, m) in &mut self.machines {
+            if !m.up || m.draining || m.retiring || m.deleting || now - m.heard > fresh {
+                continue;
+            }
+            let Some(kind) = self.types.iter().find(|t| t.name == m.kind) else {
+                continue;
+            };
+            let (c, g, mem) = m.used();
+            let free = (kind.cpus - c, kind.gpus - g, kind.memory_gb - mem);
+            if free.0 + 1e-6 < least.0 || free.1 + 1e-6 < least.1 || free.2 + 1e-6 < least.2 {
+                continue;
+            }
+            let fetched = m.images.iter().map(|i| i.ready_at).fold(now, f64::max);
+            sites.push(Site {
+                name,
+                m,
+                kind,
+                free,
+                fetched,
+            });
+        }
+        let usage = &mut self.usage;
+        let used = teams
+            .iter()
+            .map(|t| usage.get(&t.name).copied().unwrap_or_default())
+            .collect();
+        let mut queue = std::mem::take(&mut self.queue);
+        let mut plan = Plan {
+            now,
+            settings: &self.settings,
+            jobs: &mut self.jobs,
+            usage,
+            sites,
+            waiters,
+            used,
+            fetching: &fetching,
+            epoch: self.epoch,
+            counter: &mut self.counter,
+            planned: &mut self.planned,
+            groups: 0,
+            looks: &mut self.looks,
+        };
+        // Guaranteed work goes before borrowed work, higher ranks before
+        // lower ones; among equals the level clocks decide. Before a machine
+        // fetches an image, tasks of the same standing whose image is there
+        // already may pass, for a bounded time.
+        for guaranteed in [true, false] {
+            for rank in &ranks {
+                plan.serve_due(&mut queue, guaranteed, *rank);
+                plan.serve(&mut queue, guaranteed, *rank, Order::Hot);
+                plan.serve(&mut queue, guaranteed, *rank, Order::Any);
+            }
+        }
+        self.queue = queue;
+    }
+
+    /// CPUs of each team placed but not running, and all images at hand.
+    fn fetching(&self, team_no: &HashMap<&str, usize>) -> (Vec<f64>, HashSet<u64>) {
+        let teams = &self.settings.teams;
+        let mut cpus = vec![0.0; teams.len()];
+        let mut images = HashSet::new();
+        let tight = teams.iter().any(|t| {
+            let used = self.usage.get(&t.name).map_or(0.0, |u| u.0);
+            used >= t.cpus_max * limits::SCARCE
+        });
+        if tight {
+            for m in self.machines.values() {
+                if !m.up || m.draining || m.deleting {
+                    continue;
+                }
+                images.extend(m.images.iter().map(|i| i.no));
+                for p in m.placed.iter().filter(|p| !p.running) {
+                    if let Some(at) = team_no.get(p.team.as_str()) {
+                        cpus[*at] += p.cpus;
+                    }
+                }
+            }
+        }
+        (cpus, images)
+    }
+}
+
+fn run_estimate(predictor: &Predictor, job: &Job) -> f64 {
+    predictor
+        .estimate(&job.key)
+        .unwrap_or(job.spec.estimate_s)
+        .max(1.0)
+}
+
+/// s until the job's waiting tasks must be started for the next aim on its
+/// class that it can still meet; None if there is none.
+fn slack(settings: &Settings, predictor: &Predictor, job: &Job, now: f64) -> Option<f64> {
+    let age = now - job.born;
+    let mut least: Option<f64> = None;
+    for o in &settings.objectives {
+        if o.class != job.spec.class {
+            continue;
+        }
+        let run = match o.kind.as_str() {
+            "finished" => predictor
+                .tail(&job.key)
+                .unwrap_or(job.spec.estimate_s * limits::TAIL_GUESS),
+            "wait" => 0.0,
+            _ => continue,
+        };
+        let slack = o.within_s - age - run;
+        if slack >= 0.0 && least.is_none_or(|l| slack < l) {
+            least = Some(slack);
+        }
+    }
+    least
+}
+
+impl Plan<'_> {
+    /// Tasks of this shape for which its team has room.
+    fn team_room(&self, team: usize, s: &Submission, guaranteed: bool) -> u32 {
+        let t = &self.settings.teams[team];
+        let (c, g) = self.used[team];
+        let room = |most: f64, used: f64, each: f64| {
+            if each > 0.0 {
+                ((most - used + 1e-6) / each).floor().max(0.0) as u32
+            } else {
+                u32::MAX
+            }
         };
-        let used = self.usage.get(&spec.team).map_or(0.0, |u| u.0);
-        if used < team.cpus_max * limits::SCARCE {
+        let bound = |cpus, gpus| room(cpus, c, s.cpus).min(room(gpus, g, s.gpus));
+        let most = bound(t.cpus_max, t.gpus_max);
+        if guaranteed {
+            most.min(bound(t.cpus, t.gpus))
+        } else {
+            most
+        }
+    }
+
+    fn ready(&self, no: &JobNo, guaranteed: bool, rank: Priority) -> bool {
+        let Some(w) = self.waiters.get(no).filter(|w| !w.blocked) else {
             return false;
+        };
+        self.jobs.get(no).is_some_and(|j| {
+            j.spec.priority == rank && self.team_room(w.team, &j.spec, guaranteed) > 0
+        })
+    }
+
+    /// Is the job's team near its limit, with enough of it waiting for images
+    /// already, and the job's image to be had without another fetch?
+    fn scarce(&self, team: usize, image: u64) -> bool {
+        let t = &self.settings.teams[team];
+        let (cpus, images) = self.fetching;
+        self.used[team].0 >= t.cpus_max * limits::SCARCE
+            && cpus[team] > t.cpus_max * limits::SCARCE_FETCHING
+            && images.contains(&image)
+    }
+
+    /// Jobs about to miss an aim, least work left first: what is left only
+    /// shrinks while a job is served, so the order stands for the whole pass.
+    fn serve_due(&mut self, queue: &mut Queue<JobNo>, guaranteed: bool, rank: Priority) {
+        let mut due: Vec<(f64, JobNo)> = Vec::new();
+        for (no, w) in &self.waiters {
+            if w.slack.is_some_and(|s| s < limits::RISK_S)
+                && self.ready(no, guaranteed, rank)
+                && let Some(job) = self.jobs.get(no)
+            {
+                let gone = job.done.count() as usize + job.on.len();
+                let left = (job.spec.tasks as usize).saturating_sub(gone);
+                due.push((left as f64 * job.spec.cpus * w.est, *no));
+            }
         }
-        let mut fetching = 0.0;
-        let mut there = false;
-        for m in self
-            .machines
-            .values()
-            .filter(|m| m.up && !m.draining && !m.deleting)
-        {
-            there |= m.images.iter().any(|i| i.name == spec.image);
-            for p in m
-                .placed
-                .iter()
-                .filter(|p| p.team == spec.team && !p.running)
+        due.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        for (_, no) in due {
+            while !self.sites.is_empty()
+                && self.waiters.get(&no).is_some_and(|w| !w.cold)
+                && self.ready(&no, guaranteed, rank)
+                && let Some(pick) = queue.find(&no)
             {
-                fetching += p.cpus;
+                self.place_group(queue, &pick, guaranteed, Order::Due);
             }
         }
-        there && fetching > team.cpus_max * limits::SCARCE_FETCHING
     }
 
-    /// CPU-seconds of the job's tasks that are not on a machine.
-    pub(super) fn work_left(&self, job: &Job) -> f64 {
-        let gone = job.done.count() as usize + job.on.len();
-        let left = (job.spec.tasks as usize).saturating_sub(gone);
-        left as f64 * job.spec.cpus * self.run_estimate(job)
+    /// Places what it can of one standing, by the level clocks.
+    fn serve(&mut self, queue: &mut Queue<JobNo>, guaranteed: bool, rank: Priority, order: Order) {
+        while !self.sites.is_empty() {
+            let passes = |no: &JobNo, since: f64| {
+                order == Order::Any
+                    || self.now - since >= limits::PASS_OVER_S
+                    || self.waiters.get(no).is_some_and(|w| !w.cold)
+            };
+            let next =
+                queue.next(|no, since| passes(no, since) && self.ready(no, guaranteed, rank));
+            let Some(pick) = next else { return };
+            self.place_group(queue, &pick, guaranteed, order);
+        }
     }
 
-    /// s until the job's waiting tasks must be started for the next aim on its
-    /// class that it can still meet; None if there is none.
-    pub(super) fn slack(&self, job: &Job, now: f64) -> Option<f64> {
-        let age = now - job.born;
-        let mut least: Option<f64> = None;
-        for o in &self.settings.objectives {
-            if o.class != job.spec.class {
-                continue;
-            }
-            let run = match o.kind.as_str() {
-                "finished" => self
-                    .predictor
-                    .tail(&job.key)
-                    .unwrap_or(job.spec.estimate_s * limits::TAIL_GUESS),
-                "wait" => 0.0,
-                _ => continue,
+    /// Places as many tasks of the run as the best machine takes, or marks
+    /// the job as one that has to wait.
+    fn place_group(
+        &mut self,
+        queue: &mut Queue<JobNo>,
+        pick: &Pick<JobNo>,
+        guaranteed: bool,
+        order: Order,
+    ) {
+        let no = pick.job;
+        let Some(job) = self.jobs.get(&no) else {
+            queue.drop_first(pick, pick.len);
+            return;
+        };
+        // Finished meanwhile, or found elsewhere.
+        let idle = |task: &u32| !job.done.get(*task) && !job.on.contains_key(task);
+        let run = pick.first..pick.first + pick.len;
+        let skip = run.clone().take_while(|t| !idle(t)).count() as u32;
+        if skip > 0 {
+            queue.drop_first(pick, skip);
+            return;
+        }
+        let whole = run.take_while(idle).count() as u32;
+        if job.spec.kind == Kind::Gang {
+            self.place_gang(queue, no);
+            return;
+        }
+        let w = &self.waiters[&no];
+        let (est, slack, team) = (w.est, w.slack, w.team);
+        let Some((at, wait)) = self.best_machine(no, None) else {
+            self.block(no);
+            return;
+        };
+        let job = &self.jobs[&no];
+        if wait > limits::HOT_S {
+            let young = self.now - pick.since < limits::PASS_OVER_S;
+            let calm = slack.is_none_or(|s| s > wait);
+            let pass = match order {
+                Order::Due => calm,
+                Order::Hot => young,
+                Order::Any => false,
             };
-            let slack = o.within_s - age - run;
-            if slack >= 0.0 && least.is_none_or(|l| slack < l) {
-                least = Some(slack);
+            if pass {
+                if let Some(w) = self.waiters.get_mut(&no) {
+                    w.cold = true;
+                }
+                return;
+            }
+            if self.scarce(team, job.image) {
+                self.block(no);
+                return;
             }
         }
-        least
+        let site = &self.sites[at];
+        let n = whole
+            .min(site.fits(&job.spec))
+            .min(zone_room(job, &site.m.zone))
+            .min(self.team_room(team, &job.spec, guaranteed));
+        if n == 0 {
+            self.block(no);
+            return;
+        }
+        *self.counter += 1;
+        let attempt = (self.epoch << limits::EPOCH_SHIFT) | *self.counter;
+        queue.take(pick, n, est);
+        self.place(no, pick.first, n, attempt, at);
+    }
+
+    fn block(&mut self, no: JobNo) {
+        if let Some(w) = self.waiters.get_mut(&no) {
+            w.blocked = true;
+        }
+    }
+
+    /// There must be room for all of a gang, then it is placed whole, before
+    /// anything else can take the room. The tasks of a gang find each other
+    /// by their common attempt.
+    fn place_gang(&mut self, queue: &mut Queue<JobNo>, no: JobNo) {
+        let Some(zone) = self.gang_zone(no) else {
+            self.block(no);
+            return;
+        };
+        *self.counter += 1;
+        let attempt = (self.epoch << limits::EPOCH_SHIFT) | *self.counter;
+        while let Some(pick) = queue.find(&no) {
+            let Some((at, _)) = self.best_machine(no, zone.as_deref()) else {
+                self.block(no);
+                return;
+            };
+            let w = &self.waiters[&no];
+            let job = &self.jobs[&no];
+            let n = pick
+                .len
+                .min(self.sites[at].fits(&job.spec))
+                .min(zone_room(job, &self.sites[at].m.zone))
+                .max(1);
+            queue.take(&pick, n, w.est);
+            self.place(no, pick.first, n, attempt, at);
+        }
     }
 
     /// The machine that suits a task of the job best, and the s until its
     /// image could be there.
-    pub(super) fn best_machine(
-        &self,
-        job: &Job,
-        zone: Option<&str>,
-        now: f64,
-    ) -> Option<(String, f64)> {
-        let fresh = limits::MISSED_REPORTS * self.settings.workers.report_s;
-        let run_s = self.run_estimate(job);
-        let mut best: Option<(f64, &String, f64)> = None;
-        for (name, m) in &self.machines {
-            if !m.up || m.draining || m.retiring || m.deleting || now - m.heard > fresh {
-                continue;
-            }
-            if zone.is_some_and(|z| z != m.zone) {
-                continue;
-            }
-            let Some(t) = self.types.iter().find(|t| t.name == m.kind) else {
-                continue;
-            };
-            let (c, g, mem) = m.used();
-            let s = &job.spec;
-            if c + s.cpus > t.cpus + 1e-6
-                || g + s.gpus > t.gpus + 1e-6
-                || mem + s.memory_gb > t.memory_gb + 1e-6
-                || !Self::allowed(s, &m.kind, &m.zone, m.spot)
-                || !Self::zone_ok(job, &m.zone)
-                || job.failed_on.contains(name) && job.failed_on.len() < 3
+    fn best_machine(&mut self, no: JobNo, zone: Option<&str>) -> Option<(usize, f64)> {
+        let job = self.jobs.get(&no)?;
+        let w = self.waiters.get_mut(&no)?;
+        if let Some((groups, best)) = w.best
+            && groups == self.groups
+            && zone.is_none()
+        {
+            return best;
+        }
+        let s = &job.spec;
+        let mut best: Option<(f64, usize, f64)> = None;
+        for (at, site) in self.sites.iter().enumerate() {
+            *self.looks += 1;
+            let m = &*site.m;
+            if zone.is_some_and(|z| z != m.zone)
+                || site.fits(s) == 0
+                || !allowed(s, &m.kind, &m.zone, m.spot)
+                || zone_room(job, &m.zone) == 0
+                || job.failed_on.len() < 3 && job.failed_on.contains(site.name)
             {
                 continue;
             }
-            let image_wait_s = match m.images.iter().find(|i| i.name == s.image) {
-                Some(i) => (i.ready_at - now).max(0.0),
-                None => {
-                    let queue: f64 = m
-                        .images
-                        .iter()
-                        .map(|i| (i.ready_at - now).max(0.0))
-                        .fold(0.0, f64::max);
-                    queue + s.image_gb / t.fetch_gb_per_s.max(0.001)
-                }
-            };
-            let free_after = (t.cpus - c - s.cpus) / t.cpus.max(0.001);
+            let image_wait_s = site.image_wait_s(job, self.now);
             let view = View {
                 image_wait_s,
-                free_after,
+                free_after: (site.free.0 - s.cpus) / site.kind.cpus.max(0.001),
                 spot: m.spot,
                 slowness: 1.0,
             };
-            let price = cost(&view, run_s);
+            let price = cost(&view, w.est);
             if best.is_none_or(|b| price < b.0) {
-                best = Some((price, name, image_wait_s));
+                best = Some((price, at, image_wait_s));
             }
         }
-        best.map(|(_, n, wait)| (n.clone(), wait))
+        let best = best.map(|(_, at, wait)| (at, wait));
+        w.best = Some((self.groups, best));
+        best
     }
 
     /// Where a gang can go as a whole: None if nowhere, Some(None) if the zone
     /// doesn't matter.
-    pub(super) fn gang_zone(&self, job: &Job, now: f64) -> Option<Option<String>> {
+    fn gang_zone(&self, no: JobNo) -> Option<Option<String>> {
+        let job = self.jobs.get(&no)?;
         let s = &job.spec;
         let missing = s.tasks - job.done.count().min(s.tasks);
         let missing = missing.saturating_sub(job.on.len() as u32);
-        let team = self.settings.teams.iter().find(|t| t.name == s.team)?;
-        let (c, g) = self.usage.get(&s.team).copied().unwrap_or_default();
-        let n = f64::from(missing);
-        if c + n * s.cpus > team.cpus_max + 1e-6 || g + n * s.gpus > team.gpus_max + 1e-6 {
+        if self.team_room(self.waiters.get(&no)?.team, s, false) < missing {
             return None;
         }
-        let fresh = limits::MISSED_REPORTS * self.settings.workers.report_s;
         let mut room: BTreeMap<&str, u32> = BTreeMap::new();
-        for m in self.machines.values() {
-            if !m.up || m.draining || m.retiring || m.deleting || now - m.heard > fresh {
-                continue;
+        for site in &self.sites {
+            let m = &*site.m;
+            if allowed(s, &m.kind, &m.zone, m.spot) {
+                let r = room.entry(&m.zone).or_default();
+                *r = r.saturating_add(site.fits(s).min(missing));
             }
-            if !Self::allowed(s, &m.kind, &m.zone, m.spot) {
-                continue;
-            }
-            let Some(t) = self.types.iter().find(|t| t.name == m.kind) else {
-                continue;
-            };
-            let (c, g, mem) = m.used();
-            let fit = |free: f64, each: f64| {
-                if each > 0.0 {
-                    ((free + 1e-6) / each).floor() as u32
-                } else {
-                    u32::MAX
-                }
-            };
-            let n = fit(t.cpus - c, s.cpus)
-                .min(fit(t.gpus - g, s.gpus))
-                .min(fit(t.memory_gb - mem, s.memory_gb));
-            let r = room.entry(&m.zone).or_default();
-            *r = r.saturating_add(n.min(missing));
         }
         if s.one_zone {
             let zone = room
                 .iter()
-                .find(|(z, n)| **n >= missing && Self::zone_ok(job, z))
+                .find(|(z, n)| **n >= missing && zone_room(job, z) > 0)
                 .map(|(z, _)| (*z).to_string())?;
             return Some(Some(zone));
         }
-        let most = if s.spread {
-            s.tasks.div_ceil(2)
-        } else {
-            u32::MAX
-        };
         let total: u64 = room
             .iter()
-            .map(|(z, n)| {
-                let here = job.zones.get(*z).copied().unwrap_or(0);
-                u64::from((*n).min(most.saturating_sub(here)))
-            })
+            .map(|(z, n)| u64::from((*n).min(zone_room(job, z))))
             .sum();
         (total >= u64::from(missing)).then_some(None)
     }
 
-    /// Serves the queue: every task that can go somewhere is planned there.
-    pub fn plan(&mut self, now: f64) {
-        self.queue.age(now);
-        let due: Vec<_> = self
-            .delayed
-            .iter()
-            .filter(|d| d.0 <= now)
-            .cloned()
-            .collect();
-        self.delayed.retain(|d| d.0 > now);
-        for (_, no, task) in due {
-            if let Some(job) = self.jobs.get(&no) {
-                let level = self.predictor.level(&job.key, now);
-                self.queue.push_front(level, no, task, now);
-            }
-        }
-        if self.queue.is_empty() {
-            return;
-        }
-        let mut blocked: HashSet<JobNo> = HashSet::new();
-        let mut queue = std::mem::take(&mut self.queue);
-        let ranks = [
-            Priority::Production,
-            Priority::High,
-            Priority::Normal,
-            Priority::Low,
-        ];
-        // Guaranteed work goes before borrowed work, higher ranks before
-        // lower ones; among equals the level clocks decide.
-        // Before a machine fetches an image, tasks of the same standing whose
-        // image is there already may pass, for a bounded time.
-        let mut cold: HashSet<JobNo> = HashSet::new();
-        for guaranteed in [true, false] {
-            for rank in ranks {
-                for order in [Order::Due, Order::Hot, Order::Any] {
-                    self.serve(
-                        &mut queue,
-                        (guaranteed, rank, order),
-                        &mut blocked,
-                        &mut cold,
-                        now,
-                    );
-                }
-            }
-        }
-        self.queue = queue;
-    }
-
-    /// Places what it can of one standing.
-    pub(super) fn serve(
-        &mut self,
-        queue: &mut Queue<JobNo>,
-        (guaranteed, rank, order): (bool, Priority, Order),
-        blocked: &mut HashSet<JobNo>,
-        cold: &mut HashSet<JobNo>,
-        now: f64,
-    ) {
-        loop {
-            let ready = |no: &JobNo| {
-                !blocked.contains(no)
-                    && self.jobs.get(no).is_some_and(|j| {
-                        j.spec.priority == rank
-                            && j.retry_at <= now
-                            && self.team_fits(&j.spec, guaranteed)
-                            && self.team_fits(&j.spec, false)
-                    })
-            };
-            let price = |no: &JobNo| self.jobs.get(no).map_or(1.0, |j| self.run_estimate(j));
-            let taken = if order == Order::Due {
-                let risk = |no: &JobNo| {
-                    let job = self.jobs.get(no)?;
-                    let due = self.slack(job, now)? < limits::RISK_S;
-                    (due && !cold.contains(no) && ready(no)).then(|| self.work_left(job))
-                };
-                queue.take_least(risk, price)
-            } else {
-                let passes = |no: &JobNo, since| {
-                    order == Order::Any || !cold.contains(no) || now - since >= limits::PASS_OVER_S
-                };
-                queue.take(|no, since| passes(no, since) && ready(no), price)
-            };
-            let Some((no, task)) = taken else { return };
-            let Some(job) = self.jobs.get(&no) else {
-                continue;
-            };
-            if job.done.get(task) || job.on.contains_key(&task) {
-                continue;
-            }
-            let est = self.run_estimate(job);
-            let gang = job.spec.kind == Kind::Gang;
-            let zone = if gang {
-                self.gang_zone(job, now)
-            } else {
-                Some(None)
-            };
-            let best = zone
-                .as_ref()
-                .and_then(|z| self.best_machine(job, z.as_deref(), now));
-            let Some((name, wait)) = best else {
-                blocked.insert(no);
-                queue.untake(no, task, est);
-                continue;
-            };
-            if wait > limits::HOT_S {
-                let young = now - queue.taken_since() < limits::PASS_OVER_S;
-                let calm = self.slack(job, now).is_none_or(|s| s > wait);
-                let pass = match order {
-                    Order::Due => calm,
-                    Order::Hot => young,
-                    Order::Any => false,
-                };
-                if pass || self.scarce(&job.spec) {
-                    if pass {
-                        cold.insert(no);
-                    } else {
-                        blocked.insert(no);
-                    }
-                    queue.untake(no, task, est);
-                    continue;
-                }
-            }
-            let attempt = self.unique();
-            self.place(no, task, attempt, &name, now);
-            // There is room for all of a gang: the rest follows at once, before
-            // anything else can take it. The tasks of a gang find each other by
-            // their common attempt.
-            while let Some((_, task)) = queue.take(|n, _| gang && *n == no, |_| est) {
-                let Some(job) = self.jobs.get(&no) else { break };
-                let zone = zone.as_ref().and_then(Option::as_deref);
-                match self.best_machine(job, zone, now) {
-                    Some((name, _)) => self.place(no, task, attempt, &name, now),
-                    None => {
-                        queue.untake(no, task, est);
-                        break;
-                    }
-                }
-            }
-        }
-    }
-
-    pub(super) fn place(&mut self, no: JobNo, task: u32, attempt: u64, name: &str, now: f64) {
-        let (Some(job), Some(m)) = (self.jobs.get(&no), self.machines.get_mut(name)) else {
+    fn place(&mut self, no: JobNo, first: u32, n: u32, attempt: u64, at: usize) {
+        let (Some(job), Some(site)) = (self.jobs.get(&no), self.sites.get_mut(at)) else {
             return;
         };
-        let s = &job.spec;
-        let p = Placement {
-            id: format!("{}/{task}", s.id),
-            job: Some(no),
-            task,
-            attempt,
-            session: m.session,
-            stage: Stage::Planned,
-            inherited: false,
-            sent_seq: None,
-            sent: 0,
-            seen: false,
-            running: false,
-            run_since: now,
-            image: s.image.clone(),
-            team: s.team.clone(),
-            cpus: s.cpus,
-            gpus: s.gpus,
-            mem: s.memory_gb,
-            stopping: false,
-        };
-        let t = self.types.iter().find(|t| t.name == m.kind);
-        let (rate, cache) = t.map_or((1.0, 0.0), |t| (t.fetch_gb_per_s.max(0.001), t.cache_gb));
-        match m.images.iter_mut().find(|i| i.name == s.image) {
+        let (s, m, now) = (&job.spec, &mut *site.m, self.now);
+        match m.images.iter_mut().find(|i| i.no == job.image) {
             Some(i) => i.used = now,
             None => {
-                let queue = m.images.iter().map(|i| i.ready_at).fold(now, f64::max);
+                site.fetched += s.image_gb / site.kind.fetch_gb_per_s.max(0.001);
                 m.images.push(Image {
-                    name: s.image.clone(),
+                    no: job.image,
                     gb: s.image_gb,
-                    ready_at: queue + s.image_gb / rate,
+                    ready_at: site.fetched,
                     used: now,
                 });
                 // The machine keeps the most recently used images.
+                let cache = site.kind.cache_gb;
                 while m.images.len() > 1 && m.images.iter().map(|i| i.gb).sum::<f64>() > cache {
                     let oldest = (0..m.images.len())
                         .min_by(|a, b| m.images[*a].used.total_cmp(&m.images[*b].used));
@@ -405,9 +574,45 @@
                 }
             }
         }
-        m.placed.push(p.clone());
         m.idle_since = now;
-        let zone = m.zone.clone();
-        self.count(&p, &zone, 1.0);
+        let team = self.waiters[&no].team;
+        let placements: Vec<Placement> = (first..first + n)
+            .map(|task| Placement {
+                id: format!("{}/{task}", s.id),
+                job: Some(no),
+                task,
+                attempt,
+                session: m.session,
+                stage: Stage::Planned,
+                inherited: false,
+                sent_seq: None,
+                sent: 0,
+                seen: false,
+                running: false,
+                run_since: now,
+                image: job.image,
+                team: s.team.clone(),
+                cpus: s.cpus,
+                gpus: s.gpus,
+                mem: s.memory_gb,
+                stopping: false,
+            })
+            .collect();
+        let total = f64::from(n);
+        site.free.0 -= total * s.cpus;
+        site.free.1 -= total * s.gpus;
+        site.free.2 -= total * s.memory_gb;
+        self.used[team].0 += total * s.cpus;
+        self.used[team].1 += total * s.gpus;
+        self.planned.insert(site.name.to_string());
+        self.groups += 1;
+        for p in placements {
+            count(self.usage, self.jobs, &p, &m.zone, 1.0);
+            m.placed.push(p);
+        }
+        // The smallest shape that waits may change; full is full.
+        if site.free.0 <= 1e-6 || site.free.2 <= 1e-6 {
+            self.sites.swap_remove(at);
+        }
     }
 }
--- a/crates/control/src/leader/reports.rs
+++ b/crates/control/src/leader/reports.rs
@@ -119,8 +119,8 @@
                         }
                     }
                     if running {
-                        let image = p.image.clone();
-                        if let Some(i) = m.images.iter_mut().find(|i| i.name == image) {
+                        let image = p.image;
+                        if let Some(i) = m.images.iter_mut().find(|i| i.no == image) {
                             i.ready_at = i.ready_at.min(now);
                         }
                     }
--- a/crates/sched/src/queue.rs
+++ b/crates/sched/src/queue.rs
@@ -28,8 +28,17 @@
     levels: [VecDeque<Run<J>>; limits::LEVELS],
     clocks: [f64; limits::LEVELS],
     aged: f64,
-    /// Level, place and run of the last `take`.
-    last: Option<(usize, usize, Run<J>)>,
+}
+
+/// A run that could be served, and where it stands until the queue changes.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Pick<J> {
+    pub job: J,
+    pub first: u32,
+    pub len: u32,
+    pub since: f64,
+    level: usize,
+    at: usize,
 }
 
 impl<J: Clone + PartialEq> Default for Queue<J> {
@@ -44,7 +53,6 @@
             levels: Default::default(),
             clocks: [0.0; limits::LEVELS],
             aged: f64::NEG_INFINITY,
-            last: None,
         }
     }
 
@@ -99,13 +107,9 @@
         }
     }
 
-    /// Serves the level with the smallest clock among those with an eligible
-    /// task, and charges it the task's expected cost over its weight.
-    pub fn take(
-        &mut self,
-        mut eligible: impl FnMut(&J, f64) -> bool,
-        cost: impl Fn(&J) -> f64,
-    ) -> Option<(J, u32)> {
+    /// The run to serve next: the first eligible one of the level with the
+    /// smallest clock among those that have one.
+    pub fn next(&mut self, mut eligible: impl FnMut(&J, f64) -> bool) -> Option<Pick<J>> {
         let mut found = [None; limits::LEVELS];
         for (l, level) in self.levels.iter().enumerate() {
             found[l] = level.iter().position(|r| eligible(&r.job, r.since));
@@ -119,66 +123,44 @@
                 self.clocks[l] = self.clocks[l].max(self.clocks[best]);
             }
         }
-        Some(self.remove(best, found[best]?, cost))
+        Some(self.pick(best, found[best]?))
     }
 
-    /// Serves the run with the least value of `rank`, whatever the clocks
-    /// say; its level is charged all the same.
-    pub fn take_least(
-        &mut self,
-        mut rank: impl FnMut(&J) -> Option<f64>,
-        cost: impl Fn(&J) -> f64,
-    ) -> Option<(J, u32)> {
-        let mut best: Option<(f64, usize, usize)> = None;
-        for (l, level) in self.levels.iter().enumerate() {
-            for (at, run) in level.iter().enumerate() {
-                if let Some(r) = rank(&run.job)
-                    && best.is_none_or(|b| r < b.0)
-                {
-                    best = Some((r, l, at));
-                }
-            }
-        }
-        let (_, level, at) = best?;
-        Some(self.remove(level, at, cost))
+    /// A waiting run of the job, whatever the clocks say.
+    pub fn find(&self, job: &J) -> Option<Pick<J>> {
+        self.levels.iter().enumerate().find_map(|(l, level)| {
+            let at = level.iter().position(|r| r.job == *job)?;
+            Some(self.pick(l, at))
+        })
     }
 
-    fn remove(&mut self, level: usize, at: usize, cost: impl Fn(&J) -> f64) -> (J, u32) {
-        let run = &mut self.levels[level][at];
-        let (job, task) = (run.job.clone(), run.first);
-        self.last = Some((level, at, run.clone()));
-        run.first += 1;
-        if run.is_empty() {
-            self.levels[level].remove(at);
+    fn pick(&self, level: usize, at: usize) -> Pick<J> {
+        let run = &self.levels[level][at];
+        Pick {
+            job: run.job.clone(),
+            first: run.first,
+            len: run.len(),
+            since: run.since,
+            level,
+            at,
         }
-        self.clocks[level] += cost(&job).max(0.001) / limits::LEVEL_WEIGHTS[level];
-        (job, task)
     }
 
-    /// Takes back a `take` that found no machine: the task waits where it
-    /// was, and its level isn't charged.
-    pub fn untake(&mut self, job: J, task: u32, cost: f64) {
-        let Some((level, at, was)) = self.last.take() else {
-            return;
-        };
-        self.clocks[level] -= cost.max(0.001) / limits::LEVEL_WEIGHTS[level];
-        match self.levels[level].get_mut(at) {
-            Some(r) if r.job == job && r.first == task + 1 => r.first = task,
-            _ => self.levels[level].insert(
-                at,
-                Run {
-                    job,
-                    first: task,
-                    end: task + 1,
-                    ..was
-                },
-            ),
-        }
+    /// Takes the first `n` tasks of a run that `next` or `find` gave just now,
+    /// and charges its level their expected cost over its weight, each.
+    pub fn take(&mut self, pick: &Pick<J>, n: u32, cost: f64) {
+        self.drop_first(pick, n);
+        self.clocks[pick.level] +=
+            f64::from(n) * cost.max(0.001) / limits::LEVEL_WEIGHTS[pick.level];
     }
 
-    /// Since when the task of the last `take` had been waiting.
-    pub fn taken_since(&self) -> f64 {
-        self.last.as_ref().map_or(0.0, |l| l.2.since)
+    /// Takes tasks that need not run: nothing is charged.
+    pub fn drop_first(&mut self, pick: &Pick<J>, n: u32) {
+        let run = &mut self.levels[pick.level][pick.at];
+        run.first = (run.first + n).min(run.end);
+        if run.is_empty() {
+            self.levels[pick.level].remove(pick.at);
+        }
     }
 
     fn oldest(&self, level: usize) -> Option<(usize, f64)> {
@@ -244,6 +226,16 @@
 mod tests {
     use super::*;
 
+    /// Serves one task.
+    fn one<J: Clone + PartialEq>(
+        q: &mut Queue<J>,
+        eligible: impl FnMut(&J, f64) -> bool,
+    ) -> Option<(J, u32)> {
+        let pick = q.next(eligible)?;
+        q.take(&pick, 1, 1.0);
+        Some((pick.job, pick.first))
+    }
+
     #[test]
     fn shares_are_8_3_1_while_all_levels_have_work() {
         let mut q = Queue::new();
@@ -252,7 +244,7 @@
         }
         let mut served = [0; 3];
         for _ in 0..120 {
-            served[q.take(|_, _| true, |_| 1.0).unwrap().0] += 1;
+            served[one(&mut q, |_, _| true).unwrap().0] += 1;
         }
         // 120 pulls of equal cost: 80, 30 and 10, within one pull each.
         for (n, want) in served.iter().zip([80i32, 30, 10]) {
@@ -260,17 +252,36 @@
         }
     }
 
+    /// A group of tasks costs its level what its tasks would one by one.
+    #[test]
+    fn a_group_is_charged_for_each_task() {
+        let mut q = Queue::new();
+        for l in 0..3 {
+            q.push(l, l, 0, 1000, 0.0);
+        }
+        let mut served = [0; 3];
+        for _ in 0..60 {
+            let pick = q.next(|_, _| true).unwrap();
+            q.take(&pick, 4, 1.0);
+            served[pick.job] += 4;
+        }
+        // 240 tasks: 160, 60 and 20, within one group each.
+        for (n, want) in served.iter().zip([160i32, 60, 20]) {
+            assert!((n - want).abs() <= 4, "{served:?}");
+        }
+    }
+
     #[test]
     fn an_emptied_level_saves_no_credit() {
         let mut q = Queue::new();
         q.push(2, 2, 0, 100, 0.0);
         for _ in 0..50 {
-            q.take(|_, _| true, |_| 1.0);
+            one(&mut q, |_, _| true);
         }
         q.push(0, 0, 0, 100, 0.0);
         let mut low = 0;
         for _ in 0..18 {
-            low += i32::from(q.take(|_, _| true, |_| 1.0).unwrap().0 == 2);
+            low += i32::from(one(&mut q, |_, _| true).unwrap().0 == 2);
         }
         assert_eq!(low, 2, "one in nine, not a debt of fifty");
     }
@@ -305,7 +316,7 @@
         q.push(1, 'a', 0, 2, 0.0);
         q.push(1, 'b', 0, 1, 0.0);
         q.push_front(1, 'b', 7, 0.0);
-        assert_eq!(q.take(|j, _| *j == 'a', |_| 1.0), Some(('a', 0)));
-        assert_eq!(q.take(|_, _| true, |_| 1.0), Some(('b', 7)));
+        assert_eq!(one(&mut q, |j, _| *j == 'a'), Some(('a', 0)));
+        assert_eq!(one(&mut q, |_, _| true), Some(('b', 7)));
     }
 }
