The placement ledger is a log: two changes a round, however many machines

An entry now holds a round's placements and what was freed since, under a key that is never written again; the oldest are dropped, a long-lived rest is carried along. Write-ahead, the guards on the leader and on jobs and the proofs of freeing are as they were. Ruled out: a fixed shard of machines a key; at 140 starts a second spread over the fleet each round would still write most shards.

--- a/crates/cherrywood/src/loops.rs
+++ b/crates/cherrywood/src/loops.rs
@@ -10,7 +10,7 @@
 use cherrywood_net::state::TxnResult;
 use cherrywood_wire::agent::Orders;
 use cherrywood_wire::state::{
-    Change, EpochValue, Guard, HistogramsValue, JobValue, LeaderValue, LedgerValue, ProgressValue,
+    Change, EpochValue, Guard, HistogramsValue, JobValue, LeaderValue, LogValue, ProgressValue,
     Txn, Value,
 };
 use std::sync::Arc;
@@ -162,10 +162,10 @@
 async fn take_over(node: &Arc<Node>, lease: u64, epoch: u64, mark: u64) -> Result<(), NetError> {
     let mut from = Inheritance::default();
     // Jobs last: a job that ends meanwhile only loses a race at its guard.
-    let rows = insist!(node, node.state.list::<LedgerValue>(keys::LEDGER)).0;
+    let rows = insist!(node, node.state.list::<LogValue>(keys::LEDGER)).0;
     from.ledger = rows
         .into_iter()
-        .map(|i| (i.key[keys::LEDGER.len()..].to_string(), i.value, i.version))
+        .filter_map(|i| Some((keys::ledger_entry(&i.key)?, i.value)))
         .collect();
     let rows = insist!(node, node.state.list::<ProgressValue>(keys::PROGRESS)).0;
     from.progress = rows
--- a/crates/control/src/leader/fleet.rs
+++ b/crates/control/src/leader/fleet.rs
@@ -244,7 +244,7 @@
                     silent, "silent since its notice ran out; deleting it"
                 );
                 m.deleting = true;
-            } else if m.up || m.mark > 0 {
+            } else if m.up || m.known {
                 if silent > limit && !network {
                     info!(
                         machine = name,
@@ -401,9 +401,6 @@
                 continue;
             };
             self.gone.insert(name.clone(), now);
-            if m.mark > 0 {
-                self.stale_rows.insert(name.clone(), m.mark);
-            }
             self.lose_all(m.placed, &m.zone, now);
         }
     }
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -15,8 +15,8 @@
 use cherrywood_wire::agent::{Command, Orders, Report, TaskState, Why};
 use cherrywood_wire::cloud::{Listed, ListedState, MachineType, Rent};
 use cherrywood_wire::state::{
-    Change, FinalValue, Guard, HistogramsValue, JobValue, LedgerRow, LedgerValue, ProgressValue,
-    Txn, Value,
+    Change, FinalValue, Guard, HistogramsValue, JobValue, LogRow, LogValue, ProgressValue, Txn,
+    Value,
 };
 use cherrywood_wire::user::{JobState, Kind, Priority, Submission, split_task};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
@@ -29,6 +29,8 @@
 mod progress;
 mod reports;
 
+pub use ledger::LedgerBatch;
+
 type JobNo = u32;
 
 #[derive(Debug)]
@@ -75,6 +77,8 @@
     attempt: u64,
     session: u64,
     stage: Stage,
+    /// The ledger's entry that holds it; 0 while there is none.
+    entry: u64,
     /// From an earlier leader: its start is never sent again.
     inherited: bool,
     sent_seq: Option<u64>,
@@ -124,7 +128,8 @@
     /// the start could arrive after the forget and run the task again.
     open_orders: HashSet<u64>,
     placed: Vec<Placement>,
-    mark: u64,
+    /// The ledger that this leader read names it.
+    known: bool,
     images: Vec<Image>,
     idle_since: f64,
     /// Nothing more is placed here: a notice, or a machine that fails tasks.
@@ -144,14 +149,6 @@
     }
 }
 
-/// A ledger transaction on its way, and what it would make durable.
-#[derive(Debug)]
-pub struct LedgerBatch {
-    pub txn: Txn,
-    rows: Vec<(String, Vec<u64>)>,
-    drops: Vec<String>,
-}
-
 /// A job transaction on its way: progress, or the final state.
 #[derive(Debug)]
 pub struct JobBatch {
@@ -196,8 +193,14 @@
     machines: BTreeMap<String, Machine>,
     /// Machines deleted for certain; reports in their name are late.
     gone: HashMap<String, f64>,
-    /// Ledger rows to drop: machine and the row's mark.
-    stale_rows: HashMap<String, u64>,
+    /// The ledger's entries in the state service, by number.
+    log: BTreeMap<u64, ledger::Entry>,
+    /// Entries written by this leader.
+    entries: u64,
+    /// Placements off their machines that the ledger doesn't know of.
+    freed: Vec<ledger::Freed>,
+    /// A ledger transaction of which it isn't known whether it was applied.
+    doubt: Option<LedgerBatch>,
     usage: HashMap<String, (f64, f64)>,
     queue: Queue<JobNo>,
     delayed: Vec<(f64, JobNo, u32)>,
@@ -223,7 +226,8 @@
     pub wall_ms: u64,
     pub jobs: Vec<(JobValue, u64)>,
     pub progress: Vec<(String, ProgressValue, u64)>,
-    pub ledger: Vec<(String, LedgerValue, u64)>,
+    /// Entries by number, the oldest first.
+    pub ledger: Vec<(u64, LogValue)>,
     pub histograms: Option<HistogramsValue>,
 }
 
@@ -256,7 +260,10 @@
             next_job: 0,
             machines: BTreeMap::new(),
             gone: HashMap::new(),
-            stale_rows: HashMap::new(),
+            log: BTreeMap::new(),
+            entries: 0,
+            freed: Vec::new(),
+            doubt: None,
             usage: HashMap::new(),
             queue: Queue::new(),
             delayed: Vec::new(),
@@ -289,12 +296,20 @@
             .map(|(id, v, m)| (id, (v, m)))
             .collect();
         // Where each task may be, before any job's tasks are queued.
+        let freed: HashSet<(u64, u32)> = from
+            .ledger
+            .iter()
+            .flat_map(|(_, v)| v.freed.iter().copied())
+            .collect();
         let mut placed: HashMap<String, HashSet<u32>> = HashMap::new();
-        for (_, v, _) in &from.ledger {
-            for row in &v.placed {
-                if let Some((job, n)) = split_task(&row.t) {
-                    placed.entry(job.to_string()).or_default().insert(n);
-                }
+        for (_, v) in &from.ledger {
+            for LogRow(_, _, _, job, attempt, first, n) in &v.rows {
+                let Some(job) = v.jobs.get(*job) else {
+                    continue;
+                };
+                let tasks = (*first..first.saturating_add(*n))
+                    .filter(|task| !freed.contains(&(*attempt, *task)));
+                placed.entry(job.id.clone()).or_default().extend(tasks);
             }
         }
         let mut jobs = from.jobs;
@@ -304,45 +319,7 @@
             let saved = progress.remove(&id);
             self.enter(value, mark, saved, placed.get(&id), now);
         }
-        for (name, value, mark) in from.ledger {
-            let mut machine = self.machine(&value.kind, &value.zone, value.spot, now);
-            machine.mark = mark;
-            machine.heard = now;
-            // The last leader's grants may run on until its time was over.
-            machine.granted_until = now + self.timing.grant_bound_s();
-            for row in value.placed {
-                let Some((job, task)) = split_task(&row.t) else {
-                    continue;
-                };
-                let no = self.ids.get(job).copied();
-                let image = no.and_then(|n| self.jobs.get(&n)).map_or(0, |j| j.image);
-                machine.placed.push(Placement {
-                    id: row.t.clone(),
-                    job: no,
-                    task,
-                    attempt: row.a,
-                    session: row.s,
-                    stage: Stage::Durable,
-                    inherited: true,
-                    sent_seq: None,
-                    sent: 0,
-                    seen: false,
-                    running: false,
-                    run_since: now,
-                    image,
-                    team: row.team,
-                    cpus: row.cpus,
-                    gpus: row.gpus,
-                    mem: row.mem,
-                    stopping: false,
-                });
-                machine.session = machine.session.max(row.s);
-            }
-            for p in machine.placed.clone() {
-                self.count(&p, &value.zone, 1.0);
-            }
-            self.machines.insert(name, machine);
-        }
+        self.inherit_ledger(from.ledger, now);
     }
 
     fn machine(&self, kind: &str, zone: &str, spot: bool, now: f64) -> Machine {
@@ -365,7 +342,7 @@
             answering: 0.0,
             open_orders: HashSet::new(),
             placed: Vec::new(),
-            mark: 0,
+            known: false,
             images: Vec::new(),
             idle_since: now,
             draining: false,
@@ -480,7 +457,10 @@
         self.queue.retain(|j| *j != no);
         self.delayed.retain(|(_, j, _)| *j != no);
         let mut freed = Vec::new();
-        for m in self.machines.values_mut() {
+        for name in &self.planned {
+            let Some(m) = self.machines.get_mut(name) else {
+                continue;
+            };
             m.placed.retain(|p| {
                 let drop = p.job == Some(no) && p.stage == Stage::Planned;
                 if drop {
@@ -494,6 +474,16 @@
         }
     }
 
+    /// Machine, task and attempt of everything that may be on a machine.
+    pub fn held(&self) -> BTreeSet<(String, String, u64)> {
+        let of = |(name, m): (&String, &Machine)| {
+            let name = name.clone();
+            let row = move |p: &Placement| (name.clone(), p.id.clone(), p.attempt);
+            m.placed.iter().map(row).collect::<Vec<_>>()
+        };
+        self.machines.iter().flat_map(of).collect()
+    }
+
     pub fn live_jobs(&self) -> Vec<String> {
         self.ids.keys().cloned().collect()
     }
@@ -512,6 +502,7 @@
     /// unless it is finished or its job is over.
     fn free(&mut self, p: &Placement, zone: &str, now: f64, delay_s: f64) {
         self.count(p, zone, -1.0);
+        self.strike(p);
         let Some(no) = p.job else { return };
         let Some(job) = self.jobs.get(&no) else {
             return;
--- a/crates/control/src/leader/placing.rs
+++ b/crates/control/src/leader/placing.rs
@@ -584,6 +584,7 @@
                 attempt,
                 session: m.session,
                 stage: Stage::Planned,
+                entry: 0,
                 inherited: false,
                 sent_seq: None,
                 sent: 0,
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -17,7 +17,7 @@
     pub const LEADER: &str = "L/leader";
     pub const EPOCH: &str = "L/epoch";
     pub const JOBS: &str = "j/";
-    pub const LEDGER: &str = "m/";
+    pub const LEDGER: &str = "w/";
     pub const PROGRESS: &str = "p/";
     pub const HISTOGRAMS: &str = "h/all";
     pub fn job(id: &str) -> String {
@@ -29,7 +29,11 @@
     pub fn progress(id: &str) -> String {
         format!("p/{id}")
     }
-    pub fn ledger(machine: &str) -> String {
-        format!("m/{machine}")
+    /// Numbers rise with time; the keys sort like them.
+    pub fn ledger(entry: u64) -> String {
+        format!("w/{entry:016x}")
+    }
+    pub fn ledger_entry(key: &str) -> Option<u64> {
+        u64::from_str_radix(key.strip_prefix(LEDGER)?, 16).ok()
     }
 }
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -183,6 +183,14 @@
 pub const FINAL_CACHE: usize = 20_000;
 /// Bytes of a transaction this service sends, below the protocol's 64 KiB.
 pub const TXN_BYTES: usize = 48 * 1024;
+/// Entries of the placement log above which the oldest are shortened: a new
+/// leader reads them all, and each round may drop and rewrite this many.
+pub const LOG_ENTRIES: usize = 128;
+pub const LOG_DROPS: usize = 4;
+pub const LOG_CARRIED: usize = 2;
+/// Entries to drop, and placements freed, that are worth a write by themselves.
+pub const LOG_DROP_ALONE: usize = 4;
+pub const LOG_FREED_ALONE: usize = 200;
 /// Share of the state service's budget that the leader may use; the others
 /// divide the rest.
 pub const LEADER_SHARE: f64 = 0.55;
--- a/crates/wire/src/state.rs
+++ b/crates/wire/src/state.rs
@@ -107,7 +107,7 @@
     Leader(LeaderValue),
     Epoch(EpochValue),
     Job(Box<JobValue>),
-    Ledger(LedgerValue),
+    Log(LogValue),
     Progress(ProgressValue),
     Final(FinalValue),
     Histograms(HistogramsValue),
@@ -135,26 +135,47 @@
     pub at_ms: u64,
 }
 
-/// `m/<machine>`: everything that may be on the machine.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct LedgerValue {
-    pub kind: String,
-    pub zone: String,
-    pub spot: bool,
-    pub placed: Vec<LedgerRow>,
+/// `w/<number>`: an entry of the placement log, older ones first by number.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct LogValue {
+    pub jobs: Vec<LogJob>,
+    pub places: Vec<LogPlace>,
+    pub rows: Vec<LogRow>,
+    /// Attempt and task of placements, in this entry or older ones, that are
+    /// off their machines.
+    pub freed: Vec<(u64, u32)>,
 }
 
+/// What each task of a job takes, also after the job is over.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct LedgerRow {
-    pub t: String,
-    pub a: u64,
-    pub s: u64,
+pub struct LogJob {
+    pub id: String,
     pub team: String,
     pub cpus: f64,
     pub gpus: f64,
     pub mem: f64,
 }
 
+/// Where machines are and of what kind.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct LogPlace {
+    pub kind: String,
+    pub zone: String,
+    pub spot: bool,
+}
+
+/// Machine, place (index), session, job (index), attempt, first task, tasks.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct LogRow(
+    pub String,
+    pub usize,
+    pub u64,
+    pub usize,
+    pub u64,
+    pub u32,
+    pub u32,
+);
+
 /// `p/<id>`: the finished tasks of a live job, a bitmap in base64.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ProgressValue {
