--- a/crates/control/src/leader/placing.rs
+++ b/crates/control/src/leader/placing.rs
@@ -241,20 +241,14 @@
         let teams = &self.settings.teams;
         let mut cpus = vec![0.0; teams.len()];
         let mut images = HashSet::new();
-        let tight = teams.iter().any(|t| {
-            let used = self.usage.get(&t.name).map_or(0.0, |u| u.0);
-            used >= t.cpus_max * limits::SCARCE
-        });
-        if tight {
-            for m in self.machines.values() {
-                if !m.up || m.draining || m.deleting {
-                    continue;
-                }
-                images.extend(m.images.iter().map(|i| i.no));
-                for p in m.placed.iter().filter(|p| !p.running) {
-                    if let Some(at) = team_no.get(p.team.as_str()) {
-                        cpus[*at] += p.cpus;
-                    }
+        for m in self.machines.values() {
+            if !m.up || m.draining || m.deleting {
+                continue;
+            }
+            images.extend(m.images.iter().map(|i| i.no));
+            for p in m.placed.iter().filter(|p| !p.running) {
+                if let Some(at) = team_no.get(p.team.as_str()) {
+                    cpus[*at] += p.cpus;
                 }
             }
         }
@@ -411,11 +405,19 @@
         if wait > limits::HOT_S {
             let young = self.now - pick.since < limits::PASS_OVER_S;
             let calm = slack.is_none_or(|s| s > wait);
+            // Machines with the image free room all the time: a short wait for
+            // one of them beats a fetch, unless the image is nowhere yet.
+            let soon = self.now - pick.since < limits::COLD_AFTER_S.min(wait / 2.0)
+                && self.fetching.1.contains(&job.image);
             let pass = match order {
                 Order::Due => calm,
                 Order::Hot => young,
-                Order::Any => false,
+                Order::Any => soon,
             };
+            if pass && order == Order::Any {
+                self.block(no);
+                return;
+            }
             if pass {
                 if let Some(w) = self.waiters.get_mut(&no) {
                     w.cold = true;
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -144,6 +144,9 @@
 /// s that a task may be passed over by others of its level whose image is
 /// already on a machine with room.
 pub const PASS_OVER_S: f64 = 20.0;
+/// s that a task waits for room beside its image before another machine fetches
+/// it; never longer than half of what the fetch would take.
+pub const COLD_AFTER_S: f64 = 6.0;
 /// Share of its limit from which a team's CPUs are scarce, and share of it
 /// that may then wait for images: waiting uses up the limit for nothing.
 pub const SCARCE: f64 = 0.7;
