--- a/crates/cherrywood/src/loops.rs
+++ b/crates/cherrywood/src/loops.rs
@@ -10,8 +10,8 @@
 use cherrywood_net::state::TxnResult;
 use cherrywood_wire::agent::Orders;
 use cherrywood_wire::state::{
-    Change, EpochValue, Guard, HistogramsValue, JobValue, LeaderValue, LogValue, ProgressValue,
-    Txn, Value,
+    Change, EpochValue, Guard, HistogramsValue, ImagesValue, JobValue, LeaderValue, LogValue,
+    ProgressValue, Txn, Value,
 };
 use std::sync::Arc;
 use std::time::Duration;
@@ -180,6 +180,8 @@
         .collect();
     let saved = insist!(node, node.state.get::<HistogramsValue>(keys::HISTOGRAMS));
     from.histograms = saved.map(|i| i.value);
+    let saved = insist!(node, node.state.get::<ImagesValue>(keys::IMAGES));
+    from.images = saved.map(|i| i.value);
     let rows = insist!(node, node.state.list::<JobValue>(keys::JOBS)).0;
     from.jobs = rows.into_iter().map(|i| (i.value, i.version)).collect();
     from.wall_ms = crate::api::wall_ms();
@@ -474,15 +476,24 @@
         let made = node
             .core()
             .leading(now)
-            .map(|l| (l.leader_guard(), l.snapshot()));
-        let Some((guard, value)) = made else { continue };
+            .map(|l| (l.leader_guard(), l.snapshot(), l.image_snapshot(now)));
+        let Some((guard, value, images)) = made else {
+            continue;
+        };
         let txn = Txn {
             guards: vec![guard],
-            changes: vec![Change::Put {
-                key: keys::HISTOGRAMS.into(),
-                value: Value::Histograms(value),
-                lease: None,
-            }],
+            changes: vec![
+                Change::Put {
+                    key: keys::HISTOGRAMS.into(),
+                    value: Value::Histograms(value),
+                    lease: None,
+                },
+                Change::Put {
+                    key: keys::IMAGES.into(),
+                    value: Value::Images(images),
+                    lease: None,
+                },
+            ],
         };
         // Lost snapshots are no harm: the next one is due in seconds.
         let _ = node.state.txn(&txn, Class::Histogram).await;
--- a/crates/control/src/leader/fleet.rs
+++ b/crates/control/src/leader/fleet.rs
@@ -17,6 +17,7 @@
             }
             if !self.machines.contains_key(&l.id) {
                 let mut m = self.machine(&l.kind, &l.zone, l.spot, now);
+                m.images = self.recall(&l.id, now);
                 m.born = now - l.age_s;
                 m.heard = now;
                 self.machines.insert(l.id.clone(), m);
--- a/crates/control/src/leader/ledger.rs
+++ b/crates/control/src/leader/ledger.rs
@@ -200,6 +200,7 @@
                     if !self.machines.contains_key(&name) {
                         let mut m = self.machine(&place.kind, &place.zone, place.spot, now);
                         m.known = true;
+                        m.images = self.recall(&name, now);
                         // The last leader's grants may run on until its time
                         // was over.
                         m.granted_until = now + self.timing.grant_bound_s();
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -15,8 +15,8 @@
 use cherrywood_wire::agent::{Command, Orders, Report, TaskState, Why};
 use cherrywood_wire::cloud::{Listed, ListedState, MachineType, Rent};
 use cherrywood_wire::state::{
-    Change, FinalValue, Guard, HistogramsValue, JobValue, LogRow, LogValue, ProgressValue, Txn,
-    Value,
+    Change, FinalValue, Guard, HistogramsValue, ImagesValue, JobValue, LogRow, LogValue,
+    ProgressValue, Txn, Value,
 };
 use cherrywood_wire::user::{JobState, Kind, Priority, Submission, split_task};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
@@ -206,6 +206,9 @@
     delayed: Vec<(f64, JobNo, u32)>,
     /// Machines with placements that are not yet in the ledger.
     planned: BTreeSet<String>,
+    /// Images (number, GB) that an earlier leader knew to be on machines which
+    /// this one has not met yet.
+    hints: HashMap<String, Vec<(u64, f64)>>,
     /// Machines looked at while placing, in all: what placing costs.
     pub looks: u64,
     predictor: Predictor,
@@ -229,6 +232,7 @@
     /// Entries by number, the oldest first.
     pub ledger: Vec<(u64, LogValue)>,
     pub histograms: Option<HistogramsValue>,
+    pub images: Option<ImagesValue>,
 }
 
 impl Leader {
@@ -268,6 +272,7 @@
             queue: Queue::new(),
             delayed: Vec::new(),
             planned: BTreeSet::new(),
+            hints: HashMap::new(),
             looks: 0,
             predictor,
             refused: HashMap::new(),
@@ -319,6 +324,7 @@
             let saved = progress.remove(&id);
             self.enter(value, mark, saved, placed.get(&id), now);
         }
+        self.inherit_images(from.images.unwrap_or_default());
         self.inherit_ledger(from.ledger, now);
     }
 
--- a/crates/control/src/leader/progress.rs
+++ b/crates/control/src/leader/progress.rs
@@ -138,4 +138,62 @@
         });
         HistogramsValue { pooled, keys }
     }
+
+    /// Where images are, as far as a value holds it: without it a new leader
+    /// would have all of them fetched again.
+    pub fn image_snapshot(&self, now: f64) -> ImagesValue {
+        let most = (self.settings.state.value_kb * 1024.0) as usize - 1024;
+        let mut bytes = 0;
+        let mut machines = Vec::new();
+        let mut images: BTreeMap<u64, (f64, Bitmap)> = BTreeMap::new();
+        for (name, m) in self.machines.iter().filter(|(_, m)| m.up && !m.deleting) {
+            bytes += name.len() + 3;
+            if bytes > most / 2 {
+                break;
+            }
+            for i in m.images.iter().filter(|i| i.ready_at <= now) {
+                let (_, bits) = images.entry(i.no).or_insert((i.gb, Bitmap::default()));
+                bits.set(machines.len() as u32);
+            }
+            machines.push(name.clone());
+        }
+        // The images on most machines matter most.
+        let mut images: Vec<(u64, f64, Bitmap)> = images
+            .into_iter()
+            .map(|(no, (gb, b))| (no, gb, b))
+            .collect();
+        images.sort_by_key(|i| std::cmp::Reverse(i.2.count()));
+        let images = images
+            .into_iter()
+            .map(|(no, gb, bits)| (no, gb, bits.to_text()))
+            .take_while(|i| {
+                bytes += i.2.len() + 50;
+                bytes <= most
+            })
+            .collect();
+        ImagesValue { machines, images }
+    }
+
+    pub(super) fn inherit_images(&mut self, value: ImagesValue) {
+        for (no, gb, bits) in &value.images {
+            let bits = Bitmap::from_text(bits, value.machines.len() as u32);
+            for (at, name) in value.machines.iter().enumerate() {
+                if bits.get(at as u32) {
+                    self.hints.entry(name.clone()).or_default().push((*no, *gb));
+                }
+            }
+        }
+    }
+
+    /// The images that an earlier leader knew on a machine met just now.
+    pub(super) fn recall(&mut self, machine: &str, now: f64) -> Vec<Image> {
+        let hints = self.hints.remove(machine).unwrap_or_default();
+        let image = |(no, gb)| Image {
+            no,
+            gb,
+            ready_at: now,
+            used: now,
+        };
+        hints.into_iter().map(image).collect()
+    }
 }
--- a/crates/control/src/leader/reports.rs
+++ b/crates/control/src/leader/reports.rs
@@ -20,7 +20,8 @@
                 machine = r.machine,
                 "adopted: a worker that no ledger row names"
             );
-            let m = self.machine(&r.kind, &r.zone, r.spot, now);
+            let mut m = self.machine(&r.kind, &r.zone, r.spot, now);
+            m.images = self.recall(&r.machine, now);
             self.machines.insert(r.machine.clone(), m);
         }
         let mut m = self.machines.remove(&r.machine)?;
@@ -120,8 +121,19 @@
                     }
                     if running {
                         let image = p.image;
-                        if let Some(i) = m.images.iter_mut().find(|i| i.no == image) {
-                            i.ready_at = i.ready_at.min(now);
+                        match m.images.iter_mut().find(|i| i.no == image) {
+                            Some(i) => i.ready_at = i.ready_at.min(now),
+                            // A new leader learns where images are.
+                            None => {
+                                if let Some(job) = p.job.and_then(|no| self.jobs.get(&no)) {
+                                    m.images.push(Image {
+                                        no: image,
+                                        gb: job.spec.image_gb,
+                                        ready_at: now,
+                                        used: now,
+                                    });
+                                }
+                            }
                         }
                     }
                 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -20,6 +20,7 @@
     pub const LEDGER: &str = "w/";
     pub const PROGRESS: &str = "p/";
     pub const HISTOGRAMS: &str = "h/all";
+    pub const IMAGES: &str = "h/images";
     pub fn job(id: &str) -> String {
         format!("j/{id}")
     }
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -71,6 +71,7 @@
                     let entry = keys::ledger_entry(key).expect("a number");
                     from.ledger.push((entry, l.clone()));
                 }
+                Value::Images(i) => from.images = Some(i.clone()),
                 Value::Progress(p) => from.progress.push((key[2..].to_string(), p.clone(), *mark)),
                 _ => {}
             }
--- a/crates/control/tests/leader.rs
+++ b/crates/control/tests/leader.rs
@@ -653,3 +653,32 @@
     assert_eq!(w.running(), 4);
     assert!(w.tasks.iter().all(|t| t.0.starts_with("wk-000002")));
 }
+
+/// A new leader that knew no images had them all fetched again, elsewhere.
+#[test]
+fn a_new_leader_knows_where_images_are() {
+    let (mut s, mut a, mut b) = (Store::default(), Worker::new("vm-1"), Worker::new("vm-2"));
+    let mut l = s.elect(1, 0.0);
+    beat(&mut l, &mut s, &mut b, "n1", 1.0);
+    submit(&mut l, &mut s, &job("wk-000001", 1), 1.0);
+    beat(&mut l, &mut s, &mut b, "n1", 2.0);
+    beat(&mut l, &mut s, &mut b, "n1", 3.0);
+    b.tasks[0].2 = Some(Why::Done);
+    beat(&mut l, &mut s, &mut b, "n1", 9.0);
+    beat(&mut l, &mut s, &mut b, "n1", 9.5);
+    assert!(l.held().is_empty());
+    let images = l.image_snapshot(9.5);
+    assert_eq!(images.machines, ["vm-2"]);
+    s.put(keys::IMAGES, Value::Images(images));
+    let mut l = s.elect(2, 10.0);
+    beat(&mut l, &mut s, &mut a, "n2", 11.0);
+    beat(&mut l, &mut s, &mut b, "n2", 11.0);
+    let far = Submission {
+        image_gb: 20.0,
+        ..job("wk-000002", 1)
+    };
+    submit(&mut l, &mut s, &far, 12.0);
+    l.plan(12.0);
+    let held = l.held();
+    assert_eq!(held.first().unwrap().0, "vm-2", "the image is there");
+}
--- a/crates/wire/src/state.rs
+++ b/crates/wire/src/state.rs
@@ -111,6 +111,7 @@
     Progress(ProgressValue),
     Final(FinalValue),
     Histograms(HistogramsValue),
+    Images(ImagesValue),
 }
 
 /// `L/leader`, tethered: who leads and in which epoch.
@@ -195,3 +196,11 @@
     pub pooled: String,
     pub keys: Vec<(String, u64, f64, String)>,
 }
+
+/// `h/images`: which images are on which machines, a hint for the next leader.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct ImagesValue {
+    pub machines: Vec<String>,
+    /// Number of the image, its GB, and a bitmap in base64 over `machines`.
+    pub images: Vec<(u64, f64, String)>,
+}
