--- a/crates/control/src/leader/placing.rs
+++ b/crates/control/src/leader/placing.rs
@@ -357,9 +357,10 @@
     fn serve(&mut self, queue: &mut Queue<JobNo>, guaranteed: bool, rank: Priority, order: Order) {
         while !self.sites.is_empty() {
             let passes = |no: &JobNo, since: f64| {
-                order == Order::Any
-                    || self.now - since >= limits::PASS_OVER_S
-                    || self.waiters.get(no).is_some_and(|w| !w.cold)
+                let Some(w) = self.waiters.get(no) else {
+                    return false;
+                };
+                order == Order::Any || !w.cold || !self.may_pass(w, since)
             };
             let next =
                 queue.next(|no, since| passes(no, since) && self.ready(no, guaranteed, rank));
@@ -403,7 +404,7 @@
         };
         let job = &self.jobs[&no];
         if wait > limits::HOT_S {
-            let young = self.now - pick.since < limits::PASS_OVER_S;
+            let young = self.may_pass(&self.waiters[&no], pick.since);
             let calm = slack.is_none_or(|s| s > wait);
             // Machines with the image free room all the time: a short wait for
             // one of them beats a fetch, unless the image is nowhere yet.
@@ -444,6 +445,11 @@
         self.place(no, pick.first, n, attempt, at);
     }
 
+    /// May others of its standing whose image is at hand go before it?
+    fn may_pass(&self, w: &Waiter, since: f64) -> bool {
+        self.now - since < limits::PASS_OVER_S || w.slack.is_some_and(|s| s > limits::RISK_S)
+    }
+
     fn block(&mut self, no: JobNo) {
         if let Some(w) = self.waiters.get_mut(&no) {
             w.blocked = true;
