--- a/crates/control/src/leader/fleet.rs
+++ b/crates/control/src/leader/fleet.rs
@@ -328,6 +328,7 @@
                         spot,
                         cpus: t.cpus,
                         price,
+                        boot_s: t.boot_s,
                         have,
                     });
                 }
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -114,6 +114,9 @@
 pub const SAVE_EXTRA_S: f64 = 1.0;
 /// s; a refusal of (type, zone, kind) is remembered for this long.
 pub const REFUSAL_S: f64 = 12.0;
+/// s for which a rented machine is kept, by and large: what its boot time is
+/// weighed against.
+pub const HOLD_S: f64 = 240.0;
 /// s; a deleted machine costs at least this much (protocol).
 pub const MIN_CHARGE_S: f64 = 60.0;
 /// s without a task after which a cheap and a dear machine may be returned.
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -50,6 +50,8 @@
     pub cpus: f64,
     /// Price of an hour of the whole machine.
     pub price: f64,
+    /// s that it is paid for before it works.
+    pub boot_s: f64,
     /// Machines of this type and kind already there.
     pub have: u32,
 }
@@ -59,7 +61,8 @@
 pub fn shop(short_cpus: f64, offers: &mut [Offer]) -> Vec<(usize, u32)> {
     let mut buy = vec![0u32; offers.len()];
     let mut left = short_cpus;
-    let per_cpu = |o: &Offer| o.price / o.cpus.max(0.001);
+    // A machine that boots for long earns its price in the shorter rest.
+    let per_cpu = |o: &Offer| o.price * (1.0 + o.boot_s / limits::HOLD_S) / o.cpus.max(0.001);
     while left > 0.0 {
         let best = (0..offers.len())
             .filter(|i| buy[*i] < limits::RENT_MAX)
@@ -94,6 +97,7 @@
             spot: price < 1.0,
             cpus: 32.0,
             price,
+            boot_s: 30.0,
             have,
         }
     }
@@ -105,6 +109,21 @@
         assert!(shop(0.0, &mut o).is_empty());
     }
 
+    #[test]
+    fn of_machines_at_like_prices_those_that_boot_sooner_come_first() {
+        let slow = Offer {
+            boot_s: 50.0,
+            ..offer("a", 0.56, 0)
+        };
+        let quick = Offer {
+            boot_s: 20.0,
+            ..offer("b", 0.6, 0)
+        };
+        assert_eq!(shop(32.0, &mut [slow.clone(), quick]), vec![(1, 1)]);
+        let dear = offer("c", 2.4, 0);
+        assert_eq!(shop(32.0, &mut [slow, dear]), vec![(0, 1)]);
+    }
+
     #[test]
     fn wanted_is_bounded_by_what_waits_and_what_the_team_may_use() {
         let mut w = Waiting {
