Reports go to the leader in batches; holders send its orders

Now a holder's reports of 30 ms share a frame, and starts go out in one frame to the holder, which sends them.

--- a/crates/cherrywood/src/loops.rs
+++ b/crates/cherrywood/src/loops.rs
@@ -6,9 +6,9 @@
 use cherrywood_limits as limits;
 use cherrywood_net::NetError;
 use cherrywood_net::budget::Class;
-use cherrywood_net::client::Client;
 use cherrywood_net::state::TxnResult;
 use cherrywood_wire::agent::Orders;
+use cherrywood_wire::peer::{Reply, Request};
 use cherrywood_wire::state::{
     Change, EpochValue, Guard, HistogramsValue, ImagesValue, JobValue, LeaderValue, LogValue,
     ProgressValue, Txn, Value,
@@ -26,6 +26,7 @@
     tokio::spawn(renew(node.clone()));
     tokio::spawn(watch(node.clone()));
     tokio::spawn(ledger(node.clone()));
+    tokio::spawn(forward(node.clone()));
     tokio::spawn(jobs(node.clone()));
     tokio::spawn(fleet(node.clone()));
     tokio::spawn(list(node.clone()));
@@ -375,8 +376,8 @@
                 .filter(|l| l.epoch() == epoch)
                 .map(|l| l.orders(now))
                 .unwrap_or_default();
-            for (machine, addr, orders) in orders {
-                tokio::spawn(order(node.clone(), epoch, machine, addr, orders));
+            for (holder, orders) in orders {
+                tokio::spawn(order(node.clone(), epoch, holder, orders));
             }
             if !ok {
                 reread(&node).await;
@@ -388,25 +389,41 @@
     }
 }
 
-/// Sends starts straight to a worker; its next report tells the rest.
-async fn order(node: Arc<Node>, epoch: u64, machine: String, addr: String, orders: Orders) {
-    let executed = match addr.parse() {
-        Ok(addr) => {
-            let body = cherrywood_wire::encode(&orders);
-            let client = Client::new(addr);
-            match client
-                .send("POST", "/orders", Some(&body), limits::ORDER_WAIT_S)
-                .await
-            {
-                Ok(answer) => Some(answer.status == 200),
-                Err(NetError::Refused(_)) => Some(false),
-                Err(_) => None,
-            }
+/// Has starts sent straight to workers by the holder of their machines; the
+/// workers' next reports tell the rest.
+async fn order(node: Arc<Node>, epoch: u64, holder: String, orders: Vec<(String, String, Orders)>) {
+    let told = |i: usize, executed| {
+        if let Some(leader) = node.core().leader_of(epoch) {
+            let (machine, _, orders) = &orders[i];
+            leader.ordered(machine, orders, executed);
+        }
+    };
+    let peer = node.peers.iter().find(|p| p.label == holder);
+    let Some(peer) = peer else {
+        for (i, (_, addr, orders)) in orders.iter().enumerate() {
+            told(i, node.order(addr, orders).await);
         }
-        Err(_) => Some(false),
+        return;
+    };
+    let request = Request::Orders {
+        orders: orders.clone(),
+    };
+    let executed = match peer.ask(&request, limits::ORDERS_WAIT_S).await {
+        Ok(Reply::Orders { executed }) => executed,
+        _ => Vec::new(),
     };
-    if let Some(leader) = node.core().leader_of(epoch) {
-        leader.ordered(&machine, &orders, executed);
+    for i in 0..orders.len() {
+        told(i, executed.get(i).copied().flatten());
+    }
+}
+
+/// Reports of many workers go to the leader together.
+async fn forward(node: Arc<Node>) {
+    loop {
+        node.outbox_due.notified().await;
+        sleep(limits::FORWARD_GAP_S).await;
+        let node = node.clone();
+        tokio::spawn(async move { node.send_reports().await });
     }
 }
 
--- a/crates/cherrywood/src/node.rs
+++ b/crates/cherrywood/src/node.rs
@@ -4,16 +4,18 @@
 use crate::settings::Settings;
 use cherrywood_control::{Holder, Leader, Timing};
 use cherrywood_limits as limits;
+use cherrywood_net::NetError;
+use cherrywood_net::client::Client;
 use cherrywood_net::cloud::CloudClient;
 use cherrywood_net::peer::Peer;
 use cherrywood_net::state::StateClient;
-use cherrywood_wire::agent::{Command, Report};
+use cherrywood_wire::agent::{Command, Orders, Report};
 use cherrywood_wire::cloud::MachineType;
 use cherrywood_wire::peer::{Reply, Request};
 use cherrywood_wire::state::FinalValue;
 use std::collections::{HashMap, VecDeque};
-use std::sync::{Mutex, MutexGuard};
-use tokio::sync::Notify;
+use std::sync::{Arc, Mutex, MutexGuard};
+use tokio::sync::{Notify, oneshot};
 use tokio::time::Instant;
 
 /// Shared state; locked for moments, never across an await.
@@ -63,6 +65,17 @@
     }
 }
 
+/// The token for a report's answer, and its commands.
+type Answer = Option<(u64, Vec<Command>)>;
+
+/// A report that waits for the next frame to the leader.
+#[derive(Debug)]
+struct Outgoing {
+    report: Report,
+    finished: Vec<(String, f64)>,
+    answer: oneshot::Sender<Answer>,
+}
+
 #[derive(Debug)]
 pub struct Node {
     pub settings: Settings,
@@ -76,6 +89,15 @@
     pub ledger_due: Notify,
     /// Jobs have news for the state service.
     pub jobs_due: Notify,
+    /// Reports on their way to the leader share a frame.
+    outbox: Mutex<Vec<Outgoing>>,
+    pub outbox_due: Notify,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex
+        .lock()
+        .unwrap_or_else(std::sync::PoisonError::into_inner)
 }
 
 impl Node {
@@ -100,6 +122,8 @@
             start: Instant::now(),
             ledger_due: Notify::new(),
             jobs_due: Notify::new(),
+            outbox: Mutex::default(),
+            outbox_due: Notify::new(),
             settings,
         }
     }
@@ -114,9 +138,7 @@
     }
 
     pub fn core(&self) -> MutexGuard<'_, Core> {
-        self.core
-            .lock()
-            .unwrap_or_else(std::sync::PoisonError::into_inner)
+        lock(&self.core)
     }
 
     pub fn state_answered(&self) {
@@ -138,7 +160,7 @@
 
     /// A worker's report: `Some` answers 200, `None` means that this node may
     /// not act for the controllers.
-    pub async fn report(&self, report: Report) -> Option<(u64, Vec<Command>)> {
+    pub async fn report(&self, report: Report) -> Answer {
         let sent = self.now();
         let (finished, known, here) = {
             let mut core = self.core();
@@ -150,22 +172,7 @@
         let led = if here {
             self.lead_report(self.me(), &report, &finished)
         } else {
-            let peer = self.peers.iter().find(|p| Some(&p.label) == known.as_ref());
-            match peer {
-                Some(peer) => {
-                    let from = self.me().to_string();
-                    let request = Request::Report {
-                        from,
-                        report,
-                        finished,
-                    };
-                    match peer.ask(&request, limits::FORWARD_WAIT_S).await {
-                        Ok(Reply::Report { token, commands }) => Some((token, commands)),
-                        _ => None,
-                    }
-                }
-                None => None,
-            }
+            self.ask_leader(known, report, finished).await
         };
         let now = self.now();
         let mut core = self.core();
@@ -184,6 +191,91 @@
         }
     }
 
+    async fn ask_leader(
+        &self,
+        known: Option<String>,
+        report: Report,
+        finished: Vec<(String, f64)>,
+    ) -> Answer {
+        known?;
+        let (answer, told) = oneshot::channel();
+        lock(&self.outbox).push(Outgoing {
+            report,
+            finished,
+            answer,
+        });
+        self.outbox_due.notify_one();
+        told.await.ok().flatten()
+    }
+
+    /// Sends what the outbox holds to the leader, in one frame. An answer that
+    /// doesn't come in time is none.
+    pub async fn send_reports(&self) {
+        let mut batch: Vec<Outgoing> = {
+            let mut outbox = lock(&self.outbox);
+            let mut tasks = 0;
+            let fits = outbox.iter().take_while(|o| {
+                tasks += 1 + o.report.tasks.len();
+                tasks <= limits::FRAME_TASKS
+            });
+            let n = fits.count().max(1).min(outbox.len());
+            outbox.drain(..n).collect()
+        };
+        if !lock(&self.outbox).is_empty() {
+            self.outbox_due.notify_one();
+        }
+        let known = self.core().known.clone();
+        let peer = self.peers.iter().find(|p| Some(&p.label) == known.as_ref());
+        let Some(peer) = peer else { return };
+        let from = self.me().to_string();
+        let reports = batch
+            .iter_mut()
+            .map(|o| (o.report.clone(), std::mem::take(&mut o.finished)))
+            .collect();
+        let request = Request::Reports { from, reports };
+        if let Ok(Reply::Reports { answers }) = peer.ask(&request, limits::FORWARD_WAIT_S).await {
+            for (o, answer) in batch.into_iter().zip(answers) {
+                let _ = o.answer.send(answer);
+            }
+        }
+    }
+
+    /// Sends orders to workers for the leader: Some(true) executed,
+    /// Some(false) not executed, None unknown.
+    pub async fn order(&self, addr: &str, orders: &Orders) -> Option<bool> {
+        let Ok(addr) = addr.parse() else {
+            return Some(false);
+        };
+        let body = cherrywood_wire::encode(orders);
+        let sent = Client::new(addr)
+            .send("POST", "/orders", Some(&body), limits::ORDER_WAIT_S)
+            .await;
+        match sent {
+            Ok(answer) => Some(answer.status == 200),
+            Err(NetError::Refused(_)) => Some(false),
+            Err(_) => None,
+        }
+    }
+
+    /// The same for many machines at once.
+    async fn order_all(
+        self: &Arc<Self>,
+        orders: Vec<(String, String, Orders)>,
+    ) -> Vec<Option<bool>> {
+        let sent: Vec<_> = orders
+            .into_iter()
+            .map(|(_, addr, orders)| {
+                let node = self.clone();
+                tokio::spawn(async move { node.order(&addr, &orders).await })
+            })
+            .collect();
+        let mut executed = Vec::new();
+        for task in sent {
+            executed.push(task.await.unwrap_or(None));
+        }
+        executed
+    }
+
     /// The leader's part of a report. What it frees is placed by the next
     /// round of the ledger, whose starts go straight to the workers.
     fn lead_report(
@@ -205,7 +297,7 @@
 
     // --- other controllers ---
 
-    pub async fn peer(&self, request: Request) -> Reply {
+    pub async fn peer(self: &Arc<Self>, request: Request) -> Reply {
         match request {
             Request::Hello { from, state_ok } => {
                 let now = self.now();
@@ -225,13 +317,16 @@
                     block,
                 }
             }
-            Request::Report {
-                from,
-                report,
-                finished,
-            } => match self.lead_report(&from, &report, &finished) {
-                Some((token, commands)) => Reply::Report { token, commands },
-                None => Reply::No,
+            Request::Reports { from, reports } => {
+                let answer = |(report, finished): &(Report, Vec<(String, f64)>)| {
+                    self.lead_report(&from, report, finished)
+                };
+                Reply::Reports {
+                    answers: reports.iter().map(answer).collect(),
+                }
+            }
+            Request::Orders { orders } => Reply::Orders {
+                executed: self.order_all(orders).await,
             },
             Request::Counts { job } => {
                 let now = self.now();
--- a/crates/control/src/leader/reports.rs
+++ b/crates/control/src/leader/reports.rs
@@ -319,11 +319,11 @@
         out
     }
 
-    /// Starts for machines whose next report is not being answered now, sent
-    /// straight to their workers.
-    pub fn orders(&mut self, now: f64) -> Vec<(String, String, Orders)> {
+    /// Starts to be sent straight to workers, by the holder that sends them:
+    /// machine, address, commands.
+    pub fn orders(&mut self, now: f64) -> BTreeMap<String, Vec<(String, String, Orders)>> {
         let fresh = limits::MISSED_REPORTS * self.settings.workers.report_s;
-        let mut out = Vec::new();
+        let mut out: BTreeMap<String, Vec<_>> = BTreeMap::new();
         for (name, m) in &mut self.machines {
             if !m.up || m.deleting || now < m.answering || now - m.heard > fresh {
                 continue;
@@ -347,7 +347,8 @@
                     session: m.session,
                     commands,
                 };
-                out.push((name.clone(), m.addr.clone(), orders));
+                let of = out.entry(m.holder.clone()).or_default();
+                of.push((name.clone(), m.addr.clone(), orders));
             }
         }
         out
--- a/crates/control/tests/leader.rs
+++ b/crates/control/tests/leader.rs
@@ -477,7 +477,7 @@
     submit(&mut l, &mut s, &job("wk-000001", 1), 2.0);
     l.plan(2.0);
     flush(&mut l, &mut s);
-    let (machine, _, late) = l.orders(2.0).remove(0);
+    let (machine, _, late) = l.orders(2.0).remove("n1").unwrap().remove(0);
     assert!(l.orders(2.0).is_empty());
     // The answer of the next report carries the same start; the task fails.
     beat(&mut l, &mut s, &mut w, "n1", 2.5);
@@ -519,7 +519,7 @@
     submit(&mut l, &mut s, &job("wk-000001", 1), 2.0);
     l.plan(2.0);
     flush(&mut l, &mut s);
-    let (machine, _, late) = l.orders(2.0).remove(0);
+    let (machine, _, late) = l.orders(2.0).remove("n1").unwrap().remove(0);
     // The answers to these reports never reach the worker.
     for i in 0..8 {
         let mut r = w.report();
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -71,6 +71,12 @@
 pub const FLUSH_WAIT_S: f64 = 0.6;
 /// s for a command sent straight to a worker.
 pub const ORDER_WAIT_S: f64 = 1.5;
+/// s for a peer to send such commands and tell what became of them.
+pub const ORDERS_WAIT_S: f64 = 2.2;
+/// s that a report waits for others to share its frame to the leader.
+pub const FORWARD_GAP_S: f64 = 0.03;
+/// Reports and tasks in one frame; some 40 bytes each.
+pub const FRAME_TASKS: usize = 3000;
 /// s for one request to the state service; users wait 2 s for a poll.
 pub const STATE_WAIT_S: f64 = 0.9;
 /// s for one request to the cloud.
--- a/crates/wire/src/agent.rs
+++ b/crates/wire/src/agent.rs
@@ -134,7 +134,7 @@
 }
 
 /// `POST /orders`: commands sent straight to a worker.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, Encode, Decode)]
 pub struct Orders {
     #[serde(rename = "reins")]
     pub token: u64,
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -1,7 +1,7 @@
 //! Controllers <-> controllers: `bitcode` frames, each behind its length
 //! (4 bytes, big-endian) and the number of the request it belongs to.
 
-use crate::agent::{Command, Report};
+use crate::agent::{Command, Orders, Report};
 use bitcode::{Decode, Encode};
 
 #[derive(Debug, Clone, PartialEq, Encode, Decode)]
@@ -9,11 +9,15 @@
     /// Sent every second to every peer; the leader's answer renews the
     /// sender's block of machines.
     Hello { from: String, state_ok: bool },
-    /// A worker's report, with the run times its holder measured.
-    Report {
+    /// Workers' reports, each with the run times that its holder measured.
+    Reports {
         from: String,
-        report: Report,
-        finished: Vec<(String, f64)>,
+        reports: Vec<(Report, Vec<(String, f64)>)>,
+    },
+    /// Commands that the holder of these machines sends to their workers:
+    /// machine, address, commands.
+    Orders {
+        orders: Vec<(String, String, Orders)>,
     },
     /// How many tasks of a job are done and running, for display.
     Counts { job: String },
@@ -29,9 +33,14 @@
         /// Machine and token, the whole block of the asking node.
         block: Vec<(String, u64)>,
     },
-    Report {
-        token: u64,
-        commands: Vec<Command>,
+    /// For each report the token and the commands of its answer; None where
+    /// it must not be answered.
+    Reports {
+        answers: Vec<Option<(u64, Vec<Command>)>>,
+    },
+    /// For each order whether it was executed; None where that isn't known.
+    Orders {
+        executed: Vec<Option<bool>>,
     },
     Counts {
         done: u32,
