A holder that cannot reach the leader sends its workers there

Now a holder that the leader has not answered for 3 s, while the state service still names that leader, answers 421 with its name. Where the state service is out of reach too (a zone cut off), the grants serve as before. Ruled out: dead machines (they were listed as running).

--- a/crates/cherrywood/src/api.rs
+++ b/crates/cherrywood/src/api.rs
@@ -446,6 +446,27 @@
         );
     }
 
+    /// A holder cut off from a leader that others reach kept its workers until
+    /// its grants ran out; the leader deleted their machines meanwhile.
+    #[test]
+    fn a_holder_that_cannot_reach_the_leader_sends_its_workers_there() {
+        let node = node();
+        let peer = node.peers[0].label.clone();
+        let told = |seen: f64, ok: f64| {
+            let mut core = node.core();
+            let now = node.now();
+            core.known = Some(peer.clone());
+            (core.leader_seen, core.leader_ok) = (now + seen, now + ok);
+            core.astray(now)
+        };
+        assert!(told(-0.5, -4.0), "it leads, and doesn't answer here");
+        assert!(!told(-0.5, -1.0), "one lost frame is no cut");
+        assert!(
+            !told(-9.0, -9.0),
+            "a cut zone keeps its workers while it may"
+        );
+    }
+
     /// An answer of an earlier epoch once reached a new leader on the same
     /// node, whose job numbers are others.
     #[test]
--- a/crates/cherrywood/src/loops.rs
+++ b/crates/cherrywood/src/loops.rs
@@ -68,7 +68,10 @@
                 node.state.end_lease(lease).await?;
             }
         } else {
-            node.core().known = Some(item.value.leader);
+            let now = node.now();
+            let mut core = node.core();
+            core.known = Some(item.value.leader);
+            core.leader_seen = now;
         }
         return Ok(());
     }
--- a/crates/cherrywood/src/node.rs
+++ b/crates/cherrywood/src/node.rs
@@ -28,6 +28,10 @@
     pub holder: Holder,
     /// The node that leads, as far as this one knows.
     pub known: Option<String>,
+    /// When the state service last named another node as the leader, and when
+    /// that node last answered this one.
+    pub leader_seen: f64,
+    pub leader_ok: f64,
     pub types: Vec<MachineType>,
     pub finals: HashMap<String, FinalValue>,
     final_order: VecDeque<String>,
@@ -46,6 +50,15 @@
         }
     }
 
+    /// Others can reach the leader, this node can't: workers are better off
+    /// with the leader itself than with the rest of this node's grants, under
+    /// which nothing starts, nothing is reported and the leader takes them for
+    /// dead (an incident: 190 machines deleted at once).
+    pub fn astray(&self, now: f64) -> bool {
+        now - self.leader_seen < limits::LEADER_SEEN_S
+            && now - self.leader_ok > limits::LEADER_LOST_S
+    }
+
     /// The leader of this epoch, if it is still here. Answers that arrive
     /// later belong to a past whose job numbers mean nothing to a new leader
     /// on the same node.
@@ -178,12 +191,16 @@
         let mut core = self.core();
         match led {
             Some((token, commands)) => {
+                if !here {
+                    core.leader_ok = now;
+                }
                 core.holder
                     .granted(&machine, token, sent, self.timing.grant_s);
                 (core.holder.token(&machine, now) == Some(token)).then_some((token, commands))
             }
             // The leader can't be asked: while the block's lease lasts, its
             // holder keeps the machine's own lease alive.
+            None if !here && core.astray(now) => None,
             None => core
                 .holder
                 .token(&machine, now)
@@ -389,6 +406,7 @@
         }
         if leads.is_some() {
             core.known = Some(from);
+            core.leader_ok = now;
             for (machine, token) in block {
                 core.holder
                     .granted(&machine, token, sent, self.timing.grant_s);
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -57,6 +57,10 @@
 pub const LEADER_RENEW_S: f64 = 0.8;
 /// s between two hellos to every peer.
 pub const HELLO_EVERY_S: f64 = 1.0;
+/// s without an answer from a leader that the state service names, and s since
+/// it did, after which a holder sends its workers to that leader.
+pub const LEADER_LOST_S: f64 = 3.0;
+pub const LEADER_SEEN_S: f64 = 1.5;
 /// s between two looks at an election.
 pub const ELECT_EVERY_S: f64 = 0.4;
 /// s without state contact after which a node calls itself unhealthy, if a
