--- a/crates/control/src/leader/fleet.rs
+++ b/crates/control/src/leader/fleet.rs
@@ -425,14 +425,31 @@
         let rows = || self.machines.values().flat_map(|m| &m.placed);
         let used: f64 = rows().map(|p| p.cpus).sum();
         let running: f64 = rows().filter(|p| p.running).map(|p| p.cpus).sum();
+        // CPUs that each team uses of its limit, and those not running yet.
+        let teams: Vec<String> = self
+            .settings
+            .teams
+            .iter()
+            .map(|t| {
+                let of = |p: &&Placement| p.team == t.name;
+                let idle: f64 = rows()
+                    .filter(of)
+                    .filter(|p| !p.running)
+                    .map(|p| p.cpus)
+                    .sum();
+                let used = self.usage.get(&t.name).map_or(0.0, |u| u.0);
+                format!("{} {used:.0}/{:.0} ({idle:.0} idle)", t.name, t.cpus_max)
+            })
+            .collect();
         format!(
             "{} jobs, {} machines ({} up, {dear} dear), {placed} placed, waiting {waiting:?}, \
-             delayed {}, cpus {cpus} up, {used} placed, {running} running, {:.0} wanted",
+             delayed {}, cpus {cpus} up, {used} placed, {running} running, {:.0} wanted, {}",
             self.jobs.len(),
             self.machines.len(),
             up,
             self.delayed.len(),
             self.demand().0.wanted(limits::DRAIN_DEAR_S),
+            teams.join(", "),
         )
     }
 }
