--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -87,8 +87,9 @@
 pub const CLOUD_WAIT_S: f64 = 8.0;
 /// s between two ledger writes, so that news of several workers share one.
 pub const FLUSH_GAP_S: f64 = 0.06;
-/// s between two progress writes of the leader.
-pub const PROGRESS_GAP_S: f64 = 0.4;
+/// s between two progress writes of the leader. Until one, finished tasks stay
+/// in their workers' reports, so a new leader loses nothing.
+pub const PROGRESS_GAP_S: f64 = 2.0;
 /// s between two snapshots of the histograms (the design's own value).
 pub const SNAPSHOT_EVERY_S: f64 = 5.0;
 /// s for which a watch waits at the state service.
