Final states go first in the write budget, in small transactions

While a request of the first class waits, later classes now leave the bucket to it; job transactions hold a fifth of a second's changes, and progress is of its own class.

--- a/crates/cherrywood/src/loops.rs
+++ b/crates/cherrywood/src/loops.rs
@@ -445,7 +445,12 @@
             if progress {
                 wrote = now;
             }
-            let outcome = commit(&node, epoch, &batch.txn, Class::First).await;
+            let class = if batch.urgent() {
+                Class::First
+            } else {
+                Class::Progress
+            };
+            let outcome = commit(&node, epoch, &batch.txn, class).await;
             let ok = matches!(outcome, Outcome::Applied(_));
             if let Some(leader) = node.core().leader_of(epoch) {
                 leader.job_done(batch, &outcome);
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -157,6 +157,13 @@
     finals: Vec<JobNo>,
 }
 
+impl JobBatch {
+    /// Does it hold final states, which users wait for?
+    pub fn urgent(&self) -> bool {
+        !self.finals.is_empty()
+    }
+}
+
 /// What became of a transaction.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Outcome {
--- a/crates/control/src/leader/progress.rs
+++ b/crates/control/src/leader/progress.rs
@@ -11,7 +11,9 @@
             finals: Vec::new(),
         };
         batch.txn.guards.push(self.leader_guard());
-        let ops = self.settings.state.txn_ops.max(3);
+        // Small ones, which find room in the budget soon.
+        let share = self.settings.state.write_rps * limits::JOB_BATCH_SHARE;
+        let ops = self.settings.state.txn_ops.min(share as usize).max(3);
         let mut bytes = 200;
         let mut nos: Vec<JobNo> = self.jobs.keys().copied().collect();
         nos.sort_unstable();
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -87,6 +87,9 @@
 pub const CLOUD_WAIT_S: f64 = 8.0;
 /// s between two ledger writes, so that news of several workers share one.
 pub const FLUSH_GAP_S: f64 = 0.06;
+/// Changes in one transaction of final states or progress, as a share of the
+/// changes that the state service takes in a second.
+pub const JOB_BATCH_SHARE: f64 = 0.2;
 /// s between two progress writes of the leader. Until one, finished tasks stay
 /// in their workers' reports, so a new leader loses nothing.
 pub const PROGRESS_GAP_S: f64 = 2.0;
--- a/crates/net/src/budget.rs
+++ b/crates/net/src/budget.rs
@@ -1,5 +1,6 @@
 //! This node's share of a rate that all controllers divide among themselves.
 
+use cherrywood_limits as limits;
 use std::sync::Mutex;
 
 /// Who asks; later ones leave more of the bucket to earlier ones.
@@ -30,6 +31,9 @@
     rate: f64,
     level: f64,
     at: f64,
+    /// What a request of the first class waits for, and since when.
+    owed: f64,
+    owed_at: f64,
 }
 
 #[derive(Debug)]
@@ -41,6 +45,8 @@
             rate,
             level: rate,
             at: 0.0,
+            owed: 0.0,
+            owed_at: 0.0,
         }))
     }
 
@@ -53,13 +59,29 @@
         let mut b = self.0.lock().expect("no panic while held");
         b.level = (b.level + (now - b.at).max(0.0) * b.rate).min(b.rate);
         b.at = now;
+        let first = class == Class::First;
+        // While a first one waits, the bucket fills for it: otherwise many small
+        // later ones would keep a larger first one waiting for ever.
+        let owed = if first || now - b.owed_at > limits::STATE_WAIT_S {
+            0.0
+        } else {
+            b.owed
+        };
         let keep = class.reserve() * b.rate;
         // A request larger than the bucket may pass when the bucket is full.
-        let need = (n + keep).min(b.rate);
-        if b.level + 1e-9 >= need {
+        let need = (n + keep + owed).min(b.rate);
+        let claimed = owed > 0.0 && b.level < owed + n;
+        if b.level + 1e-9 >= need && !claimed {
             b.level -= n;
+            if first {
+                b.owed = 0.0;
+            }
             0.0
         } else {
+            if first {
+                b.owed = b.owed.max(n.min(b.rate));
+                b.owed_at = now;
+            }
             ((need - b.level) / b.rate.max(0.001)).max(0.002)
         }
     }
@@ -86,4 +108,27 @@
             "refilled by the rate"
         );
     }
+
+    /// Final states of many jobs once waited while ledger rounds took every
+    /// change as it came: jobs were done, and nobody was told.
+    #[test]
+    fn a_large_first_request_is_not_starved_by_small_later_ones() {
+        let b = Budget::new(33.0);
+        b.take(Class::First, 33.0, 0.0);
+        let mut waited = 0.0;
+        let mut told = None;
+        for tick in 1..400 {
+            let now = f64::from(tick) * 0.01;
+            b.take(Class::Place, 2.0, now);
+            if told.is_none() && now >= waited {
+                match b.take(Class::First, 24.0, now) {
+                    wait if wait > 0.0 => waited = now + wait,
+                    _ => told = Some(now),
+                }
+            }
+        }
+        assert!(told.is_some_and(|t| t < 1.2), "{told:?}");
+        // Nobody waits any more: the later ones go on.
+        assert_eq!(b.take(Class::Place, 2.0, 10.0), 0.0);
+    }
 }
