Remove what no longer acts: the wait for a report's ledger write, a constant

Reports are answered at once since the queue is served by ledger rounds, so nothing is ever 'being answered' when orders go out. No change in behaviour.

--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -122,8 +122,6 @@
     /// When the notice said that it would be taken.
     taken_at: Option<f64>,
     addr: String,
-    /// Until when a report is being answered: starts go with the answer.
-    answering: f64,
     /// Attempts whose direct start has no answer yet. They are not forgotten:
     /// the start could arrive after the forget and run the task again.
     open_orders: HashSet<u64>,
@@ -352,7 +350,6 @@
             notice: None,
             taken_at: None,
             addr: String::new(),
-            answering: 0.0,
             open_orders: HashSet::new(),
             placed: Vec::new(),
             known: false,
--- a/crates/control/src/leader/reports.rs
+++ b/crates/control/src/leader/reports.rs
@@ -53,7 +53,6 @@
         m.notice = r.notice_s;
         m.taken_at = r.notice_s.map(|s| now + s);
         m.addr.clone_from(&r.addr);
-        m.answering = now + limits::FLUSH_WAIT_S * 1.5;
         if m.notice.is_some() && !m.draining {
             info!(machine = r.machine, notice_s = r.notice_s, "spot notice");
             m.draining = true;
@@ -230,7 +229,6 @@
         if (m.session, m.seq) != (r.session, r.seq) {
             return out;
         }
-        m.answering = 0.0;
         for t in &r.tasks {
             let Some((id, n)) = split_task(&t.task) else {
                 continue;
@@ -325,7 +323,7 @@
         let fresh = limits::MISSED_REPORTS * self.settings.workers.report_s;
         let mut out: BTreeMap<String, Vec<_>> = BTreeMap::new();
         for (name, m) in &mut self.machines {
-            if !m.up || m.deleting || now < m.answering || now - m.heard > fresh {
+            if !m.up || m.deleting || now - m.heard > fresh {
                 continue;
             }
             let mut commands = Vec::new();
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -71,8 +71,6 @@
 
 /// s that a holder waits for the leader; far below the worker's 4 s.
 pub const FORWARD_WAIT_S: f64 = 1.2;
-/// s that a report waits for the ledger write that its news caused.
-pub const FLUSH_WAIT_S: f64 = 0.6;
 /// s for a command sent straight to a worker.
 pub const ORDER_WAIT_S: f64 = 1.5;
 /// s for a peer to send such commands and tell what became of them.
@@ -131,8 +129,6 @@
 /// s for which a rented machine is kept, by and large: what its boot time is
 /// weighed against.
 pub const HOLD_S: f64 = 240.0;
-/// s; a deleted machine costs at least this much (protocol).
-pub const MIN_CHARGE_S: f64 = 60.0;
 /// s without a task after which a cheap and a dear machine may be returned.
 pub const IDLE_RETURN_S: f64 = 8.0;
 pub const IDLE_RETURN_DEAR_S: f64 = 4.0;
