A new leader hears most workers before it takes users; its own orders go at once

It now calls itself unready for users until 70% of the machines it knows have reported, for 3 s at most. Orders for machines that the leader holds itself went out one after the other since holders send them; now at once.

--- a/crates/cherrywood/src/loops.rs
+++ b/crates/cherrywood/src/loops.rs
@@ -402,18 +402,19 @@
         }
     };
     let peer = node.peers.iter().find(|p| p.label == holder);
-    let Some(peer) = peer else {
-        for (i, (_, addr, orders)) in orders.iter().enumerate() {
-            told(i, node.order(addr, orders).await);
+    let executed = match peer {
+        Some(peer) => {
+            let request = Request::Orders {
+                orders: orders.clone(),
+            };
+            match peer.ask(&request, limits::ORDERS_WAIT_S).await {
+                Ok(Reply::Orders { executed }) => executed,
+                _ => Vec::new(),
+            }
         }
-        return;
-    };
-    let request = Request::Orders {
-        orders: orders.clone(),
-    };
-    let executed = match peer.ask(&request, limits::ORDERS_WAIT_S).await {
-        Ok(Reply::Orders { executed }) => executed,
-        _ => Vec::new(),
+        // Its own machines, all at once: one silent worker must not hold up
+        // the starts of the others.
+        None => node.order_all(orders.clone()).await,
     };
     for i in 0..orders.len() {
         told(i, executed.get(i).copied().flatten());
--- a/crates/cherrywood/src/node.rs
+++ b/crates/cherrywood/src/node.rs
@@ -166,7 +166,8 @@
         let core = self.core();
         let lost = now - core.state_ok > limits::STATE_LOST_S;
         let others = now - core.peers_state_ok <= limits::STATE_LOST_S;
-        !(lost && others) && core.state_ok > 0.0
+        let settling = core.leader.as_ref().is_some_and(|l| l.settling(now));
+        !(lost && others) && core.state_ok > 0.0 && !settling
     }
 
     // --- workers ---
@@ -275,7 +276,7 @@
     }
 
     /// The same for many machines at once.
-    async fn order_all(
+    pub async fn order_all(
         self: &Arc<Self>,
         orders: Vec<(String, String, Orders)>,
     ) -> Vec<Option<bool>> {
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -290,6 +290,17 @@
         leader
     }
 
+    /// Has it just taken over, with most workers still to be heard? Their
+    /// leases may be about to end: they come before users' requests.
+    pub fn settling(&self, now: f64) -> bool {
+        let (mut known, mut heard) = (0.0, 0.0);
+        for m in self.machines.values().filter(|m| m.known || m.up) {
+            known += 1.0;
+            heard += f64::from(u8::from(m.up));
+        }
+        now - self.since < limits::SETTLE_S && heard < known * limits::SETTLED_SHARE
+    }
+
     pub fn epoch(&self) -> u64 {
         self.epoch
     }
--- a/crates/control/tests/scale.rs
+++ b/crates/control/tests/scale.rs
@@ -433,3 +433,28 @@
     let held = s.elect(2, 3.0).held();
     assert_eq!(held, l.held(), "the tasks are on the second machine only");
 }
+
+/// After a crash of all controllers the first one back was flooded by users
+/// while the leases of workers that could not get through ran out.
+#[test]
+fn a_new_leader_hears_most_workers_before_it_takes_users() {
+    let mut s = Store::default();
+    let mut l = s.elect(1, 0.0);
+    assert!(!l.settling(0.1), "nothing to wait for");
+    let mut workers = fleet(10);
+    for w in &mut workers {
+        beat(&mut l, &mut s, w, "n1", 1.0);
+    }
+    submit(&mut l, &mut s, &big(1, 40), 2.0);
+    l.plan(2.0);
+    flush(&mut l, &mut s);
+    let mut l = s.elect(2, 5.0);
+    assert!(l.settling(5.1));
+    for w in &mut workers[..6] {
+        beat(&mut l, &mut s, w, "n2", 5.5);
+    }
+    assert!(l.settling(5.6), "six of ten");
+    beat(&mut l, &mut s, &mut workers[6], "n2", 5.7);
+    assert!(!l.settling(5.8));
+    assert!(!s.elect(3, 10.0).settling(13.5), "not for ever");
+}
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -61,6 +61,11 @@
 /// it did, after which a holder sends its workers to that leader.
 pub const LEADER_LOST_S: f64 = 3.0;
 pub const LEADER_SEEN_S: f64 = 1.5;
+/// s for which a new leader leaves users to other controllers, and the share of
+/// the machines whose report ends that sooner: after a crash of all controllers
+/// the first one back would else be flooded by users while leases run out.
+pub const SETTLE_S: f64 = 3.0;
+pub const SETTLED_SHARE: f64 = 0.7;
 /// s between two looks at an election.
 pub const ELECT_EVERY_S: f64 = 0.4;
 /// s without state contact after which a node calls itself unhealthy, if a
