--- a/crates/control/tests/scale.rs
+++ b/crates/control/tests/scale.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use cherrywood_control::leader::Outcome;
+use cherrywood_control::leader::{CloudCall, Outcome};
 use cherrywood_control::{Leader, keys};
 use cherrywood_wire::agent::Why;
 use cherrywood_wire::state::{Change, Value};
@@ -458,3 +458,36 @@
     assert!(!l.settling(5.8));
     assert!(!s.elect(3, 10.0).settling(13.5), "not for ever");
 }
+
+/// Dozens of machines lose the network for less than their lease: none is
+/// deleted, nothing of theirs starts elsewhere, and all goes on afterwards.
+#[test]
+fn a_cut_shorter_than_the_lease_loses_nothing() {
+    let mut s = Store::default();
+    let mut l = s.elect(1, 0.0);
+    let mut workers = fleet(60);
+    for w in &mut workers {
+        beat(&mut l, &mut s, w, "n1", 1.0);
+    }
+    submit(&mut l, &mut s, &big(1, 240), 2.0);
+    l.plan(2.0);
+    flush(&mut l, &mut s);
+    for w in &mut workers {
+        beat(&mut l, &mut s, w, "n1", 2.5);
+    }
+    let held = l.held();
+    assert_eq!(held.len(), 240);
+    for now in 3..12 {
+        for w in &mut workers[30..] {
+            beat(&mut l, &mut s, w, "n1", f64::from(now));
+        }
+        for call in l.fleet(f64::from(now)) {
+            assert!(!matches!(call, CloudCall::Delete(_)), "at {now}: {call:?}");
+        }
+    }
+    for w in &mut workers {
+        beat(&mut l, &mut s, w, "n1", 12.2);
+    }
+    assert_eq!(l.held(), held);
+    assert_eq!(workers.iter().map(Worker::running).sum::<usize>(), 240);
+}
