--- a/crates/cherrywood/src/settings.rs
+++ b/crates/cherrywood/src/settings.rs
@@ -170,6 +170,21 @@
         }
     }
 
+    /// A guest team has no guarantee and no limit; a limit of 0 was once taken
+    /// literally, and every job of the guest was answered with 422.
+    #[test]
+    fn a_limit_of_0_or_none_is_no_limit() {
+        for (given, want) in [
+            ("cpus_max = 16.0", 16.0),
+            ("cpus_max = 0.0", f64::INFINITY),
+            ("", f64::INFINITY),
+        ] {
+            let p = Settings::platform(&EXAMPLE.replacen("cpus_max = 16.0", given, 1)).unwrap();
+            let team = &p.deployment.cluster.teams[0];
+            assert_eq!((team.cpus_max, team.gpus_max), (want, f64::INFINITY));
+        }
+    }
+
     #[test]
     fn operators_typing_mistakes_are_errors() {
         assert!(Settings::operator("cheap_only: true").unwrap().cheap_only);
--- a/crates/control/src/cluster.rs
+++ b/crates/control/src/cluster.rs
@@ -1,20 +1,31 @@
 //! What the platform's settings say about the deployment.
 
-use serde::Deserialize;
+use serde::{Deserialize, Deserializer};
 
+/// Guarantees and limits. A guest team has neither: a limit of 0, or none at
+/// all, stands for "no limit" and is read as infinite.
 #[derive(Debug, Clone, Deserialize)]
 pub struct Team {
     pub name: String,
     #[serde(default)]
     pub cpus: f64,
-    #[serde(default)]
+    #[serde(default = "unlimited", deserialize_with = "limit")]
     pub cpus_max: f64,
     #[serde(default)]
     pub gpus: f64,
-    #[serde(default)]
+    #[serde(default = "unlimited", deserialize_with = "limit")]
     pub gpus_max: f64,
 }
 
+fn unlimited() -> f64 {
+    f64::INFINITY
+}
+
+fn limit<'de, D: Deserializer<'de>>(from: D) -> Result<f64, D::Error> {
+    let given = f64::deserialize(from)?;
+    Ok(if given > 0.0 { given } else { unlimited() })
+}
+
 #[derive(Debug, Clone, Copy, Deserialize)]
 pub struct Workers {
     pub report_s: f64,
