--- a/crates/control/src/leader/fleet.rs
+++ b/crates/control/src/leader/fleet.rs
@@ -1,5 +1,6 @@
 //! Renting, emptying and returning machines.
 
+use super::placing::allowed;
 use super::*;
 
 impl Leader {
@@ -52,7 +53,8 @@
     /// return.
     pub fn fleet(&mut self, now: f64) -> Vec<CloudCall> {
         self.expire(now);
-        let wanted = self.demand().0.wanted(limits::DRAIN_DEAR_S);
+        let (all, ranked, _) = self.demand();
+        let wanted = ranked.wanted(limits::DRAIN_DEAR_S);
         // An empty fleet starts from what is wanted now.
         let (mut slow, mut fast, at) = match self.wanted {
             Some(w) if w.0 > 0.0 => w,
@@ -62,7 +64,8 @@
         slow += (wanted - slow) * step(limits::RENT_AVERAGE_S);
         fast += (wanted - fast) * step(limits::RETURN_AVERAGE_S);
         self.wanted = Some((slow, fast, now));
-        self.retire(wanted.max(fast));
+        let all = all.wanted(limits::DRAIN_DEAR_S);
+        self.retire(wanted.max(fast), all.max(fast));
         let mut calls = Vec::new();
         self.mark_doomed(now);
         let doomed: Vec<String> = self
@@ -107,9 +110,10 @@
         }
     }
 
-    /// CPUs in use and waited for. The first waiting job decides what is rented; jobs
-    /// with other wishes get their turn when they are first.
-    pub(super) fn demand(&self) -> (Demand, Option<&Submission>) {
+    /// CPUs in use and waited for, in all and without the lowest rank. The
+    /// first waiting job of the highest rank decides what is rented; jobs with
+    /// other wishes get their turn when they are first.
+    pub(super) fn demand(&self) -> (Demand, Demand, Option<&Submission>) {
         let mut demand = Demand::default();
         for p in self.machines.values().flat_map(|m| &m.placed) {
             demand.placed += p.cpus;
@@ -125,6 +129,10 @@
                 }
             })
             .collect();
+        let mut ranked = Demand {
+            placed: self.ranked_cpus(),
+            teams: demand.teams.clone(),
+        };
         let mut first: Option<&Submission> = None;
         for run in self.queue.runs() {
             let Some(job) = self.jobs.get(&run.job) else {
@@ -137,15 +145,21 @@
                 continue;
             }
             let count = f64::from(run.len());
-            if job.spec.kind == Kind::Array {
-                demand.teams[at].add(job.spec.cpus, count, self.run_estimate(job));
-            } else {
-                // Gangs and services need all of their machines at once.
-                demand.placed += job.spec.cpus * count;
+            let run_s = self.run_estimate(job);
+            let low = job.spec.priority == Priority::Low;
+            for d in std::iter::once(&mut demand).chain((!low).then_some(&mut ranked)) {
+                if job.spec.kind == Kind::Array {
+                    d.teams[at].add(job.spec.cpus, count, run_s);
+                } else {
+                    // Gangs and services need all of their machines at once.
+                    d.placed += job.spec.cpus * count;
+                }
+            }
+            if first.is_none_or(|f| job.spec.priority < f.priority) {
+                first = Some(&job.spec);
             }
-            first.get_or_insert(&job.spec);
         }
-        (demand, first)
+        (demand, ranked, first)
     }
 
     pub(super) fn cpus_of(&self, kind: &str) -> f64 {
@@ -156,8 +170,10 @@
     }
 
     /// Empties the machines that cost most for what they do, while the others
-    /// can carry what is wanted; takes machines back when they can't.
-    pub(super) fn retire(&mut self, wanted: f64) {
+    /// can carry what is wanted; takes machines back when they can't. Dear ones
+    /// are kept for `ranked` work only, cheap ones for all of it.
+    pub(super) fn retire(&mut self, ranked: f64, all: f64) {
+        let wanted = |spot: bool| if spot { all } else { ranked };
         let mut active = 0.0;
         let mut retiring = Vec::new();
         let mut others = Vec::new();
@@ -178,7 +194,7 @@
             // Dear machines first, the emptiest first.
             let waste = price / all.max(0.001) * (1.05 - used);
             if m.retiring {
-                retiring.push((waste, name.clone(), all));
+                retiring.push((waste, name.clone(), all, m.spot));
                 continue;
             }
             active += all;
@@ -192,9 +208,9 @@
             }
         }
         retiring.sort_by(|a, b| a.0.total_cmp(&b.0));
-        for (_, name, all) in retiring {
-            if active >= wanted {
-                break;
+        for (_, name, all, spot) in retiring {
+            if active >= wanted(spot) {
+                continue;
             }
             active += all;
             if let Some(m) = self.machines.get_mut(&name) {
@@ -208,6 +224,7 @@
             } else {
                 limits::RETIRE_SPARE_DEAR
             };
+            let wanted = wanted(spot);
             if active - all < wanted * (1.0 + spare) {
                 continue;
             }
@@ -232,7 +249,13 @@
             .filter(|m| m.up && now - m.heard > lease / 2.0)
             .count();
         let network = silent as f64 > (up as f64 * limits::SILENT_SHARE_MAX).max(2.0);
-        let waiting = !self.queue.is_empty();
+        let waits = |low: bool| {
+            self.queue.runs().any(|r| {
+                let job = self.jobs.get(&r.job);
+                job.is_some_and(|j| low || j.spec.priority != Priority::Low)
+            })
+        };
+        let (any_waits, ranked_waits) = (waits(true), waits(false));
         for (name, m) in &mut self.machines {
             if m.deleting {
                 continue;
@@ -272,6 +295,7 @@
                 } else {
                     limits::IDLE_RETURN_DEAR_S
                 };
+                let waiting = if m.spot { any_waits } else { ranked_waits };
                 if m.draining || m.retiring || idle > most && !waiting {
                     info!(machine = name, idle, "returned");
                     m.deleting = true;
@@ -281,7 +305,7 @@
     }
 
     pub(super) fn rentals(&mut self, now: f64) -> Vec<CloudCall> {
-        let (demand, first) = self.demand();
+        let (demand, ranked, first) = self.demand();
         let Some(spec) = first.cloned() else {
             return Vec::new();
         };
@@ -289,7 +313,7 @@
         let have: f64 = self
             .machines
             .values()
-            .filter(|m| !m.draining && !m.deleting && Self::allowed(spec, &m.kind, &m.zone, m.spot))
+            .filter(|m| !m.draining && !m.deleting && allowed(spec, &m.kind, &m.zone, m.spot))
             .map(|m| self.cpus_of(&m.kind))
             .sum();
         let short = demand.wanted(limits::DRAIN_S) - have;
@@ -310,7 +334,7 @@
                     }
                     let price = if spot { t.spot_price } else { Some(t.price) };
                     let Some(price) = price else { continue };
-                    if !Self::allowed(spec, &t.name, zone, spot)
+                    if !allowed(spec, &t.name, zone, spot)
                         || self
                             .refused
                             .contains_key(&(t.name.clone(), zone.clone(), spot))
@@ -343,7 +367,7 @@
             .iter()
             .map(|(i, n)| cheap[*i].cpus * f64::from(*n))
             .sum();
-        let wanted = demand.wanted(limits::DRAIN_DEAR_S);
+        let wanted = ranked.wanted(limits::DRAIN_DEAR_S);
         let lasting = self.wanted.map_or(wanted, |w| w.0.min(wanted));
         let short = lasting - have - bought;
         let least = dear.iter().map(|o| o.cpus).fold(f64::INFINITY, f64::min);
@@ -448,7 +472,7 @@
             self.machines.len(),
             up,
             self.delayed.len(),
-            self.demand().0.wanted(limits::DRAIN_DEAR_S),
+            self.demand().1.wanted(limits::DRAIN_DEAR_S),
             teams.join(", "),
         )
     }
--- a/crates/control/src/leader/ledger.rs
+++ b/crates/control/src/leader/ledger.rs
@@ -194,7 +194,13 @@
                         cpus: job.cpus,
                         gpus: job.gpus,
                         mem: job.mem,
-                        stopping: false,
+                        low: no
+                            .and_then(|no| self.jobs.get(&no))
+                            .is_some_and(|j| j.spec.priority == Priority::Low),
+                        long: no
+                            .and_then(|no| self.jobs.get(&no))
+                            .is_some_and(|j| self.run_estimate(j) > limits::LOW_LONG_S),
+                        stop: Stop::No,
                     };
                     self.count(&p, &place.zone, 1.0);
                     if !self.machines.contains_key(&name) {
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -28,6 +28,7 @@
 mod placing;
 mod progress;
 mod reports;
+mod yielding;
 
 pub use ledger::LedgerBatch;
 
@@ -91,7 +92,20 @@
     cpus: f64,
     gpus: f64,
     mem: f64,
-    stopping: bool,
+    /// It is of the lowest rank; and would it keep its room for long?
+    low: bool,
+    long: bool,
+    stop: Stop,
+}
+
+/// Has a task been told to save and end?
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Stop {
+    No,
+    /// Decided, and not sent yet.
+    Due,
+    /// Sent at this time; repeated while reports show it running on.
+    Sent(f64),
 }
 
 #[derive(Debug)]
--- a/crates/control/src/leader/placing.rs
+++ b/crates/control/src/leader/placing.rs
@@ -6,6 +6,7 @@
 //! the machines that have room, not on all that runs.
 
 use super::*;
+use crate::Team;
 use cherrywood_sched::queue::Pick;
 
 /// How tasks of one standing are served, in this order.
@@ -86,10 +87,13 @@
     counter: &'a mut u64,
     planned: &'a mut BTreeSet<String>,
     groups: u64,
+    /// Free CPUs that this pass must leave; does it leave out long tasks?
+    keep: f64,
+    short_only: bool,
     looks: &'a mut u64,
 }
 
-fn allowed(spec: &Submission, kind: &str, zone: &str, spot: bool) -> bool {
+pub(super) fn allowed(spec: &Submission, kind: &str, zone: &str, spot: bool) -> bool {
     (spec.spot || !spot)
         && spec
             .types
@@ -111,11 +115,35 @@
     }
 }
 
-impl Leader {
-    pub(super) fn allowed(spec: &Submission, kind: &str, zone: &str, spot: bool) -> bool {
-        allowed(spec, kind, zone, spot)
+/// Jobs above the lowest rank that wait, and the CPUs that their tasks may use.
+pub(super) fn ranked_waiting(
+    queue: &Queue<JobNo>,
+    jobs: &HashMap<JobNo, Job>,
+    teams: &[Team],
+    mut room: Vec<f64>,
+    now: f64,
+) -> Vec<(JobNo, f64)> {
+    let mut waiting = Vec::new();
+    for run in queue.runs() {
+        let Some(job) = jobs.get(&run.job) else {
+            continue;
+        };
+        let s = &job.spec;
+        let team = teams.iter().position(|t| t.name == s.team);
+        let Some(room) = team.and_then(|t| room.get_mut(t)) else {
+            continue;
+        };
+        if s.priority == Priority::Low || job.retry_at > now || *room < s.cpus {
+            continue;
+        }
+        let cpus = (s.cpus * f64::from(run.len())).min(*room);
+        *room -= cpus;
+        waiting.push((run.job, cpus));
     }
+    waiting
+}
 
+impl Leader {
     pub(super) fn run_estimate(&self, job: &Job) -> f64 {
         run_estimate(&self.predictor, job)
     }
@@ -177,6 +205,7 @@
             waiters.insert(run.job, waiter);
         }
         ranks.sort_unstable();
+        let spare = self.ranked_cpus() * limits::LOW_SPARE;
         let fetching = self.fetching(&team_no);
         let fresh = limits::MISSED_REPORTS * self.settings.workers.report_s;
         let mut sites = Vec::new();
@@ -220,6 +249,8 @@
             counter: &mut self.counter,
             planned: &mut self.planned,
             groups: 0,
+            keep: 0.0,
+            short_only: false,
             looks: &mut self.looks,
         };
         // Guaranteed work goes before borrowed work, higher ranks before
@@ -228,12 +259,20 @@
         // already may pass, for a bounded time.
         for guaranteed in [true, false] {
             for rank in &ranks {
-                plan.serve_due(&mut queue, guaranteed, *rank);
-                plan.serve(&mut queue, guaranteed, *rank, Order::Hot);
-                plan.serve(&mut queue, guaranteed, *rank, Order::Any);
+                // Borrowed work of the lowest rank that would keep its room
+                // for long comes last, and leaves some.
+                let last = *rank == Priority::Low && !guaranteed;
+                plan.short_only = last;
+                plan.serve_rank(&mut queue, guaranteed, *rank);
+                if last {
+                    plan.short_only = false;
+                    plan.keep = spare + plan.ranked_need(&queue);
+                    plan.serve_rank(&mut queue, guaranteed, *rank);
+                }
             }
         }
         self.queue = queue;
+        self.give_way(now);
     }
 
     /// CPUs of each team placed but not running, and all images at hand.
@@ -308,10 +347,33 @@
         }
     }
 
+    fn serve_rank(&mut self, queue: &mut Queue<JobNo>, guaranteed: bool, rank: Priority) {
+        self.serve_due(queue, guaranteed, rank);
+        self.serve(queue, guaranteed, rank, Order::Hot);
+        self.serve(queue, guaranteed, rank, Order::Any);
+    }
+
+    /// CPUs for which work above the lowest rank waits.
+    fn ranked_need(&self, queue: &Queue<JobNo>) -> f64 {
+        let teams = self.settings.teams.iter().zip(&self.used);
+        let room = teams.map(|(t, u)| t.cpus_max - u.0).collect();
+        ranked_waiting(queue, self.jobs, &self.settings.teams, room, self.now)
+            .iter()
+            .map(|(_, cpus)| cpus)
+            .sum()
+    }
+
+    fn spare(&self) -> bool {
+        self.keep <= 0.0 || self.sites.iter().map(|s| s.free.0).sum::<f64>() > self.keep
+    }
+
     fn ready(&self, no: &JobNo, guaranteed: bool, rank: Priority) -> bool {
         let Some(w) = self.waiters.get(no).filter(|w| !w.blocked) else {
             return false;
         };
+        if self.short_only && w.est > limits::LOW_LONG_S {
+            return false;
+        }
         self.jobs.get(no).is_some_and(|j| {
             j.spec.priority == rank && self.team_room(w.team, &j.spec, guaranteed) > 0
         })
@@ -344,6 +406,7 @@
         due.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
         for (_, no) in due {
             while !self.sites.is_empty()
+                && self.spare()
                 && self.waiters.get(&no).is_some_and(|w| !w.cold)
                 && self.ready(&no, guaranteed, rank)
                 && let Some(pick) = queue.find(&no)
@@ -355,7 +418,7 @@
 
     /// Places what it can of one standing, by the level clocks.
     fn serve(&mut self, queue: &mut Queue<JobNo>, guaranteed: bool, rank: Priority, order: Order) {
-        while !self.sites.is_empty() {
+        while !self.sites.is_empty() && self.spare() {
             let passes = |no: &JobNo, since: f64| {
                 let Some(w) = self.waiters.get(no) else {
                     return false;
@@ -583,7 +646,7 @@
             }
         }
         m.idle_since = now;
-        let team = self.waiters[&no].team;
+        let Waiter { team, est, .. } = self.waiters[&no];
         let placements: Vec<Placement> = (first..first + n)
             .map(|task| Placement {
                 id: format!("{}/{task}", s.id),
@@ -604,7 +667,9 @@
                 cpus: s.cpus,
                 gpus: s.gpus,
                 mem: s.memory_gb,
-                stopping: false,
+                low: s.priority == Priority::Low,
+                long: est > limits::LOW_LONG_S,
+                stop: Stop::No,
             })
             .collect();
         let total = f64::from(n);
--- a/crates/control/src/leader/reports.rs
+++ b/crates/control/src/leader/reports.rs
@@ -2,6 +2,15 @@
 
 use super::*;
 
+/// Told to save, if it can, and to end.
+fn stop(p: &Placement, job: &Job) -> Command {
+    Command::Stop {
+        task: p.id.clone(),
+        attempt: p.attempt,
+        grace_s: job.spec.save_s + limits::SAVE_EXTRA_S,
+    }
+}
+
 impl Leader {
     /// Takes a worker's report that `holder` received. Returns the token for
     /// the answer; None if the report is old and must not be answered.
@@ -280,15 +289,23 @@
             if let (Some(at), Some(job)) = (at, job)
                 && t.state == TaskState::Running
                 && job.spec.checkpoint_s > 0.0
-                && !m.placed[at].stopping
+                && m.placed[at].stop == Stop::No
                 && (r.notice_s.is_some() || m.retiring && move_it(&m.placed[at], job))
             {
-                m.placed[at].stopping = true;
-                out.push(Command::Stop {
-                    task: t.task.clone(),
-                    attempt: t.attempt,
-                    grace_s: job.spec.save_s + limits::SAVE_EXTRA_S,
-                });
+                m.placed[at].stop = Stop::Due;
+            }
+            // A stop that got lost is sent again; one that saves is left alone.
+            let again = 2.0 * limits::MISSED_REPORTS * self.settings.workers.report_s;
+            if let (Some(at), Some(job)) = (at, job)
+                && t.state != TaskState::Saving
+                && match m.placed[at].stop {
+                    Stop::No => false,
+                    Stop::Due => true,
+                    Stop::Sent(sent) => now - sent > again,
+                }
+            {
+                m.placed[at].stop = Stop::Sent(now);
+                out.push(stop(&m.placed[at], job));
             }
         }
         for p in &mut m.placed {
@@ -328,7 +345,16 @@
             }
             let mut commands = Vec::new();
             for p in &mut m.placed {
-                let live = p.job.is_some_and(|no| self.jobs.contains_key(&no));
+                let job = p.job.and_then(|no| self.jobs.get(&no));
+                let live = job.is_some();
+                if let Some(job) = job
+                    && p.stop == Stop::Due
+                    && p.session == m.session
+                {
+                    p.stop = Stop::Sent(now);
+                    commands.push(stop(p, job));
+                    continue;
+                }
                 let first = p.sent == 0 && !p.seen && !p.inherited;
                 if live && first && p.stage == Stage::Durable && p.session == m.session {
                     p.sent = 1;
@@ -360,10 +386,12 @@
         let Some(m) = self.machines.get_mut(machine) else {
             return;
         };
+        let mut starts = false;
         for c in &orders.commands {
             let Command::Start { task, attempt } = c else {
                 continue;
             };
+            starts = true;
             m.open_orders.remove(attempt);
             if executed == Some(false)
                 && let Some(p) = m.placed.iter_mut().find(|p| p.id == *task)
@@ -372,7 +400,8 @@
                 p.sent = 0;
             }
         }
-        if executed.is_none() && m.token == orders.token {
+        // A stop that lands late ends its own attempt and nothing else.
+        if starts && executed.is_none() && m.token == orders.token {
             m.token = token;
         }
     }
--- /dev/null
+++ b/crates/control/src/leader/yielding.rs
@@ -0,0 +1,95 @@
+//! Work of the lowest rank that its team isn't guaranteed runs on what stands
+//! idle: it leaves room for arrivals, and is stopped, saving what it can, when
+//! higher work finds none (the protocol's first reason to stop a task).
+
+use super::placing::{allowed, ranked_waiting};
+use super::*;
+
+impl Leader {
+    /// CPUs of placed tasks that give way to nobody by rank.
+    pub(super) fn ranked_cpus(&self) -> f64 {
+        let all = self.machines.values().flat_map(|m| &m.placed);
+        all.filter(|p| !p.low).map(|p| p.cpus).sum()
+    }
+
+    /// Stops as many low tasks as higher work needs that waits for room.
+    pub(super) fn give_way(&mut self, now: f64) {
+        let teams = &self.settings.teams;
+        let used = |name: &str| self.usage.get(name).map_or(0.0, |u| u.0);
+        let room = teams.iter().map(|t| t.cpus_max - used(&t.name)).collect();
+        let waiting = ranked_waiting(&self.queue, &self.jobs, teams, room, now);
+        let mut short: f64 = waiting.iter().map(|(_, cpus)| cpus).sum();
+        let mut least = (f64::INFINITY, f64::INFINITY);
+        let mut wanted: BTreeSet<JobNo> = BTreeSet::new();
+        for (no, _) in waiting {
+            if let Some(job) = self.jobs.get(&no) {
+                least = (least.0.min(job.spec.cpus), least.1.min(job.spec.memory_gb));
+                wanted.insert(no);
+            }
+        }
+        if short <= 0.0 {
+            return;
+        }
+        // What a team uses beyond its guarantee, which is all that may go.
+        let mut beyond: HashMap<String, f64> = teams
+            .iter()
+            .map(|t| (t.name.clone(), used(&t.name) - t.cpus))
+            .collect();
+        let mut hosts = Vec::new();
+        for (name, m) in &self.machines {
+            if !m.up || m.draining || m.deleting {
+                continue;
+            }
+            // Room that is there, or comes because it was asked for.
+            let Some(kind) = self.types.iter().find(|t| t.name == m.kind) else {
+                continue;
+            };
+            let (c, _, mem) = m.used();
+            let (c, mem) = (kind.cpus - c, kind.memory_gb - mem);
+            if !m.retiring && c + 1e-6 >= least.0 && mem + 1e-6 >= least.1 {
+                short -= c;
+            }
+            let mut low = 0.0;
+            for p in &m.placed {
+                match p.stop {
+                    Stop::No if p.low && p.long && p.stage == Stage::Durable => low += p.cpus,
+                    Stop::No => {}
+                    _ => short -= p.cpus,
+                }
+            }
+            let serves = |no: &JobNo| {
+                self.jobs
+                    .get(no)
+                    .is_some_and(|j| allowed(&j.spec, &m.kind, &m.zone, m.spot))
+            };
+            if low > 0.0 && !m.retiring && wanted.iter().any(serves) {
+                let warm = m.images.iter().any(|i| {
+                    let of = |no: &JobNo| self.jobs.get(no).is_some_and(|j| j.image == i.no);
+                    i.ready_at <= now && wanted.iter().any(of)
+                });
+                hosts.push((warm, low, name.clone()));
+            }
+        }
+        // Where the image is, and where most of a machine comes free.
+        hosts.sort_by(|a, b| b.0.cmp(&a.0).then(b.1.total_cmp(&a.1)));
+        for (_, _, name) in hosts {
+            let Some(m) = self.machines.get_mut(&name) else {
+                continue;
+            };
+            for p in &mut m.placed {
+                if short <= 0.0 {
+                    return;
+                }
+                let Some(beyond) = beyond.get_mut(&p.team) else {
+                    continue;
+                };
+                let may = p.low && p.long && p.stop == Stop::No && p.stage == Stage::Durable;
+                if may && *beyond >= p.cpus {
+                    *beyond -= p.cpus;
+                    short -= p.cpus;
+                    p.stop = Stop::Due;
+                }
+            }
+        }
+    }
+}
