Idle-time work fills what stands idle, gives way, and rents nothing dear

Cause: vod-reindex held 5,000 of 12,400 CPUs while urgent work waited; nothing was stopped for rank.

--- a/crates/control/src/leader/fleet.rs
+++ b/crates/control/src/leader/fleet.rs
@@ -56,16 +56,21 @@
         let (all, ranked, _) = self.demand();
         let wanted = ranked.wanted(limits::DRAIN_DEAR_S);
         // An empty fleet starts from what is wanted now.
-        let (mut slow, mut fast, at) = match self.wanted {
+        let (mut slow, mut fast, mut held, at) = match self.wanted {
             Some(w) if w.0 > 0.0 => w,
-            _ => (wanted, wanted, now),
+            _ => (wanted, wanted, wanted, now),
         };
         let step = |over: f64| 1.0 - (-(now - at) / over).exp();
         slow += (wanted - slow) * step(limits::RENT_AVERAGE_S);
         fast += (wanted - fast) * step(limits::RETURN_AVERAGE_S);
-        self.wanted = Some((slow, fast, now));
+        held += (wanted - held) * step(limits::FILL_HOLD_S);
+        self.wanted = Some((slow, fast, held, now));
         let all = all.wanted(limits::DRAIN_DEAR_S);
-        self.retire(wanted.max(fast), all.max(fast));
+        // With work to fill them, dear machines are held through lulls that
+        // are shorter than what returning them and booting others would cost.
+        let filled = all - wanted;
+        let kept = wanted.max(fast);
+        self.retire(kept.max(held.min(kept + filled)), all.max(fast));
         let mut calls = Vec::new();
         self.mark_doomed(now);
         let doomed: Vec<String> = self
@@ -110,7 +115,7 @@
         }
     }
 
-    /// CPUs in use and waited for, in all and without the lowest rank. The
+    /// CPUs in use and waited for, in all and without what only fills. The
     /// first waiting job of the highest rank decides what is rented; jobs with
     /// other wishes get their turn when they are first.
     pub(super) fn demand(&self) -> (Demand, Demand, Option<&Submission>) {
@@ -146,8 +151,7 @@
             }
             let count = f64::from(run.len());
             let run_s = self.run_estimate(job);
-            let low = job.spec.priority == Priority::Low;
-            for d in std::iter::once(&mut demand).chain((!low).then_some(&mut ranked)) {
+            for d in std::iter::once(&mut demand).chain((!job.fill).then_some(&mut ranked)) {
                 if job.spec.kind == Kind::Array {
                     d.teams[at].add(job.spec.cpus, count, run_s);
                 } else {
@@ -249,11 +253,9 @@
             .filter(|m| m.up && now - m.heard > lease / 2.0)
             .count();
         let network = silent as f64 > (up as f64 * limits::SILENT_SHARE_MAX).max(2.0);
-        let waits = |low: bool| {
-            self.queue.runs().any(|r| {
-                let job = self.jobs.get(&r.job);
-                job.is_some_and(|j| low || j.spec.priority != Priority::Low)
-            })
+        let waits = |fill: bool| {
+            let mut runs = self.queue.runs();
+            runs.any(|r| self.jobs.get(&r.job).is_some_and(|j| fill || !j.fill))
         };
         let (any_waits, ranked_waits) = (waits(true), waits(false));
         for (name, m) in &mut self.machines {
--- a/crates/control/src/leader/ledger.rs
+++ b/crates/control/src/leader/ledger.rs
@@ -194,12 +194,7 @@
                         cpus: job.cpus,
                         gpus: job.gpus,
                         mem: job.mem,
-                        low: no
-                            .and_then(|no| self.jobs.get(&no))
-                            .is_some_and(|j| j.spec.priority == Priority::Low),
-                        long: no
-                            .and_then(|no| self.jobs.get(&no))
-                            .is_some_and(|j| self.run_estimate(j) > limits::LOW_LONG_S),
+                        fill: no.and_then(|no| self.jobs.get(&no)).is_some_and(|j| j.fill),
                         stop: Stop::No,
                     };
                     self.count(&p, &place.zone, 1.0);
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -43,6 +43,8 @@
     /// When it was accepted, on this leader's clock.
     born: f64,
     mark: u64,
+    /// Of the lowest rank, and no aim counts its class: it fills idle room.
+    fill: bool,
     done: Bitmap,
     /// What the state service has of `done`.
     durable: Bitmap,
@@ -92,9 +94,8 @@
     cpus: f64,
     gpus: f64,
     mem: f64,
-    /// It is of the lowest rank; and would it keep its room for long?
-    low: bool,
-    long: bool,
+    /// Runs on what stands idle; see `yielding`.
+    fill: bool,
     stop: Stop,
 }
 
@@ -232,8 +233,9 @@
     pub looks: u64,
     predictor: Predictor,
     refused: HashMap<(String, String, bool), f64>,
-    /// CPUs wanted, averaged over a longer and a shorter time, and when.
-    wanted: Option<(f64, f64, f64)>,
+    /// CPUs wanted, averaged over a longer, a shorter and the longest time, and
+    /// when.
+    wanted: Option<(f64, f64, f64, f64)>,
     /// Keys whose marks must be read again.
     pub reread: HashSet<String>,
     pub deposed: bool,
@@ -426,6 +428,12 @@
             Job {
                 key,
                 image: image_no(&spec.image),
+                fill: spec.priority == Priority::Low
+                    && !self
+                        .settings
+                        .objectives
+                        .iter()
+                        .any(|o| o.class == spec.class),
                 born: (value.at_ms as f64 / 1000.0 - self.wall_offset).min(now),
                 mark,
                 durable: done.clone(),
--- a/crates/control/src/leader/placing.rs
+++ b/crates/control/src/leader/placing.rs
@@ -87,9 +87,9 @@
     counter: &'a mut u64,
     planned: &'a mut BTreeSet<String>,
     groups: u64,
-    /// Free CPUs that this pass must leave; does it leave out long tasks?
+    /// Free CPUs that this pass must leave; is it for more than filling?
     keep: f64,
-    short_only: bool,
+    no_fill: bool,
     looks: &'a mut u64,
 }
 
@@ -115,7 +115,7 @@
     }
 }
 
-/// Jobs above the lowest rank that wait, and the CPUs that their tasks may use.
+/// Jobs that wait and don't just fill idle room, and the CPUs that their tasks may use.
 pub(super) fn ranked_waiting(
     queue: &Queue<JobNo>,
     jobs: &HashMap<JobNo, Job>,
@@ -133,7 +133,7 @@
         let Some(room) = team.and_then(|t| room.get_mut(t)) else {
             continue;
         };
-        if s.priority == Priority::Low || job.retry_at > now || *room < s.cpus {
+        if job.fill || job.retry_at > now || *room < s.cpus {
             continue;
         }
         let cpus = (s.cpus * f64::from(run.len())).min(*room);
@@ -205,7 +205,7 @@
             waiters.insert(run.job, waiter);
         }
         ranks.sort_unstable();
-        let spare = self.ranked_cpus() * limits::LOW_SPARE;
+        let spare = self.ranked_cpus() * limits::FILL_SPARE;
         let fetching = self.fetching(&team_no);
         let fresh = limits::MISSED_REPORTS * self.settings.workers.report_s;
         let mut sites = Vec::new();
@@ -250,7 +250,7 @@
             planned: &mut self.planned,
             groups: 0,
             keep: 0.0,
-            short_only: false,
+            no_fill: false,
             looks: &mut self.looks,
         };
         // Guaranteed work goes before borrowed work, higher ranks before
@@ -259,13 +259,12 @@
         // already may pass, for a bounded time.
         for guaranteed in [true, false] {
             for rank in &ranks {
-                // Borrowed work of the lowest rank that would keep its room
-                // for long comes last, and leaves some.
+                // What only fills idle room comes last, and leaves some.
                 let last = *rank == Priority::Low && !guaranteed;
-                plan.short_only = last;
+                plan.no_fill = last;
                 plan.serve_rank(&mut queue, guaranteed, *rank);
                 if last {
-                    plan.short_only = false;
+                    plan.no_fill = false;
                     plan.keep = spare + plan.ranked_need(&queue);
                     plan.serve_rank(&mut queue, guaranteed, *rank);
                 }
@@ -353,7 +352,7 @@
         self.serve(queue, guaranteed, rank, Order::Any);
     }
 
-    /// CPUs for which work above the lowest rank waits.
+    /// CPUs for which work waits that doesn't just fill idle room.
     fn ranked_need(&self, queue: &Queue<JobNo>) -> f64 {
         let teams = self.settings.teams.iter().zip(&self.used);
         let room = teams.map(|(t, u)| t.cpus_max - u.0).collect();
@@ -371,11 +370,10 @@
         let Some(w) = self.waiters.get(no).filter(|w| !w.blocked) else {
             return false;
         };
-        if self.short_only && w.est > limits::LOW_LONG_S {
-            return false;
-        }
         self.jobs.get(no).is_some_and(|j| {
-            j.spec.priority == rank && self.team_room(w.team, &j.spec, guaranteed) > 0
+            j.spec.priority == rank
+                && !(self.no_fill && j.fill)
+                && self.team_room(w.team, &j.spec, guaranteed) > 0
         })
     }
 
@@ -646,7 +644,7 @@
             }
         }
         m.idle_since = now;
-        let Waiter { team, est, .. } = self.waiters[&no];
+        let team = self.waiters[&no].team;
         let placements: Vec<Placement> = (first..first + n)
             .map(|task| Placement {
                 id: format!("{}/{task}", s.id),
@@ -667,8 +665,7 @@
                 cpus: s.cpus,
                 gpus: s.gpus,
                 mem: s.memory_gb,
-                low: s.priority == Priority::Low,
-                long: est > limits::LOW_LONG_S,
+                fill: job.fill,
                 stop: Stop::No,
             })
             .collect();
--- a/crates/control/src/leader/yielding.rs
+++ b/crates/control/src/leader/yielding.rs
@@ -1,18 +1,27 @@
-//! Work of the lowest rank that its team isn't guaranteed runs on what stands
-//! idle: it leaves room for arrivals, and is stopped, saving what it can, when
-//! higher work finds none (the protocol's first reason to stop a task).
+//! Work of the lowest rank without an aim on its class fills what stands idle:
+//! beyond its team's guarantee it leaves room for arrivals, and is stopped,
+//! saving what it can, when other work finds none (the protocol's first reason
+//! to stop a task). Lowest-ranked work that an aim counts waits its turn and
+//! keeps its room.
 
 use super::placing::{allowed, ranked_waiting};
 use super::*;
 
 impl Leader {
-    /// CPUs of placed tasks that give way to nobody by rank.
+    /// CPUs of placed tasks that don't just fill idle room.
     pub(super) fn ranked_cpus(&self) -> f64 {
         let all = self.machines.values().flat_map(|m| &m.placed);
-        all.filter(|p| !p.low).map(|p| p.cpus).sum()
+        all.filter(|p| !p.fill).map(|p| p.cpus).sum()
     }
 
-    /// Stops as many low tasks as higher work needs that waits for room.
+    /// Filling work that loses little if it is stopped.
+    fn may_stop(&self, p: &Placement) -> bool {
+        let job = p.job.and_then(|no| self.jobs.get(&no));
+        let saves = job.is_some_and(|j| j.spec.checkpoint_s > 0.0);
+        p.fill && p.stage == Stage::Durable && (saves || !p.running)
+    }
+
+    /// Stops as many filling tasks as other work needs that waits for room.
     pub(super) fn give_way(&mut self, now: f64) {
         let teams = &self.settings.teams;
         let used = |name: &str| self.usage.get(name).map_or(0.0, |u| u.0);
@@ -36,6 +45,7 @@
             .map(|t| (t.name.clone(), used(&t.name) - t.cpus))
             .collect();
         let mut hosts = Vec::new();
+        let mut stops: HashSet<(u64, u32)> = HashSet::new();
         for (name, m) in &self.machines {
             if !m.up || m.draining || m.deleting {
                 continue;
@@ -49,10 +59,10 @@
             if !m.retiring && c + 1e-6 >= least.0 && mem + 1e-6 >= least.1 {
                 short -= c;
             }
-            let mut low = 0.0;
+            let mut filled = 0.0;
             for p in &m.placed {
                 match p.stop {
-                    Stop::No if p.low && p.long && p.stage == Stage::Durable => low += p.cpus,
+                    Stop::No if self.may_stop(p) => filled += p.cpus,
                     Stop::No => {}
                     _ => short -= p.cpus,
                 }
@@ -62,12 +72,14 @@
                     .get(no)
                     .is_some_and(|j| allowed(&j.spec, &m.kind, &m.zone, m.spot))
             };
-            if low > 0.0 && !m.retiring && wanted.iter().any(serves) {
+            if filled > 0.0 && !m.retiring && wanted.iter().any(serves) {
                 let warm = m.images.iter().any(|i| {
                     let of = |no: &JobNo| self.jobs.get(no).is_some_and(|j| j.image == i.no);
                     i.ready_at <= now && wanted.iter().any(of)
                 });
-                hosts.push((warm, low, name.clone()));
+                let of = |p: &&Placement| p.stop == Stop::No && self.may_stop(p);
+                stops.extend(m.placed.iter().filter(of).map(|p| (p.attempt, p.task)));
+                hosts.push((warm, filled, name.clone()));
             }
         }
         // Where the image is, and where most of a machine comes free.
@@ -83,8 +95,7 @@
                 let Some(beyond) = beyond.get_mut(&p.team) else {
                     continue;
                 };
-                let may = p.low && p.long && p.stop == Stop::No && p.stage == Stage::Durable;
-                if may && *beyond >= p.cpus {
+                if stops.contains(&(p.attempt, p.task)) && *beyond >= p.cpus {
                     *beyond -= p.cpus;
                     short -= p.cpus;
                     p.stop = Stop::Due;
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -2,6 +2,7 @@
 //! sleeps.
 #![allow(dead_code)]
 
+use cherrywood_control::cluster::Objective;
 use cherrywood_control::leader::{Inheritance, Outcome};
 use cherrywood_control::{Leader, Settings, Team, keys};
 use cherrywood_wire::agent::{Command, Report, TaskReport, TaskState, Why};
@@ -98,7 +99,11 @@
 
 pub fn settings() -> Settings {
     Settings {
-        objectives: Vec::new(),
+        objectives: vec![Objective {
+            kind: "finished".into(),
+            class: "aimed".into(),
+            within_s: 400.0,
+        }],
         teams: vec![
             Team {
                 name: "t".into(),
@@ -114,6 +119,13 @@
                 gpus: 0.0,
                 gpus_max: 0.0,
             },
+            Team {
+                name: "guest".into(),
+                cpus: 0.0,
+                cpus_max: f64::INFINITY,
+                gpus: 0.0,
+                gpus_max: f64::INFINITY,
+            },
         ],
         workers: toml_like(),
         state: cherrywood_control::cluster::StateLimits {
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -145,12 +145,12 @@
 /// before machines go: a burst or a lull that passes sooner isn't worth a boot.
 pub const RENT_AVERAGE_S: f64 = 20.0;
 pub const RETURN_AVERAGE_S: f64 = 8.0;
-/// Share of the CPUs in use by higher ranks that low-ranked borrowed work
+/// Share of the CPUs in use by other work that work which only fills idle room
 /// leaves free for arrivals: room taken back costs a report, a save and a start.
-pub const LOW_SPARE: f64 = 0.1;
-/// s of run time from which such work is taken to keep its room for long; the
-/// rest gives it back by itself sooner than a stop would pay.
-pub const LOW_LONG_S: f64 = 40.0;
+pub const FILL_SPARE: f64 = 0.02;
+/// s over which the CPUs wanted are averaged before a dear machine goes that such
+/// work can fill meanwhile: longer than its boot, shorter than its keep would pay.
+pub const FILL_HOLD_S: f64 = 60.0;
 /// s between two looks at the fleet.
 pub const FLEET_EVERY_S: f64 = 1.0;
 /// Names in one deletion and machines in one rental (protocol).
