--- a/crates/control/src/leader/fleet.rs
+++ b/crates/control/src/leader/fleet.rs
@@ -139,6 +139,7 @@
             teams: demand.teams.clone(),
         };
         let mut first: Option<&Submission> = None;
+        let mut probes = HashSet::new();
         for run in self.queue.runs() {
             let Some(job) = self.jobs.get(&run.job) else {
                 continue;
@@ -149,7 +150,12 @@
             if demand.teams[at].room < job.spec.cpus {
                 continue;
             }
-            let count = f64::from(run.len());
+            // One task of a job that may carry a mistake, whatever waits of it.
+            let count = match job.suspect() {
+                true if !probes.insert(run.job) => continue,
+                true => 1.0,
+                false => f64::from(run.len()),
+            };
             let run_s = self.run_estimate(job);
             for d in std::iter::once(&mut demand).chain((!job.fill).then_some(&mut ranked)) {
                 if job.spec.kind == Kind::Array {
@@ -255,7 +261,10 @@
         let network = silent as f64 > (up as f64 * limits::SILENT_SHARE_MAX).max(2.0);
         let waits = |fill: bool| {
             let mut runs = self.queue.runs();
-            runs.any(|r| self.jobs.get(&r.job).is_some_and(|j| fill || !j.fill))
+            runs.any(|r| {
+                let job = self.jobs.get(&r.job);
+                job.is_some_and(|j| (fill || !j.fill) && !j.suspect())
+            })
         };
         let (any_waits, ranked_waits) = (waits(true), waits(false));
         for (name, m) in &mut self.machines {
@@ -468,9 +477,10 @@
             })
             .collect();
         format!(
-            "{} jobs, {} machines ({} up, {dear} dear), {placed} placed, waiting {waiting:?}, \
+            "{} jobs ({} suspect), {} machines ({} up, {dear} dear), {placed} placed, waiting {waiting:?}, \
              delayed {}, cpus {cpus} up, {used} placed, {running} running, {:.0} wanted, {}",
             self.jobs.len(),
+            self.jobs.values().filter(|j| j.suspect()).count(),
             self.machines.len(),
             up,
             self.delayed.len(),
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -21,7 +21,7 @@
 use cherrywood_wire::user::{JobState, Kind, Priority, Submission, split_task};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
-use tracing::info;
+use tracing::{info, warn};
 
 mod fleet;
 mod ledger;
@@ -56,12 +56,27 @@
     on: HashMap<u32, u32>,
     running: u32,
     zones: HashMap<String, u32>,
-    /// Machines on which it failed, and the pause that followed.
+    /// Machines on which it failed since a task of it last succeeded, how often,
+    /// and the pause that followed.
     failed_on: HashSet<String>,
     failures: u32,
+    pauses: u32,
     retry_at: f64,
 }
 
+impl Job {
+    /// Has a task of it ever run to its end? Then a failure is the machine's.
+    fn proven(&self) -> bool {
+        self.done.count() > 0
+    }
+
+    /// Failed on several machines and succeeded nowhere meanwhile: it is tried
+    /// one task at a time, and neither rents nor blames anything.
+    fn suspect(&self) -> bool {
+        self.failed_on.len() >= limits::SUSPECT_MACHINES
+    }
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Stage {
     /// Not yet in the ledger.
@@ -150,8 +165,8 @@
     /// Being emptied because the others have room; undone when work waits.
     retiring: bool,
     deleting: bool,
-    sick_jobs: HashSet<String>,
-    sick_streak: u32,
+    /// Jobs whose tasks failed here since one last succeeded here.
+    failing: HashSet<String>,
 }
 
 impl Machine {
@@ -385,8 +400,7 @@
             draining: false,
             retiring: false,
             deleting: false,
-            sick_jobs: HashSet::new(),
-            sick_streak: 0,
+            failing: HashSet::new(),
         }
     }
 
@@ -446,6 +460,7 @@
                 zones: HashMap::new(),
                 failed_on: HashSet::new(),
                 failures: 0,
+                pauses: 0,
                 retry_at: 0.0,
                 spec,
             },
--- a/crates/control/src/leader/placing.rs
+++ b/crates/control/src/leader/placing.rs
@@ -133,7 +133,7 @@
         let Some(room) = team.and_then(|t| room.get_mut(t)) else {
             continue;
         };
-        if job.fill || job.retry_at > now || *room < s.cpus {
+        if job.fill || job.suspect() || job.retry_at > now || *room < s.cpus {
             continue;
         }
         let cpus = (s.cpus * f64::from(run.len())).min(*room);
@@ -198,7 +198,7 @@
                 est: run_estimate(&self.predictor, job),
                 slack: slack(&self.settings, &self.predictor, job, now),
                 team: *team,
-                blocked: job.retry_at > now,
+                blocked: job.retry_at > now || job.suspect() && !job.on.is_empty(),
                 cold: false,
                 best: None,
             };
@@ -495,15 +495,20 @@
         let n = whole
             .min(site.fits(&job.spec))
             .min(zone_room(job, &site.m.zone))
-            .min(self.team_room(team, &job.spec, guaranteed));
+            .min(self.team_room(team, &job.spec, guaranteed))
+            .min(if job.suspect() { 1 } else { u32::MAX });
         if n == 0 {
             self.block(no);
             return;
         }
         *self.counter += 1;
         let attempt = (self.epoch << limits::EPOCH_SHIFT) | *self.counter;
+        let probe = job.suspect();
         queue.take(pick, n, est);
         self.place(no, pick.first, n, attempt, at);
+        if probe {
+            self.block(no);
+        }
     }
 
     /// May others of its standing whose image is at hand go before it?
@@ -564,7 +569,8 @@
                 || site.fits(s) == 0
                 || !allowed(s, &m.kind, &m.zone, m.spot)
                 || zone_room(job, &m.zone) == 0
-                || job.failed_on.len() < 3 && job.failed_on.contains(site.name)
+                || !job.suspect() && job.failed_on.contains(site.name)
+                || job.proven() && m.failing.contains(&job.spec.id)
             {
                 continue;
             }
--- a/crates/control/src/leader/reports.rs
+++ b/crates/control/src/leader/reports.rs
@@ -105,6 +105,7 @@
 
     pub(super) fn match_tasks(&mut self, m: &mut Machine, r: &Report, now: f64) {
         let mut listed = HashSet::new();
+        let mut succeeded: Vec<JobNo> = Vec::new();
         for t in &r.tasks {
             listed.insert((t.task.as_str(), t.attempt));
             let at = m
@@ -149,12 +150,14 @@
             }
             if t.why == Some(Why::Done)
                 && let Some((id, n)) = split_task(&t.task)
-                && let Some(job) = self.ids.get(id).and_then(|no| self.jobs.get_mut(no))
+                && let Some(no) = self.ids.get(id).copied()
+                && let Some(job) = self.jobs.get_mut(&no)
                 && job.spec.kind != Kind::Service
                 && n < job.spec.tasks
+                && !job.done.get(n)
             {
                 job.done.set(n);
-                (job.failures, m.sick_streak) = (0, 0);
+                succeeded.push(no);
             }
             let Some(at) = at else { continue };
             let p = m.placed.remove(at);
@@ -169,6 +172,10 @@
             }
             self.free(&p, &m.zone, now, delay);
         }
+        for no in succeeded {
+            m.failing.clear();
+            self.succeeded(no, now);
+        }
         // What a report doesn't list is not there, if no command that could
         // still start it can reach the worker: it has seen the current token,
         // and the response that carried the start is over.
@@ -194,41 +201,82 @@
         self.lose_all(gone, &m.zone, now);
     }
 
-    /// A task failed; returns the pause before its job is tried again.
+    /// A task of the job ran to its end: where it failed before, the machine is
+    /// at fault, and those failures count for its key.
+    fn succeeded(&mut self, no: JobNo, now: f64) {
+        let Some(job) = self.jobs.get_mut(&no) else {
+            return;
+        };
+        let (failures, key) = (std::mem::take(&mut job.failures), job.key.clone());
+        let machines = std::mem::take(&mut job.failed_on);
+        job.pauses = 0;
+        for _ in 0..failures {
+            self.predictor.lose(&key, now);
+        }
+        for name in machines {
+            let Some(mut m) = self.machines.remove(&name) else {
+                continue;
+            };
+            self.judge(&mut m, &name);
+            self.machines.insert(name, m);
+        }
+    }
+
+    /// A task failed; returns the pause before its job is tried again. Whose
+    /// fault it is shows elsewhere: a job with a mistake succeeds nowhere, and
+    /// on a faulty machine no job succeeds.
     pub(super) fn failed(&mut self, m: &mut Machine, name: &str, p: &Placement, now: f64) -> f64 {
         let Some(job) = p.job.and_then(|no| self.jobs.get_mut(&no)) else {
             return 0.0;
         };
-        job.failed_on.insert(name.to_string());
+        let new = job.failed_on.insert(name.to_string());
         job.failures += 1;
-        // A job that failed on several machines carries its mistake with it:
-        // it is tried ever more slowly and its failures blame no machine.
-        let own_fault = job.failed_on.len() > 2;
-        let key = job.key.clone();
-        let delay = if own_fault {
-            let doublings = (job.failed_on.len() - 3).min(8) as i32;
-            (limits::RETRY_FIRST_S * 2f64.powi(doublings)).min(limits::RETRY_MAX_S)
-        } else {
-            0.0
-        };
-        job.retry_at = job.retry_at.max(now + delay);
-        if !own_fault {
-            m.sick_jobs.insert(job.spec.id.clone());
-            m.sick_streak += 1;
-            let sick =
-                m.sick_jobs.len() >= limits::SICK_JOBS || m.sick_streak >= limits::SICK_STREAK;
-            if sick && !m.draining {
-                info!(
-                    machine = name,
-                    "quarantined: tasks of several jobs fail on it"
+        m.failing.insert(job.spec.id.clone());
+        let mut delay = 0.0;
+        if job.suspect() {
+            let machines = job.failed_on.len();
+            // Tasks that were started before the pause don't make it longer.
+            if now >= job.retry_at {
+                job.pauses += 1;
+            }
+            let doublings = job.pauses.saturating_sub(1).min(8) as i32;
+            delay = (limits::RETRY_FIRST_S * 2f64.powi(doublings)).min(limits::RETRY_MAX_S);
+            if new && machines.is_power_of_two() {
+                warn!(
+                    job = job.spec.id,
+                    team = job.spec.team,
+                    failures = job.failures,
+                    machines,
+                    "fails wherever it runs; tried one task at a time"
                 );
-                m.draining = true;
             }
         }
-        self.predictor.lose(&key, now);
+        job.retry_at = job.retry_at.max(now + delay);
+        self.judge(m, name);
         delay
     }
 
+    /// Is the machine at fault? Nothing has succeeded on it since these jobs
+    /// failed there; those that succeed elsewhere speak against it, those that
+    /// fail elsewhere too do not.
+    fn judge(&self, m: &mut Machine, name: &str) {
+        let jobs = || {
+            let failing = m.failing.iter();
+            failing.filter_map(|id| self.jobs.get(self.ids.get(id)?))
+        };
+        let proven = jobs().filter(|j| j.proven()).count();
+        let only_here = jobs().filter(|j| !j.suspect()).count();
+        let sick = proven >= limits::SICK_PROVEN || only_here >= limits::SICK_JOBS;
+        if sick && !m.draining {
+            info!(
+                machine = name,
+                jobs = only_here,
+                "quarantined: jobs fail on it that succeed elsewhere"
+            );
+            m.draining = true;
+        }
+    }
+
     /// The commands that answer the report (`session`, `seq`) of a machine.
     pub fn commands(&mut self, r: &Report, now: f64) -> Vec<Command> {
         let mut out = Vec::new();
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -118,10 +118,14 @@
 pub const BOOT_PATIENCE: f64 = 3.5;
 /// s added to the above, for machine types that boot fast.
 pub const BOOT_PATIENCE_EXTRA_S: f64 = 20.0;
-/// Jobs whose tasks must fail on a machine before it is given back.
-pub const SICK_JOBS: usize = 2;
-/// Failures of one job alone, in a row, that make its machine suspect too.
-pub const SICK_STREAK: u32 = 6;
+/// Jobs that fail on a machine, with no success there meanwhile, before it is
+/// given back: of those that succeeded elsewhere, and of those that failed on no
+/// other machine yet.
+pub const SICK_PROVEN: usize = 2;
+pub const SICK_JOBS: usize = 3;
+/// Machines on which a job fails, with no success meanwhile, before the mistake
+/// is taken to be its own.
+pub const SUSPECT_MACHINES: usize = 2;
 /// s; first pause of a job that failed on several machines, doubled each time.
 pub const RETRY_FIRST_S: f64 = 1.0;
 pub const RETRY_MAX_S: f64 = 60.0;
