--- a/crates/control/src/leader/fleet.rs
+++ b/crates/control/src/leader/fleet.rs
@@ -3,6 +3,11 @@
 use super::placing::allowed;
 use super::*;
 
+fn boot_s(types: &[MachineType], kind: &str) -> f64 {
+    let boot = types.iter().find(|t| t.name == kind).map(|t| t.boot_s);
+    boot.unwrap_or(60.0)
+}
+
 impl Leader {
     pub fn set_types(&mut self, types: Vec<MachineType>) {
         self.types = types;
@@ -249,6 +254,36 @@
         }
     }
 
+    /// Where should machines be up by now, and most are not? What is on its way
+    /// there counts for nothing, so that a place that has recovered is taken
+    /// again as soon as its machines came or were given up.
+    fn count_late(&mut self, now: f64) {
+        let mut due: BTreeMap<(String, String), (u32, u32, u32)> = BTreeMap::new();
+        let dated = |m: &&mut Machine| m.rented || m.listed_at.is_some();
+        for m in self.machines.values_mut().filter(dated) {
+            let boot = boot_s(&self.types, &m.kind);
+            let age = now - m.born - limits::BOOT_REPORT_S;
+            let recent = boot * limits::BOOT_USUAL..boot * limits::BOOT_RECENT;
+            if m.deleting || !recent.contains(&age) {
+                continue;
+            }
+            let n = due.entry((m.kind.clone(), m.zone.clone())).or_default();
+            *n = (n.0 + 1, n.1 + u32::from(!m.up), n.2);
+            if !m.up && !m.late {
+                m.late = true;
+                n.2 += 1;
+            }
+        }
+        for ((kind, zone), (due, late, new)) in &due {
+            if *new > 0 {
+                info!(kind, zone, late, due, "machines are late coming up");
+            }
+        }
+        let most = |n: &(u32, u32, u32)| n.0 >= limits::BOOT_DUE_MIN && n.1 * 2 > n.0;
+        due.retain(|_, n| most(n));
+        self.bad_boots = due.into_keys().collect();
+    }
+
     pub(super) fn mark_doomed(&mut self, now: f64) {
         let lease = self.settings.workers.lease_s;
         let up = self.machines.values().filter(|m| m.up).count();
@@ -259,6 +294,7 @@
             .filter(|m| m.up && now - m.heard > lease / 2.0)
             .count();
         let network = silent as f64 > (up as f64 * limits::SILENT_SHARE_MAX).max(2.0);
+        self.count_late(now);
         let waits = |fill: bool| {
             let mut runs = self.queue.runs();
             runs.any(|r| {
@@ -288,14 +324,15 @@
                     m.deleting = true;
                 }
             } else {
-                let boot = self
-                    .types
-                    .iter()
-                    .find(|t| t.name == m.kind)
-                    .map_or(60.0, |t| t.boot_s);
+                let boot = boot_s(&self.types, &m.kind);
                 let patience = boot * limits::BOOT_PATIENCE + limits::BOOT_PATIENCE_EXTRA_S;
                 if now - m.born > patience && now - self.since > boot {
-                    info!(machine = name, "never came up; deleting it");
+                    info!(
+                        machine = name,
+                        kind = m.kind,
+                        zone = m.zone,
+                        "never came up; deleting it"
+                    );
                     m.deleting = true;
                 }
             }
@@ -365,6 +402,7 @@
                         price,
                         boot_s: t.boot_s,
                         have,
+                        late: self.bad_boots.contains(&(t.name.clone(), zone.clone())),
                     });
                 }
             }
@@ -426,7 +464,8 @@
             if self.gone.contains_key(name) || self.machines.contains_key(name) {
                 continue;
             }
-            let m = self.machine(&rent.kind, &rent.zone, rent.spot, now);
+            let mut m = self.machine(&rent.kind, &rent.zone, rent.spot, now);
+            m.rented = true;
             self.machines.insert(name.clone(), m);
         }
     }
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -148,6 +148,10 @@
     heard: f64,
     born: f64,
     listed_at: Option<f64>,
+    /// Rented by this leader: `born` is exact.
+    rented: bool,
+    /// It should be up by now, and this was logged.
+    late: bool,
     notice: Option<f64>,
     /// When the notice said that it would be taken.
     taken_at: Option<f64>,
@@ -251,6 +255,8 @@
     /// CPUs wanted, averaged over a longer, a shorter and the longest time, and
     /// when.
     wanted: Option<(f64, f64, f64, f64)>,
+    /// Types and zones where most machines due are late.
+    bad_boots: BTreeSet<(String, String)>,
     /// Keys whose marks must be read again.
     pub reread: HashSet<String>,
     pub deposed: bool,
@@ -313,6 +319,7 @@
             predictor,
             refused: HashMap::new(),
             wanted: None,
+            bad_boots: BTreeSet::new(),
             reread: HashSet::new(),
             deposed: false,
             cheap_only: false,
@@ -389,6 +396,8 @@
             heard: now,
             born: now,
             listed_at: None,
+            rented: false,
+            late: false,
             notice: None,
             taken_at: None,
             addr: String::new(),
--- a/crates/control/src/leader/reports.rs
+++ b/crates/control/src/leader/reports.rs
@@ -48,6 +48,15 @@
                 "machine up"
             );
             m.idle_since = now;
+            if m.late {
+                info!(
+                    machine = r.machine,
+                    kind = m.kind,
+                    zone = m.zone,
+                    after_s = now - m.born,
+                    "came up late"
+                );
+            }
         }
         (m.kind, m.zone, m.spot) = (r.kind.clone(), r.zone.clone(), r.spot);
         if r.session > m.session {
--- /dev/null
+++ b/crates/control/tests/boots.rs
@@ -0,0 +1,130 @@
+//! Machines that come up late or never.
+
+mod common;
+
+use cherrywood_control::Leader;
+use cherrywood_control::leader::CloudCall;
+use cherrywood_wire::agent::Report;
+use cherrywood_wire::cloud::{Listed, ListedState, Rent};
+use cherrywood_wire::user::Submission;
+use common::*;
+
+fn work(id: &str, tasks: u32) -> Submission {
+    Submission {
+        team: "wide".into(),
+        ..job(id, tasks)
+    }
+}
+
+/// Lets the leader rent; machines are named after their number and zone.
+fn rent(l: &mut Leader, count: &mut u32, now: f64) -> Vec<(String, Rent)> {
+    let mut got = Vec::new();
+    for call in l.fleet(now) {
+        let CloudCall::Rent(r) = call else { continue };
+        let names: Vec<String> = (0..r.count)
+            .map(|_| {
+                *count += 1;
+                format!("vm-{count:06}")
+            })
+            .collect();
+        l.rented(&r, Some(&names), now);
+        got.extend(names.into_iter().map(|n| (n, r.clone())));
+    }
+    got
+}
+
+fn comes_up(l: &mut Leader, s: &mut Store, name: &str, zone: &str, now: f64) -> Worker {
+    let mut w = Worker::new(name);
+    w.zone = zone.into();
+    beat(l, s, &mut w, "n1", now);
+    w
+}
+
+/// A zone where nothing boots is rented last while others have room, and is
+/// taken again once its machines came after all.
+#[test]
+fn a_zone_that_boots_nothing_is_avoided_until_it_recovers() {
+    let mut s = Store::default();
+    let mut l = s.elect(1, 0.0);
+    submit(&mut l, &mut s, &work("wk-000001", 64), 0.0);
+    let mut count = 0;
+    let first = rent(&mut l, &mut count, 1.0);
+    let zone_a = |got: &[(String, Rent)]| got.iter().filter(|g| g.1.zone == "a").count();
+    assert!(zone_a(&first) >= 3 && zone_a(&first) < first.len());
+    // Zone b's machines come in time, those in zone a don't.
+    for (name, _) in first.iter().filter(|g| g.1.zone == "b") {
+        comes_up(&mut l, &mut s, name, "b", 31.0);
+    }
+    for step in 40..70 {
+        rent(&mut l, &mut count, f64::from(step));
+    }
+    submit(&mut l, &mut s, &work("wk-000002", 64), 70.0);
+    let next = rent(&mut l, &mut count, 70.0);
+    assert!(!next.is_empty() && zone_a(&next) == 0, "{next:?}");
+    // They come after all, and are used, not deleted.
+    for (name, _) in first.iter().filter(|g| g.1.zone == "a") {
+        let w = comes_up(&mut l, &mut s, name, "a", 80.0);
+        assert!(
+            w.running() > 0,
+            "{name} was replaced, and works all the same"
+        );
+    }
+    for (name, _) in &next {
+        comes_up(&mut l, &mut s, name, "b", 81.0);
+    }
+    l.fleet(82.0);
+    submit(&mut l, &mut s, &work("wk-000003", 64), 83.0);
+    assert!(
+        zone_a(&rent(&mut l, &mut count, 83.0)) > 0,
+        "it has recovered"
+    );
+    l.audit().unwrap();
+}
+
+/// A list may be older than what this leader did: a machine rented or adopted
+/// since isn't taken for gone, and one deleted since doesn't come back.
+#[test]
+fn a_list_older_than_a_rental_an_adoption_and_a_deletion_proves_nothing() {
+    let mut s = Store::default();
+    let mut l = s.elect(1, 0.0);
+    let row = |name: &str, age_s: f64| Listed {
+        id: name.into(),
+        kind: "m8".into(),
+        zone: "a".into(),
+        spot: true,
+        state: ListedState::Running,
+        age_s,
+    };
+    let mut adopted = Worker::new("vm-000900");
+    let mut gone = Worker::new("vm-000901");
+    beat(&mut l, &mut s, &mut adopted, "n1", 1.0);
+    beat(&mut l, &mut s, &mut gone, "n1", 1.0);
+    let names = ["vm-000902".to_string()];
+    let r = Rent {
+        request: "r".into(),
+        kind: "m8".into(),
+        zone: "a".into(),
+        spot: true,
+        count: 1,
+    };
+    l.rented(&r, Some(&names), 2.0);
+    l.deleted(&["vm-000901".to_string()], 2.0);
+    // The old list: without the rental and the adoption, with the deleted one.
+    for now in [3.0, 4.0, 5.0] {
+        beat(&mut l, &mut s, &mut adopted, "n1", now);
+        l.listed(&[row("vm-000901", 60.0)], now);
+    }
+    let late: Report = gone.report();
+    assert_eq!(l.report("n1", &late, &[], 5.0), None, "deleted for certain");
+    submit(&mut l, &mut s, &work("wk-000001", 12), 5.0);
+    let doomed = |calls: &[CloudCall], name: &str| {
+        let of = |c: &CloudCall| matches!(c, CloudCall::Delete(n) if n.iter().any(|n| n == name));
+        calls.iter().any(of)
+    };
+    let calls = l.fleet(5.5);
+    for name in ["vm-000900", "vm-000902"] {
+        assert!(!doomed(&calls, name), "{name}: {calls:?}");
+    }
+    beat(&mut l, &mut s, &mut adopted, "n1", 6.0);
+    assert_eq!(adopted.running(), 4);
+}
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -118,6 +118,14 @@
 pub const BOOT_PATIENCE: f64 = 3.5;
 /// s added to the above, for machine types that boot fast.
 pub const BOOT_PATIENCE_EXTRA_S: f64 = 20.0;
+/// Listed boot times from which a machine is late (the protocol calls 1.5
+/// usual), and up to which it tells something of its type and zone.
+pub const BOOT_USUAL: f64 = 1.5;
+pub const BOOT_RECENT: f64 = 6.0;
+/// s that a new machine's first report may take.
+pub const BOOT_REPORT_S: f64 = 5.0;
+/// Machines due, below which a majority that is late says nothing.
+pub const BOOT_DUE_MIN: u32 = 3;
 /// Jobs that fail on a machine, with no success there meanwhile, before it is
 /// given back: of those that succeeded elsewhere, and of those that failed on no
 /// other machine yet.
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -54,6 +54,8 @@
     pub boot_s: f64,
     /// Machines of this type and kind already there.
     pub have: u32,
+    /// Most machines that should be up there by now are not.
+    pub late: bool,
 }
 
 /// Splits a shortage of CPUs over offers, cheapest CPU first and, at equal
@@ -68,8 +70,10 @@
             .filter(|i| buy[*i] < limits::RENT_MAX)
             .min_by(|a, b| {
                 let (x, y) = (&offers[*a], &offers[*b]);
-                per_cpu(x)
-                    .total_cmp(&per_cpu(y))
+                // Where machines don't come up they cost and do nothing.
+                x.late
+                    .cmp(&y.late)
+                    .then(per_cpu(x).total_cmp(&per_cpu(y)))
                     .then((x.have + buy[*a]).cmp(&(y.have + buy[*b])))
             });
         let Some(i) = best else { break };
@@ -99,6 +103,7 @@
             price,
             boot_s: 30.0,
             have,
+            late: false,
         }
     }
 
@@ -109,6 +114,14 @@
         assert!(shop(0.0, &mut o).is_empty());
     }
 
+    #[test]
+    fn where_machines_are_late_fewer_are_rented_until_nothing_else_is_left() {
+        let mut o = [offer("a", 0.6, 0), offer("b", 0.6, 9)];
+        o[0].late = true;
+        assert_eq!(shop(64.0, &mut o), vec![(1, 2)]);
+        assert_eq!(shop(64.0, &mut o[..1]), vec![(0, 2)]);
+    }
+
     #[test]
     fn of_machines_at_like_prices_those_that_boot_sooner_come_first() {
         let slow = Offer {
