Cloud calls are checked against the lease one by one; tests of processes that stood still

After a freeze a former leader could still ask the cloud to delete machines of the next one. Tests: a leader and a holder that stood still, within and past their leases, with queued reports and frames. A node that still names itself as leader answers at once.

--- a/crates/cherrywood/src/api.rs
+++ b/crates/cherrywood/src/api.rs
@@ -302,6 +302,7 @@
     use cherrywood_control::leader::Inheritance;
     use cherrywood_wire::cloud::MachineType;
     use cherrywood_wire::user::Priority;
+    use std::sync::Arc;
 
     fn node() -> Node {
         let platform = Settings::platform(EXAMPLE).unwrap();
@@ -474,6 +475,93 @@
         );
     }
 
+    fn beat_of(machine: &str, seq: u64) -> Report {
+        Report {
+            machine: machine.into(),
+            addr: String::new(),
+            kind: "m8".into(),
+            zone: "a".into(),
+            spot: false,
+            session: 1,
+            seq,
+            token: 0,
+            notice_s: None,
+            tasks: Vec::new(),
+        }
+    }
+
+    fn wait<T>(answer: impl Future<Output = T>) -> T {
+        let rt = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .unwrap();
+        rt.block_on(answer)
+    }
+
+    /// A process may stand still while its clocks run on, and then find reports
+    /// and frames queued in its sockets. What it may do is judged by the time
+    /// of doing: within its lease all is as before, past it nothing is answered.
+    #[test]
+    fn a_leader_that_stood_still_past_its_lease_answers_nothing_that_was_queued() {
+        use cherrywood_wire::peer::{Reply, Request as Ask};
+        let node = Arc::new(node());
+        let cluster = node.settings.platform.deployment.cluster.clone();
+        let leader = Leader::new(2, 7, cluster, types(), Inheritance::default(), 0.0);
+        {
+            let mut core = node.core();
+            core.leader = Some(leader);
+            core.known = Some(node.me().to_string());
+            core.leader_until = node.now() + 60.0;
+        }
+        let frame = |seq| Ask::Reports {
+            from: "n1".into(),
+            reports: vec![(beat_of("vm-1", seq), Vec::new())],
+        };
+        let answers = |reply| match reply {
+            Reply::Reports { answers } => answers[0].is_some(),
+            other => panic!("{other:?}"),
+        };
+        let hello = || Ask::Hello {
+            from: "n1".into(),
+            state_ok: true,
+        };
+        let leads = |reply| match reply {
+            Reply::Hello { leads, block, .. } => (leads.is_some(), block.len()),
+            other => panic!("{other:?}"),
+        };
+        // Shorter than the lease.
+        assert!(answers(wait(node.peer(frame(1)))));
+        assert_eq!(leads(wait(node.peer(hello()))), (true, 1));
+        assert!(wait(node.report(beat_of("vm-2", 1))).is_some());
+        // Longer: the lease ended while it stood, with these in its sockets.
+        node.core().leader_until = node.now();
+        assert!(!answers(wait(node.peer(frame(2)))));
+        assert_eq!(leads(wait(node.peer(hello()))), (false, 0));
+        let counts = Ask::Counts { jobs: vec![] };
+        assert_eq!(wait(node.peer(counts)), Reply::No);
+        assert!(wait(node.report(beat_of("vm-3", 1))).is_none());
+        let new = encode(&beat_of("vm-4", 1));
+        let told = ask(&node, "POST", "/agent/beat", new);
+        assert_eq!((told.status, told.retry_after_s), (503, Some(1)));
+    }
+
+    /// The same for a holder: its grants ran out while it stood.
+    #[test]
+    fn a_holder_that_stood_still_past_its_grants_sends_workers_away() {
+        let node = node();
+        let grant = |ago: f64| {
+            let (now, grant_s) = (node.now(), node.timing.grant_s);
+            let mut core = node.core();
+            core.holder = cherrywood_control::Holder::default();
+            core.holder.granted("vm-1", 9, now - ago, grant_s);
+        };
+        let beat = || ask(&node, "POST", "/agent/beat", encode(&beat_of("vm-1", 1)));
+        grant(node.timing.grant_s - 5.0);
+        assert_eq!(beat().status, 200, "the leader can't be asked, but it may");
+        grant(node.timing.grant_s);
+        assert_eq!(beat().status, 503);
+    }
+
     /// An answer of an earlier epoch once reached a new leader on the same
     /// node, whose job numbers are others.
     #[test]
--- a/crates/cherrywood/src/loops.rs
+++ b/crates/cherrywood/src/loops.rs
@@ -554,12 +554,18 @@
     loop {
         sleep(limits::FLEET_EVERY_S).await;
         let now = node.now();
-        let calls = node
+        let (epoch, calls) = node
             .core()
             .leading(now)
-            .map(|l| l.fleet(now))
+            .map(|l| (l.epoch(), l.fleet(now)))
             .unwrap_or_default();
         for call in calls {
+            // Each call may take seconds, and this process may have stood still:
+            // machines of another leader are not for this one to delete.
+            let now = node.now();
+            if node.core().leading(now).is_none_or(|l| l.epoch() != epoch) {
+                break;
+            }
             match call {
                 CloudCall::Delete(names) => {
                     if node.cloud.delete(&names).await.is_ok() {
--- a/crates/cherrywood/src/node.rs
+++ b/crates/cherrywood/src/node.rs
@@ -218,7 +218,10 @@
         report: Report,
         finished: Vec<(String, f64)>,
     ) -> Answer {
-        known?;
+        // A node that led until just now still names itself.
+        self.peers
+            .iter()
+            .find(|p| Some(&p.label) == known.as_ref())?;
         let (answer, told) = oneshot::channel();
         lock(&self.outbox).push(Outgoing {
             report,
