--- a/crates/cherrywood/src/loops.rs
+++ b/crates/cherrywood/src/loops.rs
@@ -468,9 +468,32 @@
 /// The slow pulse: aging, delayed tasks, writes that were put off.
 async fn tick(node: Arc<Node>) {
     let mut beats = 0u32;
+    let mut last = node.now();
+    let mut healthy = node.healthy();
     loop {
         sleep(limits::AGING_EVERY_S).await;
         let now = node.now();
+        let gap_s = now - last - limits::AGING_EVERY_S;
+        if gap_s > limits::STOOD_STILL_S {
+            warn!(gap_s, "time stood still: this process did not run");
+        }
+        last = now;
+        if healthy != node.healthy() {
+            healthy = !healthy;
+            let state_s = now - node.core().state_ok;
+            if healthy {
+                info!("users are served again");
+            } else {
+                warn!(
+                    state_s,
+                    "users are sent to other nodes: no state service here"
+                );
+            }
+        }
+        let refused = node.polls.refused();
+        if refused > 0 {
+            info!(refused, "polls refused: the state service or its budget");
+        }
         {
             let mut core = node.core();
             core.holder.forget_old(now, limits::UNHEARD_S);
--- a/crates/cherrywood/src/polls.rs
+++ b/crates/cherrywood/src/polls.rs
@@ -11,6 +11,7 @@
 use cherrywood_net::budget::Class;
 use cherrywood_wire::state::FinalValue;
 use std::collections::{BTreeMap, HashSet};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::sync::{Notify, oneshot};
@@ -32,9 +33,15 @@
 pub struct Polls {
     waiting: Mutex<Waiting>,
     due: Notify,
+    /// Answered with 503 since the log last said so.
+    refused: AtomicUsize,
 }
 
 impl Polls {
+    pub fn refused(&self) -> usize {
+        self.refused.swap(0, Ordering::Relaxed)
+    }
+
     pub async fn ask(&self, id: &str) -> Told {
         let (answer, told) = oneshot::channel();
         lock(&self.waiting)
@@ -81,7 +88,9 @@
     let existing: HashSet<String> = match existing {
         Ok(keys) => keys.into_iter().collect(),
         Err(e) => {
-            debug!(polls = batch.len(), %e, "polls put off");
+            let askers: usize = batch.values().map(Vec::len).sum();
+            node.polls.refused.fetch_add(askers, Ordering::Relaxed);
+            debug!(askers, %e, "polls refused");
             return;
         }
     };
@@ -118,7 +127,6 @@
     use cherrywood_wire::user::{JobState, JobStatus};
     use cherrywood_wire::{decode, encode};
     use serde::{Deserialize, Serialize};
-    use std::sync::atomic::{AtomicUsize, Ordering};
     use tokio::net::TcpListener;
 
     #[derive(Deserialize)]
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -169,8 +169,8 @@
     /// Being emptied because the others have room; undone when work waits.
     retiring: bool,
     deleting: bool,
-    /// Jobs whose tasks failed here since one last succeeded here.
-    failing: HashSet<String>,
+    /// Jobs whose tasks failed here since one last succeeded here, and how many.
+    failing: HashMap<String, u32>,
 }
 
 impl Machine {
@@ -409,7 +409,7 @@
             draining: false,
             retiring: false,
             deleting: false,
-            failing: HashSet::new(),
+            failing: HashMap::new(),
         }
     }
 
--- a/crates/control/src/leader/placing.rs
+++ b/crates/control/src/leader/placing.rs
@@ -570,7 +570,7 @@
                 || !allowed(s, &m.kind, &m.zone, m.spot)
                 || zone_room(job, &m.zone) == 0
                 || !job.suspect() && job.failed_on.contains(site.name)
-                || job.proven() && m.failing.contains(&job.spec.id)
+                || job.proven() && m.failing.contains_key(&job.spec.id)
             {
                 continue;
             }
--- a/crates/control/src/leader/reports.rs
+++ b/crates/control/src/leader/reports.rs
@@ -240,7 +240,7 @@
         };
         let new = job.failed_on.insert(name.to_string());
         job.failures += 1;
-        m.failing.insert(job.spec.id.clone());
+        *m.failing.entry(job.spec.id.clone()).or_default() += 1;
         let mut delay = 0.0;
         if job.suspect() {
             let machines = job.failed_on.len();
@@ -266,16 +266,16 @@
     }
 
     /// Is the machine at fault? Nothing has succeeded on it since these jobs
-    /// failed there; those that succeed elsewhere speak against it, those that
-    /// fail elsewhere too do not.
+    /// failed there: each failure of one that succeeds elsewhere speaks against
+    /// it, those of one that fails elsewhere too do not.
     fn judge(&self, m: &mut Machine, name: &str) {
         let jobs = || {
             let failing = m.failing.iter();
-            failing.filter_map(|id| self.jobs.get(self.ids.get(id)?))
+            failing.filter_map(|(id, n)| Some((self.jobs.get(self.ids.get(id)?)?, *n)))
         };
-        let proven = jobs().filter(|j| j.proven()).count();
-        let only_here = jobs().filter(|j| !j.suspect()).count();
-        let sick = proven >= limits::SICK_PROVEN || only_here >= limits::SICK_JOBS;
+        let proven: u32 = jobs().filter(|j| j.0.proven()).map(|j| j.1).sum();
+        let only_here = jobs().filter(|j| !j.0.suspect()).count();
+        let sick = proven >= limits::SICK_TASKS || only_here >= limits::SICK_JOBS;
         if sick && !m.draining {
             info!(
                 machine = name,
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -28,6 +28,8 @@
 pub const IDLE_HALF_LIFE_S: f64 = 600.0;
 /// s; a task that has waited this long in its level may move up.
 pub const AGING_S: f64 = 5.0;
+/// s that a timer must be late before the log says that time stood still.
+pub const STOOD_STILL_S: f64 = 1.0;
 /// s between two passes of aging.
 pub const AGING_EVERY_S: f64 = 0.5;
 /// Histograms kept; the least recently used key goes first (memory).
@@ -126,10 +128,9 @@
 pub const BOOT_REPORT_S: f64 = 5.0;
 /// Machines due, below which a majority that is late says nothing.
 pub const BOOT_DUE_MIN: u32 = 3;
-/// Jobs that fail on a machine, with no success there meanwhile, before it is
-/// given back: of those that succeeded elsewhere, and of those that failed on no
-/// other machine yet.
-pub const SICK_PROVEN: usize = 2;
+/// What fails on a machine, with no success there meanwhile, before it is given
+/// back: tasks of jobs that succeeded elsewhere, or jobs that failed nowhere else.
+pub const SICK_TASKS: u32 = 2;
 pub const SICK_JOBS: usize = 3;
 /// Machines on which a job fails, with no success meanwhile, before the mistake
 /// is taken to be its own.
