A host between the program and time, chance, tasks and network; the node a package

Need: a rehearsal plays the same controllers in virtual time, and replays them to the byte; 'api', 'node' and 'polls' formed a circle. Change: net::Host gives clock, time of day, chance, tasks, streams and listeners; on a machine each call goes straight to tokio. crates/node holds the controller process, arrows one way; loops split by concern. Nothing in control depends on the order of a hash map or on the platform's exp any more; images are numbered by xxh3, since the number is kept in the state service.

--- a/crates/cherrywood/src/cli.rs
+++ b/crates/cherrywood/src/cli.rs
@@ -1,6 +1,7 @@
 //! The command line: the daemon, a settings check, and a small client.
 
 use anyhow::{Context as _, bail};
+use cherrywood_net::Host;
 use cherrywood_net::client::Client;
 use cherrywood_wire::user::{JobStatus, Submission};
 use clap::{Parser, Subcommand};
@@ -56,7 +57,7 @@
             Some(Vec::new()),
         ),
     };
-    let answer = Client::new(node)
+    let answer = Client::new(&Host::machine(), node)
         .send(
             method,
             &path,
--- a/crates/cherrywood/src/main.rs
+++ b/crates/cherrywood/src/main.rs
@@ -1,6 +1,9 @@
-use cherrywood::cli::{Args, client};
-use cherrywood::settings::Settings;
+mod cli;
+
+use cherrywood_net::Host;
+use cherrywood_node::settings::Settings;
 use clap::Parser as _;
+use cli::{Args, client};
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
@@ -54,7 +57,7 @@
         .without_time()
         .with_target(false)
         .init();
-    match runtime.block_on(cherrywood::run(settings)) {
+    match runtime.block_on(cherrywood_node::run(Host::machine(), settings)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("cherrywood: {e:#}");
--- a/crates/control/src/leader/fleet.rs
+++ b/crates/control/src/leader/fleet.rs
@@ -65,7 +65,7 @@
             Some(w) if w.0 > 0.0 => w,
             _ => (wanted, wanted, wanted, now),
         };
-        let step = |over: f64| 1.0 - (-(now - at) / over).exp();
+        let step = |over: f64| 1.0 - libm::exp(-(now - at) / over);
         slow += (wanted - slow) * step(limits::RENT_AVERAGE_S);
         fast += (wanted - fast) * step(limits::RETURN_AVERAGE_S);
         held += (wanted - held) * step(limits::FILL_HOLD_S);
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -20,7 +20,6 @@
 };
 use cherrywood_wire::user::{JobState, Kind, Priority, Submission, split_task};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
-use std::hash::{DefaultHasher, Hash, Hasher};
 use tracing::{info, warn};
 
 mod fleet;
@@ -58,7 +57,7 @@
     zones: HashMap<String, u32>,
     /// Machines on which it failed since a task of it last succeeded, how often,
     /// and the pause that followed.
-    failed_on: HashSet<String>,
+    failed_on: BTreeSet<String>,
     failures: u32,
     pauses: u32,
     retry_at: f64,
@@ -214,6 +213,8 @@
     Delete(Vec<String>),
 }
 
+/// Nothing that it does may depend on the order of a hash map: a rehearsal must
+/// replay to the byte, and an incident as well.
 #[derive(Debug)]
 pub struct Leader {
     epoch: u64,
@@ -258,7 +259,7 @@
     /// Types and zones where most machines due are late.
     bad_boots: BTreeSet<(String, String)>,
     /// Keys whose marks must be read again.
-    pub reread: HashSet<String>,
+    pub reread: BTreeSet<String>,
     pub deposed: bool,
     /// Operators' wish: no machine at the full price.
     pub cheap_only: bool,
@@ -320,7 +321,7 @@
             refused: HashMap::new(),
             wanted: None,
             bad_boots: BTreeSet::new(),
-            reread: HashSet::new(),
+            reread: BTreeSet::new(),
             deposed: false,
             cheap_only: false,
         };
@@ -467,7 +468,7 @@
                 on: HashMap::new(),
                 running: 0,
                 zones: HashMap::new(),
-                failed_on: HashSet::new(),
+                failed_on: BTreeSet::new(),
                 failures: 0,
                 pauses: 0,
                 retry_at: 0.0,
@@ -613,7 +614,9 @@
     }
 
     pub fn live_jobs(&self) -> Vec<String> {
-        self.ids.keys().cloned().collect()
+        let mut ids: Vec<String> = self.ids.keys().cloned().collect();
+        ids.sort_unstable();
+        ids
     }
 
     /// (done, running) of a live job, for display.
@@ -650,11 +653,10 @@
 }
 
 /// A number for an image's name, so that looking for it compares no text. Two
-/// names with one number would only misjudge a wait.
+/// names with one number would only misjudge a wait. It is kept in the state
+/// service, so it must be the same for every build.
 fn image_no(name: &str) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    name.hash(&mut hasher);
-    hasher.finish()
+    xxhash_rust::xxh3::xxh3_64(name.as_bytes())
 }
 
 /// Keeps the sums in step with a placement that appears (+1) or goes (-1).
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -217,6 +217,8 @@
 /// s for a whole request to arrive, and for an idle connection to stay.
 pub const REQUEST_WAIT_S: f64 = 10.0;
 pub const IDLE_WAIT_S: f64 = 75.0;
+/// s before another try to accept, when sockets ran out.
+pub const ACCEPT_AGAIN_S: f64 = 0.05;
 /// Share of the platform's sockets that served connections may take.
 pub const SOCKET_SHARE: f64 = 0.8;
 /// Final states kept in memory; the rest is read again when asked for.
@@ -234,8 +236,9 @@
 /// Share of the state service's budget that the leader may use; the others
 /// divide the rest.
 pub const LEADER_SHARE: f64 = 0.55;
-/// Tries of a read in a takeover, 0.1 s apart.
+/// Tries of a read in a takeover, and s between them.
 pub const TAKEOVER_TRIES: u32 = 20;
+pub const TAKEOVER_GAP_S: f64 = 0.1;
 /// Tries of a leader's write before its keys are read again.
 pub const COMMIT_TRIES: u32 = 6;
 /// Looks at a job that changes while it is being cancelled.
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -1,17 +1,17 @@
 //! A small HTTP/1.1 client for one address, with kept connections.
 
-use crate::{NetError, secs};
+use crate::{Host, NetError, Stream};
 use cherrywood_limits as limits;
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
-use tokio::time::{Instant, timeout_at};
 
 #[derive(Debug)]
 pub struct Client {
+    host: Host,
     addr: SocketAddr,
-    idle: Mutex<Vec<(TcpStream, Instant)>>,
+    /// Kept connections, and since when.
+    idle: Mutex<Vec<(Stream, f64)>>,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -21,17 +21,19 @@
 }
 
 impl Client {
-    pub fn new(addr: SocketAddr) -> Self {
+    pub fn new(host: &Host, addr: SocketAddr) -> Self {
         Client {
+            host: host.clone(),
             addr,
             idle: Mutex::new(Vec::new()),
         }
     }
 
-    fn kept(&self) -> Option<TcpStream> {
+    fn kept(&self) -> Option<Stream> {
+        let now = self.host.now();
         let mut idle = self.idle.lock().expect("no panic while held");
         while let Some((stream, since)) = idle.pop() {
-            if since.elapsed() < secs(limits::KEEP_S) {
+            if now - since < limits::KEEP_S {
                 return Some(stream);
             }
         }
@@ -46,14 +48,15 @@
         body: Option<&[u8]>,
         wait_s: f64,
     ) -> Result<Answer, NetError> {
-        let deadline = Instant::now() + secs(wait_s);
+        let deadline = self.host.now() + wait_s;
         let mut stream = match self.kept() {
             Some(stream) => stream,
-            None => match timeout_at(deadline, TcpStream::connect(self.addr)).await {
-                Ok(Ok(stream)) => {
-                    let _ = stream.set_nodelay(true);
-                    stream
-                }
+            None => match self
+                .host
+                .timeout(wait_s, self.host.connect(self.addr))
+                .await
+            {
+                Ok(Ok(stream)) => stream,
                 Ok(Err(e)) => return Err(NetError::Refused(e.to_string())),
                 Err(_) => return Err(NetError::Refused("connecting takes too long".into())),
             },
@@ -76,11 +79,12 @@
                 .map_err(|e| NetError::Unknown(e.to_string()))?;
             read_answer(&mut stream).await
         };
-        match timeout_at(deadline, talk).await {
+        let left = deadline - self.host.now();
+        match self.host.timeout(left, talk).await {
             Ok(Ok((answer, close))) => {
                 let mut idle = self.idle.lock().expect("no panic while held");
                 if !close && idle.len() < limits::KEEP_MAX {
-                    idle.push((stream, Instant::now()));
+                    idle.push((stream, self.host.now()));
                 }
                 Ok(answer)
             }
@@ -97,7 +101,7 @@
     }
 }
 
-async fn read_answer(stream: &mut TcpStream) -> Result<(Answer, bool), NetError> {
+async fn read_answer(stream: &mut Stream) -> Result<(Answer, bool), NetError> {
     let mut buf = Vec::with_capacity(2048);
     loop {
         let n = stream
--- a/crates/net/src/cloud.rs
+++ b/crates/net/src/cloud.rs
@@ -1,29 +1,28 @@
 //! Client of the cloud.
 
-use crate::NetError;
 use crate::budget::{Budget, Class};
 use crate::client::Client;
+use crate::{Host, NetError};
 use cherrywood_limits as limits;
 use cherrywood_wire::cloud::{Listed, MachineList, MachineType, MachineTypes, Names, Rent};
 use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
-use tokio::time::Instant;
 
 #[derive(Debug)]
 pub struct CloudClient {
+    host: Host,
     http: Client,
     budget: Budget,
-    start: Instant,
 }
 
 impl CloudClient {
     /// Only the leader talks to the cloud, but for a read of the types at a
     /// node's start; a little of the rate is left for that.
-    pub fn new(addr: SocketAddr, rps: f64) -> Self {
+    pub fn new(host: &Host, addr: SocketAddr, rps: f64) -> Self {
         CloudClient {
-            http: Client::new(addr),
+            host: host.clone(),
+            http: Client::new(host, addr),
             budget: Budget::new((rps * 0.85).max(1.0)),
-            start: Instant::now(),
         }
     }
 
@@ -34,13 +33,11 @@
         body: Option<&[u8]>,
     ) -> Result<T, NetError> {
         loop {
-            let wait = self
-                .budget
-                .take(Class::First, 1.0, self.start.elapsed().as_secs_f64());
+            let wait = self.budget.take(Class::First, 1.0, self.host.now());
             if wait <= 0.0 {
                 break;
             }
-            tokio::time::sleep(crate::secs(wait)).await;
+            self.host.sleep(wait).await;
         }
         let answer = self
             .http
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -1,14 +1,16 @@
-//! Network side of cherrywood: a small HTTP/1.1 server and client, peer
-//! frames, request budgets, and clients of the state service and the cloud.
+//! Network side of cherrywood: the host that a process runs on, a small HTTP/1.1
+//! server and client, peer frames, request budgets, and clients of the state
+//! service and the cloud.
 
 pub mod budget;
 pub mod client;
 pub mod cloud;
+pub mod host;
 pub mod peer;
 pub mod server;
 pub mod state;
 
-use std::time::Duration;
+pub use host::{Host, Listener, Stream};
 
 /// What became of a request that has no usable answer.
 #[derive(Debug, thiserror::Error, Clone, PartialEq, Eq)]
@@ -23,7 +25,3 @@
     #[error("bad answer: {0}")]
     Bad(String),
 }
-
-pub(crate) fn secs(s: f64) -> Duration {
-    Duration::from_secs_f64(s.max(0.0))
-}
--- a/crates/net/src/peer.rs
+++ b/crates/net/src/peer.rs
@@ -2,7 +2,7 @@
 //! connection carries one request at a time; a request that times out takes
 //! its connection with it, so no answer can meet the wrong request.
 
-use crate::{NetError, secs};
+use crate::{Host, Listener, NetError, Stream};
 use bitcode::{Decode, Encode};
 use cherrywood_limits as limits;
 use cherrywood_wire::peer::{Reply, Request};
@@ -10,17 +10,15 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
-use tokio::time::timeout;
 
-async fn send<T: Encode>(stream: &mut TcpStream, value: &T) -> std::io::Result<()> {
+async fn send<T: Encode>(stream: &mut Stream, value: &T) -> std::io::Result<()> {
     let body = bitcode::encode(value);
     let mut bytes = (body.len() as u32).to_be_bytes().to_vec();
     bytes.extend_from_slice(&body);
     stream.write_all(&bytes).await
 }
 
-async fn receive<T: for<'a> Decode<'a>>(stream: &mut TcpStream) -> std::io::Result<T> {
+async fn receive<T: for<'a> Decode<'a>>(stream: &mut Stream) -> std::io::Result<T> {
     let len = stream.read_u32().await? as usize;
     if len > limits::FRAME_MAX {
         return Err(std::io::ErrorKind::InvalidData.into());
@@ -33,14 +31,16 @@
 #[derive(Debug)]
 pub struct Peer {
     pub label: String,
+    host: Host,
     addr: SocketAddr,
-    idle: Mutex<Vec<TcpStream>>,
+    idle: Mutex<Vec<Stream>>,
 }
 
 impl Peer {
-    pub fn new(label: &str, addr: SocketAddr) -> Self {
+    pub fn new(host: &Host, label: &str, addr: SocketAddr) -> Self {
         Peer {
             label: label.to_string(),
+            host: host.clone(),
             addr,
             idle: Mutex::new(Vec::new()),
         }
@@ -51,11 +51,7 @@
             let kept = self.idle.lock().expect("no panic while held").pop();
             let mut stream = match kept {
                 Some(stream) => stream,
-                None => {
-                    let stream = TcpStream::connect(self.addr).await?;
-                    let _ = stream.set_nodelay(true);
-                    stream
-                }
+                None => self.host.connect(self.addr).await?,
             };
             send(&mut stream, request).await?;
             let reply: Reply = receive(&mut stream).await?;
@@ -65,7 +61,7 @@
             }
             Ok::<_, std::io::Error>(reply)
         };
-        let err = match timeout(secs(wait_s), talk).await {
+        let err = match self.host.timeout(wait_s, talk).await {
             Ok(Ok(reply)) => return Ok(reply),
             Ok(Err(e)) => e.to_string(),
             Err(_) => "timed out".to_string(),
@@ -76,21 +72,21 @@
 }
 
 /// Answers peers for ever.
-pub async fn serve<H, F>(listener: TcpListener, handler: Arc<H>)
+pub async fn serve<H, F>(host: Host, mut listener: Listener, handler: Arc<H>)
 where
     H: Fn(Request) -> F + Send + Sync + 'static,
     F: Future<Output = Reply> + Send + 'static,
 {
     loop {
         let Ok((mut stream, _)) = listener.accept().await else {
-            tokio::time::sleep(secs(0.05)).await;
+            host.sleep(limits::ACCEPT_AGAIN_S).await;
             continue;
         };
-        let handler = handler.clone();
-        tokio::spawn(async move {
-            let _ = stream.set_nodelay(true);
-            while let Ok(Ok(request)) =
-                timeout(secs(limits::IDLE_WAIT_S), receive::<Request>(&mut stream)).await
+        let (own, handler) = (host.clone(), handler.clone());
+        host.spawn(async move {
+            while let Ok(Ok(request)) = own
+                .timeout(limits::IDLE_WAIT_S, receive::<Request>(&mut stream))
+                .await
             {
                 let reply = handler(request).await;
                 if send(&mut stream, &reply).await.is_err() {
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -1,14 +1,13 @@
 //! A small HTTP/1.1 server: keep-alive, no pipelining, bounded heads, bodies
 //! and connections.
 
-use crate::secs;
+use crate::{Host, Listener, Stream};
 use cherrywood_limits as limits;
 use std::future::Future;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
-use tokio::time::timeout;
 
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Request {
@@ -62,17 +61,18 @@
     }
 }
 
-/// Accepts connections for ever, at most `most` at once.
-pub async fn serve<H, F>(listener: TcpListener, most: usize, handler: Arc<H>)
+/// Accepts connections for ever, at most `most` at once. The handler is told
+/// where a request comes from.
+pub async fn serve<H, F>(host: Host, mut listener: Listener, most: usize, handler: Arc<H>)
 where
-    H: Fn(Request) -> F + Send + Sync + 'static,
+    H: Fn(Request, SocketAddr) -> F + Send + Sync + 'static,
     F: Future<Output = Response> + Send + 'static,
 {
     let open = Arc::new(AtomicUsize::new(0));
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        let Ok((stream, from)) = listener.accept().await else {
             // Out of sockets: others must close first.
-            tokio::time::sleep(secs(0.05)).await;
+            host.sleep(limits::ACCEPT_AGAIN_S).await;
             continue;
         };
         if open.load(Ordering::Relaxed) >= most {
@@ -80,10 +80,10 @@
             continue;
         }
         open.fetch_add(1, Ordering::Relaxed);
-        let (open, handler) = (open.clone(), handler.clone());
-        tokio::spawn(async move {
-            let _ = stream.set_nodelay(true);
-            connection(stream, handler).await;
+        let (open, own, handler) = (open.clone(), host.clone(), handler.clone());
+        host.spawn(async move {
+            let handler = |request| handler(request, from);
+            connection(&own, stream, handler).await;
             open.fetch_sub(1, Ordering::Relaxed);
         });
     }
@@ -145,18 +145,22 @@
     }
 }
 
-async fn connection<H, F>(mut stream: TcpStream, handler: Arc<H>)
+async fn connection<H, F>(host: &Host, mut stream: Stream, handler: H)
 where
     H: Fn(Request) -> F,
     F: Future<Output = Response>,
 {
     let mut buf: Vec<u8> = Vec::with_capacity(1024);
     loop {
-        let read = timeout(secs(limits::IDLE_WAIT_S), fill(&mut stream, &mut buf)).await;
+        let read = host
+            .timeout(limits::IDLE_WAIT_S, fill(&mut stream, &mut buf))
+            .await;
         if !matches!(read, Ok(true)) {
             return;
         }
-        let got = timeout(secs(limits::REQUEST_WAIT_S), request(&mut stream, &mut buf)).await;
+        let got = host
+            .timeout(limits::REQUEST_WAIT_S, request(&mut stream, &mut buf))
+            .await;
         let (answer, close) = match got {
             Ok(Ok((req, close))) => {
                 let answer = handler(req).await;
@@ -166,22 +170,19 @@
             Ok(Err(Some(status))) => (Response::empty(status), true),
             _ => return,
         };
-        if write(&mut stream, &answer, close).await.is_err() || close {
+        if write(host, &mut stream, &answer, close).await.is_err() || close {
             return;
         }
     }
 }
 
 /// Reads at least one byte unless some are there already.
-async fn fill(stream: &mut TcpStream, buf: &mut Vec<u8>) -> bool {
+async fn fill(stream: &mut Stream, buf: &mut Vec<u8>) -> bool {
     !buf.is_empty() || matches!(stream.read_buf(buf).await, Ok(n) if n > 0)
 }
 
 /// One whole request; the status to refuse it with, if it can be answered.
-async fn request(
-    stream: &mut TcpStream,
-    buf: &mut Vec<u8>,
-) -> Result<(Request, bool), Option<u16>> {
+async fn request(stream: &mut Stream, buf: &mut Vec<u8>) -> Result<(Request, bool), Option<u16>> {
     loop {
         match parse(buf) {
             Parsed::Broken => return Err(Some(400)),
@@ -209,7 +210,12 @@
     }
 }
 
-async fn write(stream: &mut TcpStream, answer: &Response, close: bool) -> std::io::Result<()> {
+async fn write(
+    host: &Host,
+    stream: &mut Stream,
+    answer: &Response,
+    close: bool,
+) -> std::io::Result<()> {
     let mut out = format!(
         "HTTP/1.1 {} {}\r\nContent-Length: {}\r\n",
         answer.status,
@@ -228,7 +234,7 @@
     out.push_str("\r\n");
     let mut bytes = out.into_bytes();
     bytes.extend_from_slice(&answer.body);
-    timeout(secs(limits::REQUEST_WAIT_S), stream.write_all(&bytes))
+    host.timeout(limits::REQUEST_WAIT_S, stream.write_all(&bytes))
         .await
         .unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into()))
 }
--- a/crates/net/src/state.rs
+++ b/crates/net/src/state.rs
@@ -2,15 +2,15 @@
 
 use crate::budget::{Budget, Class};
 use crate::client::Client;
-use crate::{NetError, secs};
+use crate::{Host, NetError};
 use cherrywood_limits as limits;
 use cherrywood_wire::state::{Events, Guard, Item, Items, Lease, LeaseRequest, Txn, TxnAnswer};
 use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
-use tokio::time::Instant;
 
 #[derive(Debug)]
 pub struct StateClient {
+    host: Host,
     http: Client,
     watches: Client,
     reads: Budget,
@@ -18,7 +18,6 @@
     rps: f64,
     write_rps: f64,
     nodes: f64,
-    start: Instant,
 }
 
 /// Answer to a transaction.
@@ -29,17 +28,17 @@
 }
 
 impl StateClient {
-    pub fn new(addr: SocketAddr, rps: f64, write_rps: f64, nodes: usize) -> Self {
+    pub fn new(host: &Host, addr: SocketAddr, rps: f64, write_rps: f64, nodes: usize) -> Self {
         let nodes = nodes.max(1) as f64;
         let client = StateClient {
-            http: Client::new(addr),
-            watches: Client::new(addr),
+            host: host.clone(),
+            http: Client::new(host, addr),
+            watches: Client::new(host, addr),
             reads: Budget::new(rps / nodes),
             writes: Budget::new(write_rps / nodes),
             rps,
             write_rps,
             nodes,
-            start: Instant::now(),
         };
         // From the start: with equal shares of the reads beside a leader's the
         // sum was 1.35 of the whole, and the leader's writes were refused too.
@@ -62,16 +61,17 @@
     }
 
     async fn admit(&self, budget: &Budget, class: Class, n: f64) -> Result<(), NetError> {
-        let until = Instant::now() + secs(limits::STATE_WAIT_S);
+        let until = self.host.now() + limits::STATE_WAIT_S;
         loop {
-            let wait = budget.take(class, n, self.start.elapsed().as_secs_f64());
+            let now = self.host.now();
+            let wait = budget.take(class, n, now);
             if wait <= 0.0 {
                 return Ok(());
             }
-            if Instant::now() + secs(wait) > until {
+            if now + wait > until {
                 return Err(NetError::Refused("over this node's share".into()));
             }
-            tokio::time::sleep(secs(wait)).await;
+            self.host.sleep(wait).await;
         }
     }
 
@@ -233,7 +233,8 @@
     #[test]
     fn all_reads_together_are_the_whole_and_a_burst_of_submissions_passes() {
         for nodes in [1, 3, 5] {
-            let client = || StateClient::new(([127, 0, 0, 1], 9).into(), 200.0, 80.0, nodes);
+            let addr = ([127, 0, 0, 1], 9).into();
+            let client = || StateClient::new(&Host::machine(), addr, 200.0, 80.0, nodes);
             let leader = client();
             leader.set_leading(true);
             let others: Vec<_> = (1..nodes).map(|_| client()).collect();
--- a/crates/cherrywood/src/api.rs
+++ b/crates/node/src/api.rs
@@ -1,5 +1,6 @@
 //! What users and workers ask over HTTP.
 
+use crate::lookup::{Found, lookup};
 use crate::node::Node;
 use crate::polls::Told;
 use cherrywood_control::keys;
@@ -12,7 +13,6 @@
 use cherrywood_wire::state::{Change, FinalValue, Guard, JobValue, Txn, Value};
 use cherrywood_wire::user::{JobState, JobStatus, Kind, Refusal, Submission, valid_id};
 use cherrywood_wire::{decode, encode};
-use std::time::{SystemTime, UNIX_EPOCH};
 use tracing::debug;
 
 pub async fn answer(node: &Node, request: Request) -> Response {
@@ -105,7 +105,7 @@
     if let Err(why) = possible(&job, &cluster.teams, &types) {
         return refuse(422, why);
     }
-    let at_ms = wall_ms();
+    let at_ms = node.host.wall_ms();
     let txn = Txn {
         guards: vec![
             Guard {
@@ -174,37 +174,6 @@
     Ok(())
 }
 
-pub(crate) enum Found {
-    Live,
-    Ended(FinalValue),
-    Nothing,
-}
-
-/// The job's state, from reads that nobody can have overtaken: a live key is
-/// dropped in the transaction that writes the final one, so the live key is
-/// read first.
-pub(crate) async fn lookup(node: &Node, id: &str, class: Class) -> Result<Found, NetError> {
-    if let Some(v) = node.core().finals.get(id) {
-        return Ok(Found::Ended(v.clone()));
-    }
-    let live = node
-        .state
-        .get_as::<serde::de::IgnoredAny>(&keys::job(id), class)
-        .await?;
-    node.state_answered();
-    if live.is_some() {
-        return Ok(Found::Live);
-    }
-    let key = keys::ended(id);
-    match node.state.get_as::<FinalValue>(&key, class).await? {
-        Some(item) => {
-            node.core().remember(id, item.value.clone());
-            Ok(Found::Ended(item.value))
-        }
-        None => Ok(Found::Nothing),
-    }
-}
-
 fn live(id: &str, (done, running): (u32, u32)) -> Response {
     let state = if running > 0 {
         JobState::Running
@@ -287,29 +256,21 @@
     Response::busy()
 }
 
-/// Time of day, ms; within the platform's bound of true time.
-pub fn wall_ms() -> u64 {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .map_or(0, |d| d.as_millis() as u64)
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
     use crate::settings::{EXAMPLE, Operator, Settings};
     use cherrywood_control::Leader;
     use cherrywood_control::leader::Inheritance;
+    use cherrywood_net::Host;
     use cherrywood_wire::cloud::MachineType;
     use cherrywood_wire::user::Priority;
     use std::sync::Arc;
 
     fn node() -> Node {
         let platform = Settings::platform(EXAMPLE).unwrap();
-        Node::new(Settings {
-            platform,
-            operator: Operator::default(),
-        })
+        let operator = Operator::default();
+        Node::new(Host::machine(), Settings { platform, operator })
     }
 
     fn ask(node: &Node, method: &str, path: &str, body: Vec<u8>) -> Response {
--- /dev/null
+++ b/crates/node/src/loops/lead.rs
@@ -0,0 +1,284 @@
+//! Election, takeover and renewal, and the jobs that a leader sees come and go.
+
+use crate::node::Node;
+use cherrywood_control::leader::Inheritance;
+use cherrywood_control::{Leader, keys};
+use cherrywood_limits as limits;
+use cherrywood_net::NetError;
+use cherrywood_net::budget::Class;
+use cherrywood_net::state::TxnResult;
+use cherrywood_wire::state::{
+    Change, EpochValue, Guard, HistogramsValue, ImagesValue, JobValue, LeaderValue, LogValue,
+    ProgressValue, Txn, Value,
+};
+use std::sync::Arc;
+use tracing::{info, warn};
+
+pub(super) async fn elect(node: Arc<Node>) {
+    loop {
+        let mine = node.core().leader.is_some();
+        if !mine && let Err(e) = campaign(&node).await {
+            tracing::debug!(%e, "election");
+        }
+        // Spread, so that rivals rarely ask in the same moment.
+        node.host
+            .sleep(limits::ELECT_EVERY_S * node.host.between(0.8, 1.2))
+            .await;
+    }
+}
+
+async fn campaign(node: &Arc<Node>) -> Result<(), NetError> {
+    let current = node.state.get::<LeaderValue>(keys::LEADER).await?;
+    node.state_answered();
+    if let Some(item) = current {
+        if item.value.leader == node.me() {
+            // This process doesn't lead, so an earlier one of the same name
+            // did, and it is dead: no need to wait for its lease.
+            if let Some(lease) = item.lease {
+                node.state.end_lease(lease).await?;
+            }
+        } else {
+            let now = node.now();
+            let mut core = node.core();
+            core.known = Some(item.value.leader);
+            core.leader_seen = now;
+        }
+        return Ok(());
+    }
+    let sent = node.now();
+    let lease = node.state.lease(node.timing.leader_s).await?;
+    let (epoch, mark) = match node.state.get::<EpochValue>(keys::EPOCH).await? {
+        Some(item) => (item.value.last_epoch + 1, item.version),
+        None => (1, 0),
+    };
+    let value = LeaderValue {
+        leader: node.me().to_string(),
+        epoch,
+        nonce: node.host.random(),
+    };
+    let txn = Txn {
+        guards: vec![
+            Guard {
+                key: keys::LEADER.into(),
+                version: 0,
+            },
+            Guard {
+                key: keys::EPOCH.into(),
+                version: mark,
+            },
+        ],
+        changes: vec![
+            Change::Put {
+                key: keys::LEADER.into(),
+                value: Value::Leader(value),
+                lease: Some(lease),
+            },
+            Change::Put {
+                key: keys::EPOCH.into(),
+                value: Value::Epoch(EpochValue { last_epoch: epoch }),
+                lease: None,
+            },
+        ],
+    };
+    let TxnResult::Applied(mark) = node.state.txn(&txn, Class::First).await? else {
+        let _ = node.state.end_lease(lease).await;
+        return Ok(());
+    };
+    info!(epoch, "elected");
+    {
+        let mut core = node.core();
+        core.lease = lease;
+        core.leader_until = sent + node.timing.leader_s * (1.0 - limits::DRIFT);
+        core.known = Some(node.me().to_string());
+    }
+    node.state.set_leading(true);
+    if let Err(e) = take_over(node, lease, epoch, mark).await {
+        warn!(%e, "could not take over; giving the lease back");
+        depose(node, "takeover failed");
+        let _ = node.state.end_lease(lease).await;
+    }
+    Ok(())
+}
+
+fn depose(node: &Node, why: &str) {
+    let mut core = node.core();
+    if core.leader.take().is_some() || core.lease != 0 {
+        warn!(why, "no longer leading");
+    }
+    core.lease = 0;
+    core.leader_until = 0.0;
+    if core.known.as_deref() == Some(node.me()) {
+        core.known = None;
+    }
+    drop(core);
+    node.state.set_leading(false);
+}
+
+/// Repeats a read that the state service refuses or that gets lost.
+macro_rules! insist {
+    ($node:expr, $call:expr) => {{
+        let mut tries = 0;
+        loop {
+            match $call.await {
+                Ok(v) => break v,
+                Err(e) => {
+                    tries += 1;
+                    if tries > limits::TAKEOVER_TRIES || $node.now() > $node.core().leader_until {
+                        return Err(e);
+                    }
+                    $node.host.sleep(limits::TAKEOVER_GAP_S).await;
+                }
+            }
+        }
+    }};
+}
+
+async fn take_over(node: &Arc<Node>, lease: u64, epoch: u64, mark: u64) -> Result<(), NetError> {
+    let mut from = Inheritance::default();
+    // Jobs last: a job that ends meanwhile only loses a race at its guard.
+    let rows = insist!(node, node.state.list::<LogValue>(keys::LEDGER)).0;
+    from.ledger = rows
+        .into_iter()
+        .filter_map(|i| Some((keys::ledger_entry(&i.key)?, i.value)))
+        .collect();
+    let rows = insist!(node, node.state.list::<ProgressValue>(keys::PROGRESS)).0;
+    from.progress = rows
+        .into_iter()
+        .map(|i| {
+            (
+                i.key[keys::PROGRESS.len()..].to_string(),
+                i.value,
+                i.version,
+            )
+        })
+        .collect();
+    let saved = insist!(node, node.state.get::<HistogramsValue>(keys::HISTOGRAMS));
+    from.histograms = saved.map(|i| i.value);
+    let saved = insist!(node, node.state.get::<ImagesValue>(keys::IMAGES));
+    from.images = saved.map(|i| i.value);
+    let rows = insist!(node, node.state.list::<JobValue>(keys::JOBS)).0;
+    from.jobs = rows.into_iter().map(|i| (i.value, i.version)).collect();
+    from.wall_ms = node.host.wall_ms();
+    let types = node.core().types.clone();
+    let cluster = node.settings.platform.deployment.cluster.clone();
+    let now = node.now();
+    let mut leader = Leader::new(epoch, mark, cluster, types, from, now);
+    leader.cheap_only = node.settings.operator.cheap_only;
+    info!(epoch, "took over: {}", leader.summary());
+    let mut core = node.core();
+    if core.lease != lease {
+        // Deposed meanwhile: the next election is open to this node again.
+        return Ok(());
+    }
+    core.leader = Some(leader);
+    drop(core);
+    node.ledger_due.notify_one();
+    Ok(())
+}
+
+pub(super) async fn renew(node: Arc<Node>) {
+    loop {
+        node.host
+            .sleep(limits::LEADER_RENEW_S.min(node.timing.leader_s / 4.0))
+            .await;
+        let (lease, deposed) = {
+            let core = node.core();
+            (core.lease, core.leader.as_ref().is_some_and(|l| l.deposed))
+        };
+        if lease == 0 {
+            continue;
+        }
+        if deposed {
+            depose(&node, "another leader holds the key");
+            continue;
+        }
+        let sent = node.now();
+        match node.state.touch(lease).await {
+            Ok(true) => {
+                let mut core = node.core();
+                core.state_ok = core.state_ok.max(sent);
+                if core.lease == lease {
+                    core.leader_until = sent + node.timing.leader_s * (1.0 - limits::DRIFT);
+                }
+            }
+            Ok(false) => depose(&node, "the lease is over"),
+            // In an outage the lease stands still; grants run on meanwhile.
+            Err(e) => tracing::debug!(%e, "renewal"),
+        }
+    }
+}
+
+// --- jobs that come and go ---
+
+pub(super) async fn watch(node: Arc<Node>) {
+    let mut seen: Option<(u64, u64)> = None;
+    loop {
+        node.host.sleep(limits::WATCH_GAP_S).await;
+        let epoch = node.core().leader.as_ref().map(Leader::epoch);
+        let Some(epoch) = epoch else {
+            seen = None;
+            node.host.sleep(limits::WATCH_GAP_S).await;
+            continue;
+        };
+        let from = match seen {
+            Some((e, revision)) if e == epoch => revision,
+            _ => match reconcile(&node, epoch).await {
+                Ok(revision) => {
+                    seen = Some((epoch, revision));
+                    revision
+                }
+                Err(_) => {
+                    node.host.sleep(0.2).await;
+                    continue;
+                }
+            },
+        };
+        match node.state.watch::<JobValue>(keys::JOBS, from).await {
+            Ok(Some(events)) => {
+                node.state_answered();
+                let now = node.now();
+                let mut core = node.core();
+                if let Some(leader) = core.leader.as_mut().filter(|l| l.epoch() == epoch) {
+                    for e in events.events {
+                        match (e.value, e.delete) {
+                            (Some(v), _) => leader.add_job(v, e.version, now),
+                            (None, Some(key)) => leader.remove_job(&key[keys::JOBS.len()..]),
+                            _ => {}
+                        }
+                    }
+                    seen = Some((epoch, events.revision));
+                }
+                drop(core);
+                node.ledger_due.notify_one();
+            }
+            Ok(None) => seen = None,
+            Err(_) => node.host.sleep(0.2).await,
+        }
+    }
+}
+
+/// Reads all live jobs again.
+async fn reconcile(node: &Node, epoch: u64) -> Result<u64, NetError> {
+    let before = node
+        .core()
+        .leader_of(epoch)
+        .map(|l| l.live_jobs())
+        .unwrap_or_default();
+    let (rows, revision) = node.state.list::<JobValue>(keys::JOBS).await?;
+    let now = node.now();
+    let mut core = node.core();
+    let Some(leader) = core.leader_of(epoch) else {
+        return Ok(revision);
+    };
+    let live: std::collections::HashSet<&str> =
+        rows.iter().map(|r| r.value.job.id.as_str()).collect();
+    for id in before {
+        if !live.contains(id.as_str()) {
+            leader.remove_job(&id);
+        }
+    }
+    for row in rows {
+        leader.add_job(row.value, row.version, now);
+    }
+    Ok(revision)
+}
--- /dev/null
+++ b/crates/node/src/loops/write.rs
@@ -0,0 +1,197 @@
+//! What a leader writes: the ledger, with the starts that follow it, final states,
+//! progress and histograms.
+
+use crate::node::Node;
+use cherrywood_control::keys;
+use cherrywood_control::leader::Outcome;
+use cherrywood_limits as limits;
+use cherrywood_net::NetError;
+use cherrywood_net::budget::Class;
+use cherrywood_net::state::TxnResult;
+use cherrywood_wire::agent::Orders;
+use cherrywood_wire::peer::{Reply, Request};
+use cherrywood_wire::state::{Change, Txn, Value};
+use std::sync::Arc;
+use tracing::warn;
+
+/// Sends a transaction until it is known whether it was applied.
+async fn commit(node: &Node, epoch: u64, txn: &Txn, class: Class) -> Outcome {
+    let mut unsure = false;
+    for _ in 0..limits::COMMIT_TRIES {
+        let now = node.now();
+        if node.core().leading(now).is_none_or(|l| l.epoch() != epoch) {
+            break;
+        }
+        match node.state.txn(txn, class).await {
+            Ok(TxnResult::Applied(revision)) => {
+                node.state_answered();
+                return Outcome::Applied(revision);
+            }
+            // After an attempt without an answer the conflict may be with
+            // ourselves: what we wrote is read again.
+            Ok(TxnResult::Failed(_)) if unsure => return Outcome::Unknown,
+            Ok(TxnResult::Failed(keys)) => return Outcome::Conflict(keys),
+            Err(NetError::Refused(_)) => node.host.sleep(0.05 * node.host.between(1.0, 2.0)).await,
+            Err(NetError::Unknown(_)) => unsure = true,
+            Err(NetError::Bad(e)) => {
+                warn!(e, "the state service refuses a transaction");
+                break;
+            }
+        }
+    }
+    Outcome::Unknown
+}
+
+pub(super) async fn reread(node: &Node) {
+    let (epoch, keys): (u64, Vec<String>) = {
+        let core = node.core();
+        let Some(l) = &core.leader else { return };
+        (l.epoch(), l.reread.iter().take(20).cloned().collect())
+    };
+    for key in keys {
+        if let Ok(item) = node.state.get::<serde::de::IgnoredAny>(&key).await
+            && let Some(leader) = node.core().leader_of(epoch)
+        {
+            leader.reread_done(&key, item.map_or(0, |i| i.version));
+        }
+    }
+}
+
+pub(super) async fn ledger(node: Arc<Node>) {
+    loop {
+        node.ledger_due.notified().await;
+        loop {
+            let now = node.now();
+            // Reports of many workers share one look at the queue.
+            let batch = node.core().leading(now).and_then(|l| {
+                l.plan(now);
+                Some((l.epoch(), l.ledger_batch()?))
+            });
+            let Some((epoch, batch)) = batch else { break };
+            let outcome = commit(&node, epoch, &batch.txn, Class::Place).await;
+            let ok = matches!(outcome, Outcome::Applied(_));
+            if let Some(leader) = node.core().leader_of(epoch) {
+                leader.ledger_done(batch, &outcome);
+            }
+            let now = node.now();
+            let orders = node
+                .core()
+                .leading(now)
+                .filter(|l| l.epoch() == epoch)
+                .map(|l| l.orders(now))
+                .unwrap_or_default();
+            for (holder, orders) in orders {
+                node.host.spawn(order(node.clone(), epoch, holder, orders));
+            }
+            if !ok {
+                reread(&node).await;
+                node.host.sleep(limits::FLUSH_GAP_S).await;
+            }
+            node.host.sleep(limits::FLUSH_GAP_S).await;
+        }
+        node.host.sleep(limits::FLUSH_GAP_S).await;
+    }
+}
+
+/// Has starts sent straight to workers by the holder of their machines; the
+/// workers' next reports tell the rest.
+async fn order(node: Arc<Node>, epoch: u64, holder: String, orders: Vec<(String, String, Orders)>) {
+    let told = |i: usize, executed| {
+        if let Some(leader) = node.core().leader_of(epoch) {
+            let (machine, _, orders) = &orders[i];
+            leader.ordered(machine, orders, executed);
+        }
+    };
+    let peer = node.peers.iter().find(|p| p.label == holder);
+    let executed = match peer {
+        Some(peer) => {
+            let request = Request::Orders {
+                orders: orders.clone(),
+            };
+            match peer.ask(&request, limits::ORDERS_WAIT_S).await {
+                Ok(Reply::Orders { executed }) => executed,
+                _ => Vec::new(),
+            }
+        }
+        // Its own machines, all at once: one silent worker must not hold up
+        // the starts of the others.
+        None => node.order_all(orders.clone()).await,
+    };
+    for i in 0..orders.len() {
+        told(i, executed.get(i).copied().flatten());
+    }
+}
+
+/// Reports of many workers go to the leader together.
+pub(super) async fn forward(node: Arc<Node>) {
+    loop {
+        node.outbox_due.notified().await;
+        node.host.sleep(limits::FORWARD_GAP_S).await;
+        let own = node.clone();
+        node.host.spawn(async move { own.send_reports().await });
+    }
+}
+
+pub(super) async fn jobs(node: Arc<Node>) {
+    let mut wrote = 0.0;
+    loop {
+        node.jobs_due.notified().await;
+        loop {
+            let now = node.now();
+            let progress = now - wrote >= limits::PROGRESS_GAP_S;
+            let batch = node
+                .core()
+                .leading(now)
+                .and_then(|l| Some((l.epoch(), l.job_batch(progress)?)));
+            let Some((epoch, batch)) = batch else { break };
+            if progress {
+                wrote = now;
+            }
+            let class = if batch.urgent() {
+                Class::First
+            } else {
+                Class::Progress
+            };
+            let outcome = commit(&node, epoch, &batch.txn, class).await;
+            let ok = matches!(outcome, Outcome::Applied(_));
+            if let Some(leader) = node.core().leader_of(epoch) {
+                leader.job_done(batch, &outcome);
+            }
+            if !ok {
+                reread(&node).await;
+            }
+            node.host.sleep(limits::FLUSH_GAP_S).await;
+        }
+    }
+}
+
+pub(super) async fn snapshot(node: Arc<Node>) {
+    loop {
+        node.host.sleep(limits::SNAPSHOT_EVERY_S).await;
+        let now = node.now();
+        let made = node
+            .core()
+            .leading(now)
+            .map(|l| (l.leader_guard(), l.snapshot(), l.image_snapshot(now)));
+        let Some((guard, value, images)) = made else {
+            continue;
+        };
+        let txn = Txn {
+            guards: vec![guard],
+            changes: vec![
+                Change::Put {
+                    key: keys::HISTOGRAMS.into(),
+                    value: Value::Histograms(value),
+                    lease: None,
+                },
+                Change::Put {
+                    key: keys::IMAGES.into(),
+                    value: Value::Images(images),
+                    lease: None,
+                },
+            ],
+        };
+        // Lost snapshots are no harm: the next one is due in seconds.
+        let _ = node.state.txn(&txn, Class::Histogram).await;
+    }
+}
--- a/crates/cherrywood/src/node.rs
+++ b/crates/node/src/node.rs
@@ -1,15 +1,16 @@
 //! One controller: the state its loops and handlers share, and the dealings
 //! with workers' reports and with other controllers.
 
+use crate::lock;
 use crate::polls::Polls;
 use crate::settings::Settings;
 use cherrywood_control::{Holder, Leader, Timing};
 use cherrywood_limits as limits;
-use cherrywood_net::NetError;
 use cherrywood_net::client::Client;
 use cherrywood_net::cloud::CloudClient;
 use cherrywood_net::peer::Peer;
 use cherrywood_net::state::StateClient;
+use cherrywood_net::{Host, NetError};
 use cherrywood_wire::agent::{Command, Orders, Report};
 use cherrywood_wire::cloud::MachineType;
 use cherrywood_wire::peer::{Reply, Request};
@@ -17,7 +18,6 @@
 use std::collections::{HashMap, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard};
 use tokio::sync::{Notify, oneshot};
-use tokio::time::Instant;
 
 /// Shared state; locked for moments, never across an await.
 #[derive(Debug, Default)]
@@ -98,7 +98,7 @@
     pub cloud: CloudClient,
     pub peers: Vec<Peer>,
     core: Mutex<Core>,
-    start: Instant,
+    pub host: Host,
     /// Placements wait for the ledger.
     pub ledger_due: Notify,
     /// Jobs have news for the state service.
@@ -109,37 +109,32 @@
     pub polls: Polls,
 }
 
-pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex
-        .lock()
-        .unwrap_or_else(std::sync::PoisonError::into_inner)
-}
-
 impl Node {
-    pub fn new(settings: Settings) -> Node {
+    pub fn new(host: Host, settings: Settings) -> Node {
         let p = &settings.platform;
         let c = &p.deployment.cluster;
         Node {
             timing: Timing::new(c.workers.lease_s, c.workers.cancel_s),
             state: StateClient::new(
+                &host,
                 p.services.state,
                 c.state.rps,
                 c.state.write_rps,
                 p.deployment.nodes,
             ),
-            cloud: CloudClient::new(p.services.cloud, c.cloud.rps),
+            cloud: CloudClient::new(&host, p.services.cloud, c.cloud.rps),
             peers: p
                 .members
                 .iter()
-                .map(|m| Peer::new(&m.label, m.endpoint))
+                .map(|m| Peer::new(&host, &m.label, m.endpoint))
                 .collect(),
             core: Mutex::default(),
-            start: Instant::now(),
             ledger_due: Notify::new(),
             jobs_due: Notify::new(),
             outbox: Mutex::default(),
             outbox_due: Notify::new(),
             polls: Polls::default(),
+            host,
             settings,
         }
     }
@@ -150,7 +145,7 @@
 
     /// s on this node's steady clock.
     pub fn now(&self) -> f64 {
-        self.start.elapsed().as_secs_f64()
+        self.host.now()
     }
 
     pub fn core(&self) -> MutexGuard<'_, Core> {
@@ -271,7 +266,7 @@
             return Some(false);
         };
         let body = cherrywood_wire::encode(orders);
-        let sent = Client::new(addr)
+        let sent = Client::new(&self.host, addr)
             .send("POST", "/orders", Some(&body), limits::ORDER_WAIT_S)
             .await;
         match sent {
@@ -286,16 +281,18 @@
         self: &Arc<Self>,
         orders: Vec<(String, String, Orders)>,
     ) -> Vec<Option<bool>> {
-        let sent: Vec<_> = orders
-            .into_iter()
-            .map(|(_, addr, orders)| {
-                let node = self.clone();
-                tokio::spawn(async move { node.order(&addr, &orders).await })
-            })
-            .collect();
+        let mut told = Vec::new();
+        for (_, addr, orders) in orders {
+            let (tell, executed) = oneshot::channel();
+            told.push(executed);
+            let node = self.clone();
+            self.host.spawn(async move {
+                let _ = tell.send(node.order(&addr, &orders).await);
+            });
+        }
         let mut executed = Vec::new();
-        for task in sent {
-            executed.push(task.await.unwrap_or(None));
+        for t in told {
+            executed.push(t.await.unwrap_or(None));
         }
         executed
     }
--- a/crates/sched/src/predictor.rs
+++ b/crates/sched/src/predictor.rs
@@ -4,7 +4,7 @@
 use cherrywood_limits as limits;
 use hdrhistogram::Histogram;
 use hdrhistogram::serialization::{Deserializer, Serializer, V2Serializer};
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 /// A histogram whose older observations lose weight: instead of shrinking
 /// every count, each new one weighs more, and all are rescaled now and then.
@@ -38,7 +38,7 @@
 
     /// Makes what is there count half as much for every half-life passed.
     fn fade(&mut self, half_lives: f64) {
-        self.weight *= half_lives.min(60.0).exp2();
+        self.weight *= libm::exp2(half_lives.min(60.0));
         if self.weight > limits::WEIGHT_RESCALE {
             self.rescale(self.weight);
         }
@@ -103,7 +103,7 @@
 
 #[derive(Debug)]
 pub struct Predictor {
-    keys: HashMap<String, Key>,
+    keys: BTreeMap<String, Key>,
     pooled: Decayed,
     pooled_seen: u64,
     boundaries: Option<[f64; limits::LEVELS - 1]>,
@@ -118,7 +118,7 @@
 impl Predictor {
     pub fn new() -> Self {
         Predictor {
-            keys: HashMap::new(),
+            keys: BTreeMap::new(),
             pooled: Decayed::new(limits::POOLED_DECAY),
             pooled_seen: 0,
             boundaries: None,
