The state service's semantics as a package: transactions, leases, watches, limits

Change: crates/store, a pure engine and its HTTP answers; wire's messages can be read and written by both sides.

--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -1,6 +1,8 @@
 //! Every constant of cherrywood, with its unit and the reason for its value.
 //! What the platform's settings file says is never repeated here.
 
+pub mod store;
+
 // --- predictor and queue (DESIGN-cherrywood, paper Table 1) ---
 
 /// Priority levels; the middle one takes keys that can't be trusted.
--- a/crates/net/src/state.rs
+++ b/crates/net/src/state.rs
@@ -4,7 +4,9 @@
 use crate::client::Client;
 use crate::{Host, NetError};
 use cherrywood_limits as limits;
-use cherrywood_wire::state::{Events, Guard, Item, Items, Lease, LeaseRequest, Txn, TxnAnswer};
+use cherrywood_wire::state::{
+    Events, Guard, Item, Items, Lease, LeaseRequest, Txn, TxnAnswer, Value,
+};
 use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
 
@@ -152,7 +154,7 @@
     ) -> Result<Vec<String>, NetError> {
         let guards = keys.map(|key| Guard { key, version: 0 }).collect();
         let changes = Vec::new();
-        let body = cherrywood_wire::encode(&Txn { guards, changes });
+        let body = cherrywood_wire::encode(&Txn::<Value> { guards, changes });
         let answer = self.call(class, "POST", "/txn", Some(&body)).await?;
         match answer.status {
             200 => Ok(Vec::new()),
--- /dev/null
+++ b/crates/store/src/engine.rs
@@ -0,0 +1,355 @@
+//! The store itself.
+
+use cherrywood_limits::store as limits;
+use cherrywood_wire::state::{Change, Event, Guard, Item};
+use rmpv::Value;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::ops::Bound;
+
+/// What a deployment allows; the rest is the protocol's own.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Bounds {
+    /// Bytes of a value, counted as JSON.
+    pub value_bytes: usize,
+    /// Changes in a transaction; four times as many guards.
+    pub txn_ops: usize,
+}
+
+#[derive(Debug, Clone)]
+struct Row {
+    value: Value,
+    mark: u64,
+    lease: Option<u64>,
+}
+
+#[derive(Debug)]
+struct Lease {
+    ttl_s: f64,
+    until: f64,
+    keys: BTreeSet<String>,
+}
+
+#[derive(Debug, Clone)]
+struct Logged {
+    revision: u64,
+    key: String,
+    /// None: deleted.
+    value: Option<Value>,
+}
+
+/// Why a request is malformed (400).
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum Bad {
+    #[error("a key has 1 to 200 bytes and no spaces")]
+    Key,
+    #[error("a value is larger than allowed")]
+    Value,
+    #[error("too many changes, or too many guards")]
+    Ops,
+    #[error("the transaction is larger than 64 KiB")]
+    Bytes,
+    #[error("two changes of one key")]
+    Twice,
+    #[error("no such lease")]
+    Lease,
+    #[error("ttl_ms must be 100 to 600000")]
+    Ttl,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Applied {
+    /// At this revision.
+    Yes(u64),
+    /// These keys had another mark.
+    No(Vec<String>),
+}
+
+/// The service no longer has changes that old.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Compacted;
+
+#[derive(Debug)]
+pub struct Engine {
+    bounds: Bounds,
+    rows: BTreeMap<String, Row>,
+    revision: u64,
+    /// The last changes, the oldest first.
+    log: VecDeque<Logged>,
+    /// Revision of the newest change that `log` no longer holds.
+    forgotten: u64,
+    leases: BTreeMap<u64, Lease>,
+    next_lease: u64,
+}
+
+pub(crate) fn valid_key(key: &str) -> bool {
+    (1..=limits::KEY_MAX).contains(&key.len()) && !key.contains(' ')
+}
+
+/// Bytes of a value written as JSON, which is how the protocol counts.
+pub fn json_len(value: &impl serde::Serialize) -> usize {
+    struct Count(usize);
+    impl std::io::Write for Count {
+        fn write(&mut self, buf: &[u8]) -> std::io::Result<usize> {
+            self.0 += buf.len();
+            Ok(buf.len())
+        }
+        fn flush(&mut self) -> std::io::Result<()> {
+            Ok(())
+        }
+    }
+    let mut count = Count(0);
+    // What JSON can't say (binary, odd keys) is outside the protocol.
+    match serde_json::to_writer(&mut count, value) {
+        Ok(()) => count.0,
+        Err(_) => usize::MAX,
+    }
+}
+
+impl Engine {
+    pub fn new(bounds: Bounds) -> Engine {
+        Engine {
+            bounds,
+            rows: BTreeMap::new(),
+            revision: 0,
+            log: VecDeque::new(),
+            forgotten: 0,
+            leases: BTreeMap::new(),
+            next_lease: 1,
+        }
+    }
+
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Keys, and the bytes of their values as JSON.
+    pub fn size(&self) -> (usize, usize) {
+        let bytes = self.rows.values().map(|r| json_len(&r.value)).sum();
+        (self.rows.len(), bytes)
+    }
+
+    pub fn get(&self, key: &str) -> Option<Item<Value>> {
+        self.rows.get(key).map(|r| item(key, r))
+    }
+
+    /// Keys with the prefix, beginning after `from`; true if there are more.
+    pub fn list(&self, prefix: &str, from: &str, limit: usize) -> (Vec<Item<Value>>, bool) {
+        let start = if from < prefix {
+            Bound::Included(prefix)
+        } else {
+            Bound::Excluded(from)
+        };
+        let limit = limit.min(limits::LIST_ITEMS);
+        let mut bytes = 0;
+        let mut items = Vec::new();
+        let rows = self.rows.range::<str, _>((start, Bound::Unbounded));
+        for (key, row) in rows.take_while(|(k, _)| k.starts_with(prefix)) {
+            bytes += json_len(&row.value) + key.len() + limits::ROW_BYTES;
+            if items.len() >= limit || bytes > limits::LIST_BYTES && !items.is_empty() {
+                return (items, true);
+            }
+            items.push(item(key, row));
+        }
+        (items, false)
+    }
+
+    /// Is the transaction well formed? What is not is never counted or tried.
+    pub fn check(&self, guards: &[Guard], changes: &[Change<Value>]) -> Result<(), Bad> {
+        if changes.len() > self.bounds.txn_ops || guards.len() > self.bounds.txn_ops * 4 {
+            return Err(Bad::Ops);
+        }
+        let mut bytes = 0;
+        let mut keys = BTreeSet::new();
+        for g in guards {
+            if !valid_key(&g.key) {
+                return Err(Bad::Key);
+            }
+            bytes += json_len(g);
+        }
+        for c in changes {
+            let key = match c {
+                Change::Put { key, value, .. } => {
+                    if json_len(value) > self.bounds.value_bytes {
+                        return Err(Bad::Value);
+                    }
+                    key
+                }
+                Change::Delete { key } => key,
+            };
+            if !valid_key(key) {
+                return Err(Bad::Key);
+            }
+            if !keys.insert(key) {
+                return Err(Bad::Twice);
+            }
+            bytes += json_len(c);
+        }
+        if bytes > limits::TXN_BYTES {
+            return Err(Bad::Bytes);
+        }
+        Ok(())
+    }
+
+    /// All changes at one revision, or none.
+    pub fn txn(&mut self, guards: &[Guard], changes: Vec<Change<Value>>) -> Result<Applied, Bad> {
+        self.check(guards, &changes)?;
+        let lost = |c: &Change<Value>| match c {
+            Change::Put { lease, .. } => lease.is_some_and(|l| !self.leases.contains_key(&l)),
+            Change::Delete { .. } => false,
+        };
+        if changes.iter().any(lost) {
+            return Err(Bad::Lease);
+        }
+        let mark = |key: &str| self.rows.get(key).map_or(0, |r| r.mark);
+        let other = |g: &&Guard| mark(&g.key) != g.version;
+        let failed: Vec<String> = guards.iter().filter(other).map(|g| g.key.clone()).collect();
+        if !failed.is_empty() {
+            return Ok(Applied::No(failed));
+        }
+        if !changes.is_empty() {
+            self.revision += 1;
+        }
+        for change in changes {
+            match change {
+                Change::Put { key, value, lease } => self.put(key, value, lease),
+                Change::Delete { key } => self.delete(key),
+            }
+        }
+        Ok(Applied::Yes(self.revision))
+    }
+
+    fn put(&mut self, key: String, value: Value, lease: Option<u64>) {
+        let old = self.rows.get(&key).and_then(|r| r.lease);
+        if old != lease
+            && let Some(l) = old.and_then(|l| self.leases.get_mut(&l))
+        {
+            l.keys.remove(&key);
+        }
+        if let Some(l) = lease.and_then(|l| self.leases.get_mut(&l)) {
+            l.keys.insert(key.clone());
+        }
+        let mark = self.revision;
+        self.log(key.clone(), Some(value.clone()));
+        self.rows.insert(key, Row { value, mark, lease });
+    }
+
+    fn delete(&mut self, key: String) {
+        let Some(row) = self.rows.remove(&key) else {
+            return;
+        };
+        if let Some(l) = row.lease.and_then(|l| self.leases.get_mut(&l)) {
+            l.keys.remove(&key);
+        }
+        self.log(key, None);
+    }
+
+    fn log(&mut self, key: String, value: Option<Value>) {
+        self.log.push_back(Logged {
+            revision: self.revision,
+            key,
+            value,
+        });
+        while self.log.len() > limits::CHANGES_KEPT
+            && let Some(old) = self.log.pop_front()
+        {
+            self.forgotten = old.revision;
+        }
+    }
+
+    /// Changes after `from` to keys with the prefix.
+    pub fn changes(&self, prefix: &str, from: u64) -> Result<Vec<Event<Value>>, Compacted> {
+        if from < self.forgotten {
+            return Err(Compacted);
+        }
+        let first = self.log.partition_point(|l| l.revision <= from);
+        let news = self.log.range(first..);
+        let event = |l: &Logged| Event {
+            put: l.value.is_some().then(|| l.key.clone()),
+            delete: l.value.is_none().then(|| l.key.clone()),
+            value: l.value.clone(),
+            version: l.revision,
+        };
+        let ours = news.filter(|l| l.key.starts_with(prefix));
+        Ok(ours.map(event).collect())
+    }
+
+    /// Has anything with the prefix changed since? Cheaper than asking for it.
+    pub fn changed(&self, prefix: &str, from: u64) -> bool {
+        let first = self.log.partition_point(|l| l.revision <= from);
+        from < self.forgotten || self.log.range(first..).any(|l| l.key.starts_with(prefix))
+    }
+
+    pub fn grant(&mut self, ttl_ms: u64, now: f64) -> Result<u64, Bad> {
+        if !(limits::TTL_MIN_MS..=limits::TTL_MAX_MS).contains(&ttl_ms) {
+            return Err(Bad::Ttl);
+        }
+        let id = self.next_lease;
+        self.next_lease += 1;
+        let ttl_s = ttl_ms as f64 / 1000.0;
+        let lease = Lease {
+            ttl_s,
+            until: now + ttl_s,
+            keys: BTreeSet::new(),
+        };
+        self.leases.insert(id, lease);
+        Ok(id)
+    }
+
+    /// False if the lease is over.
+    pub fn touch(&mut self, id: u64, now: f64) -> bool {
+        let Some(lease) = self.leases.get_mut(&id) else {
+            return false;
+        };
+        lease.until = now + lease.ttl_s;
+        true
+    }
+
+    pub fn end(&mut self, id: u64) -> bool {
+        let Some(lease) = self.leases.remove(&id) else {
+            return false;
+        };
+        if !lease.keys.is_empty() {
+            self.revision += 1;
+        }
+        for key in lease.keys {
+            self.rows.remove(&key);
+            self.log(key, None);
+        }
+        true
+    }
+
+    /// Ends the leases that were not renewed in time.
+    pub fn expire(&mut self, now: f64) -> usize {
+        let over: Vec<u64> = self
+            .leases
+            .iter()
+            .filter(|(_, l)| now >= l.until)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in &over {
+            self.end(*id);
+        }
+        over.len()
+    }
+
+    /// When the next lease ends, unless it is renewed.
+    pub fn next_end(&self) -> Option<f64> {
+        self.leases.values().map(|l| l.until).reduce(f64::min)
+    }
+
+    /// After an outage every lease has its full time again.
+    pub fn refresh(&mut self, now: f64) {
+        for lease in self.leases.values_mut() {
+            lease.until = now + lease.ttl_s;
+        }
+    }
+}
+
+fn item(key: &str, row: &Row) -> Item<Value> {
+    Item {
+        key: key.to_string(),
+        value: row.value.clone(),
+        version: row.mark,
+        lease: row.lease,
+    }
+}
--- a/crates/wire/src/state.rs
+++ b/crates/wire/src/state.rs
@@ -1,8 +1,9 @@
-//! Controllers -> state service. Values are any serde type.
+//! Controllers -> state service. Values are any serde type; those that this
+//! service keeps are in [`Value`].
 
 use serde::{Deserialize, Serialize};
 
-#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Item<V> {
     #[serde(rename = "k")]
     pub key: String,
@@ -10,11 +11,11 @@
     pub value: V,
     #[serde(rename = "mark")]
     pub version: u64,
-    #[serde(rename = "tether", default)]
+    #[serde(rename = "tether", default, skip_serializing_if = "Option::is_none")]
     pub lease: Option<u64>,
 }
 
-#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Items<V> {
     #[serde(rename = "rows")]
     pub items: Vec<Item<V>>,
@@ -24,7 +25,20 @@
     pub revision: u64,
 }
 
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+/// The answer about a key that doesn't exist, and to a touched watch.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Revision {
+    #[serde(rename = "ledger_rev")]
+    pub revision: u64,
+}
+
+/// Why a request was not executed.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Refusal {
+    pub error: String,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Guard {
     #[serde(rename = "k")]
     pub key: String,
@@ -32,15 +46,15 @@
     pub version: u64,
 }
 
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(untagged)]
-pub enum Change {
+pub enum Change<V = Value> {
     Put {
         #[serde(rename = "write")]
         key: String,
         #[serde(rename = "v")]
-        value: Value,
-        #[serde(rename = "tether", skip_serializing_if = "Option::is_none")]
+        value: V,
+        #[serde(rename = "tether", default, skip_serializing_if = "Option::is_none")]
         lease: Option<u64>,
     },
     Delete {
@@ -49,17 +63,17 @@
     },
 }
 
-#[derive(Debug, Clone, PartialEq, Default, Serialize)]
-pub struct Txn {
-    #[serde(rename = "guards")]
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct Txn<V = Value> {
+    #[serde(rename = "guards", default)]
     pub guards: Vec<Guard>,
-    #[serde(rename = "apply")]
-    pub changes: Vec<Change>,
+    #[serde(rename = "apply", default = "Vec::new")]
+    pub changes: Vec<Change<V>>,
 }
 
-#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct TxnAnswer {
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub failed: Vec<String>,
     #[serde(rename = "ledger_rev", default)]
     pub revision: u64,
@@ -76,13 +90,25 @@
     pub id: u64,
 }
 
-#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Event<V> {
-    #[serde(rename = "write", default = "none")]
+    #[serde(
+        rename = "write",
+        default = "none",
+        skip_serializing_if = "Option::is_none"
+    )]
     pub put: Option<String>,
-    #[serde(rename = "drop", default = "none")]
+    #[serde(
+        rename = "drop",
+        default = "none",
+        skip_serializing_if = "Option::is_none"
+    )]
     pub delete: Option<String>,
-    #[serde(rename = "v", default = "none")]
+    #[serde(
+        rename = "v",
+        default = "none",
+        skip_serializing_if = "Option::is_none"
+    )]
     pub value: Option<V>,
     #[serde(rename = "mark")]
     pub version: u64,
@@ -92,8 +118,8 @@
     None
 }
 
-#[derive(Debug, Clone, PartialEq, Deserialize)]
-#[serde(bound = "V: serde::de::DeserializeOwned")]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(bound(deserialize = "V: serde::de::DeserializeOwned"))]
 pub struct Events<V> {
     #[serde(rename = "ledger_rev")]
     pub revision: u64,
