--- /dev/null
+++ b/crates/judge/src/aims.rs
@@ -0,0 +1,368 @@
+//! Aims, price and useful work, counted as the protocol page says.
+
+use crate::history::{Aim, Event, Facts, Job, Off, State, What, job_of};
+use std::collections::BTreeMap;
+
+/// s within which a command to stop undoes a start.
+const START_HOLDS_MS: u64 = 30_000;
+
+/// One class of jobs.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct ClassFigures {
+    pub jobs: usize,
+    pub done: usize,
+    /// s from the first attempt to submit to the end of the last task.
+    pub done_mean_s: f64,
+    pub done_p95_s: f64,
+    /// s from the first attempt to the start of a task.
+    pub wait_mean_s: f64,
+    pub wait_p95_s: f64,
+}
+
+/// An aim, what was reached, and whether that is enough.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Reached {
+    pub aim: Aim,
+    pub got: f64,
+    pub met: bool,
+    /// Jobs or tasks that count.
+    pub of: usize,
+}
+
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Aims {
+    pub reached: Vec<Reached>,
+    pub classes: BTreeMap<String, ClassFigures>,
+    /// Money, in the price lists' unit.
+    pub cost: f64,
+    pub useful_cost: f64,
+    pub useful_cpu_s: f64,
+    pub price: f64,
+}
+
+#[derive(Debug)]
+struct Tracked {
+    job: Job,
+    at: u64,
+    accepted: Option<u64>,
+    refused: bool,
+    unwanted: bool,
+    told_done: Option<u64>,
+    /// First start of each task that counts.
+    started: BTreeMap<u32, u64>,
+    /// Starts that may still be undone by a stop.
+    fresh: BTreeMap<u32, u64>,
+    done: BTreeMap<u32, u64>,
+    guaranteed: bool,
+}
+
+impl Tracked {
+    fn last_done(&self) -> Option<u64> {
+        (self.done.len() as u32 == self.job.tasks)
+            .then(|| self.done.values().max().copied())
+            .flatten()
+    }
+
+    fn settle(&mut self, now: u64) {
+        let held: Vec<u32> = self
+            .fresh
+            .iter()
+            .filter(|(_, at)| now >= **at + START_HOLDS_MS)
+            .map(|(n, _)| *n)
+            .collect();
+        for n in held {
+            if let Some(at) = self.fresh.remove(&n) {
+                self.started.entry(n).or_insert(at);
+            }
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Machine {
+    cpus: f64,
+    since: u64,
+    /// CPU-seconds of useful work done on it.
+    useful: f64,
+}
+
+/// The value below which `share` of the sorted values lie.
+pub fn quantile(sorted: &[f64], share: f64) -> f64 {
+    if sorted.is_empty() {
+        return 0.0;
+    }
+    let at = (sorted.len() as f64 * share).ceil() as usize;
+    sorted[at.clamp(1, sorted.len()) - 1]
+}
+
+fn mean(values: &[f64]) -> f64 {
+    values.iter().sum::<f64>() / values.len().max(1) as f64
+}
+
+/// Share of `of` things, and how many counted; 1 of nothing.
+fn share(hits: usize, of: usize) -> f64 {
+    if of == 0 {
+        1.0
+    } else {
+        hits as f64 / of as f64
+    }
+}
+
+pub fn count(events: &[Event]) -> Aims {
+    let mut facts = Facts {
+        cancel_s: 0.0,
+        teams: Vec::new(),
+        kinds: Vec::new(),
+        aims: Vec::new(),
+    };
+    let mut jobs: BTreeMap<String, Tracked> = BTreeMap::new();
+    let mut machines: BTreeMap<String, Machine> = BTreeMap::new();
+    let mut aims = Aims::default();
+    for e in events {
+        let at = e.at_ms;
+        match &e.what {
+            What::Begins { facts: f, .. } => facts = f.clone(),
+            What::Submitted { job } => {
+                let guaranteed = fits_guarantee(&facts, &jobs, job);
+                let t = Tracked {
+                    job: job.clone(),
+                    at,
+                    accepted: None,
+                    refused: false,
+                    unwanted: false,
+                    told_done: None,
+                    started: BTreeMap::new(),
+                    fresh: BTreeMap::new(),
+                    done: BTreeMap::new(),
+                    guaranteed,
+                };
+                jobs.entry(job.id.clone()).or_insert(t);
+            }
+            What::Told {
+                job, status, state, ..
+            } => {
+                let Some(t) = jobs.get_mut(job) else { continue };
+                match status {
+                    200 | 201 => {
+                        t.accepted.get_or_insert(at);
+                    }
+                    400 | 422 => t.refused = true,
+                    _ => {}
+                }
+                if *state == Some(State::Done) {
+                    t.told_done.get_or_insert(at);
+                }
+            }
+            What::Unwanted { job } => {
+                if let Some(t) = jobs.get_mut(job) {
+                    t.unwanted = true;
+                }
+            }
+            What::Rented { machine, kind, .. } => {
+                let kind = facts.kinds.iter().find(|k| k.name == *kind);
+                let m = Machine {
+                    cpus: kind.map_or(1.0, |k| k.cpus),
+                    since: at,
+                    useful: 0.0,
+                };
+                machines.insert(machine.clone(), m);
+            }
+            What::Gone { machine, cost, .. } => {
+                aims.cost += cost;
+                if let Some(m) = machines.get(machine) {
+                    // Its whole price, for the share of it that did good.
+                    let all = m.cpus * (at - m.since).max(1) as f64 / 1000.0;
+                    aims.useful_cost += cost * (m.useful / all).min(1.0);
+                    aims.useful_cpu_s += m.useful;
+                }
+            }
+            What::On { task, .. } => {
+                if let Some((t, n)) = find(&mut jobs, task) {
+                    t.fresh.insert(n, at);
+                }
+            }
+            What::Stops { task, .. } => {
+                if let Some((t, n)) = find(&mut jobs, task) {
+                    t.settle(at);
+                    t.fresh.remove(&n);
+                }
+            }
+            What::Off {
+                task,
+                why,
+                machine,
+                kept_s,
+                ..
+            } => {
+                if let Some((t, n)) = find(&mut jobs, task) {
+                    let cpus = t.job.cpus;
+                    if *why == Off::Done {
+                        t.done.entry(n).or_insert(at);
+                    }
+                    if let Some(m) = machines.get_mut(machine) {
+                        m.useful += kept_s * cpus;
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+    for t in jobs.values_mut() {
+        t.settle(u64::MAX);
+    }
+    let cheapest = facts
+        .kinds
+        .iter()
+        .map(|k| k.spot_price.unwrap_or(k.price).min(k.price) / k.cpus.max(0.001))
+        .fold(f64::INFINITY, f64::min);
+    let worth = aims.useful_cpu_s * cheapest / 3600.0;
+    aims.price = if worth > 0.0 { aims.cost / worth } else { 0.0 };
+    aims.classes = classes(&jobs);
+    aims.reached = facts
+        .aims
+        .iter()
+        .map(|aim| reach(aim, &jobs, &facts, &aims))
+        .collect();
+    aims
+}
+
+fn find<'a>(jobs: &'a mut BTreeMap<String, Tracked>, task: &str) -> Option<(&'a mut Tracked, u32)> {
+    let n = task.split_once('/')?.1.parse().ok()?;
+    Some((jobs.get_mut(job_of(task))?, n))
+}
+
+/// Does the job fit its team's guarantee together with the team's earlier
+/// unfinished jobs?
+fn fits_guarantee(facts: &Facts, jobs: &BTreeMap<String, Tracked>, job: &Job) -> bool {
+    let Some(team) = facts.teams.iter().find(|t| t.name == job.team) else {
+        return false;
+    };
+    let left = |t: &Tracked| {
+        let over = t.unwanted || t.refused;
+        f64::from(
+            t.job.tasks
+                - if over {
+                    t.job.tasks
+                } else {
+                    t.done.len() as u32
+                },
+        ) * t.job.cpus
+    };
+    let earlier = jobs.values().filter(|t| t.job.team == job.team);
+    let before: f64 = earlier.map(left).sum();
+    before + f64::from(job.tasks) * job.cpus <= team.cpus
+}
+
+/// Jobs that count for their class.
+fn counted<'a>(
+    jobs: &'a BTreeMap<String, Tracked>,
+    class: &'a str,
+) -> impl Iterator<Item = &'a Tracked> {
+    let of = move |t: &&Tracked| t.job.class == class && !t.unwanted && !t.refused;
+    jobs.values().filter(of)
+}
+
+fn classes(jobs: &BTreeMap<String, Tracked>) -> BTreeMap<String, ClassFigures> {
+    let mut names: Vec<&str> = jobs.values().map(|t| t.job.class.as_str()).collect();
+    names.sort_unstable();
+    names.dedup();
+    let of = |class: &str| {
+        let (mut done, mut waits, mut all) = (Vec::new(), Vec::new(), 0);
+        for t in counted(jobs, class) {
+            all += 1;
+            if let Some(at) = t.last_done() {
+                done.push((at - t.at) as f64 / 1000.0);
+            }
+            let wait = t.started.values().map(|at| (at - t.at) as f64 / 1000.0);
+            waits.extend(wait);
+        }
+        done.sort_by(f64::total_cmp);
+        waits.sort_by(f64::total_cmp);
+        ClassFigures {
+            jobs: all,
+            done: done.len(),
+            done_mean_s: mean(&done),
+            done_p95_s: quantile(&done, 0.95),
+            wait_mean_s: mean(&waits),
+            wait_p95_s: quantile(&waits, 0.95),
+        }
+    };
+    names.into_iter().map(|n| (n.to_string(), of(n))).collect()
+}
+
+fn reach(aim: &Aim, jobs: &BTreeMap<String, Tracked>, facts: &Facts, sums: &Aims) -> Reached {
+    let ms = |s: f64| (s * 1000.0) as u64;
+    // Of an array, only as many tasks as its team's limit allows at once.
+    let counts = |t: &Tracked| {
+        let limit = facts.teams.iter().find(|x| x.name == t.job.team);
+        let limit = limit.and_then(|x| x.cpus_max).unwrap_or(f64::INFINITY);
+        let at_once = (limit / t.job.cpus.max(0.001)).floor();
+        f64::from(t.job.tasks).min(at_once) as usize
+    };
+    let in_time = |t: &Tracked, within: u64| {
+        let hits = t.started.values().filter(|at| **at - t.at <= within);
+        hits.count().min(counts(t))
+    };
+    let (got, of) = match aim {
+        Aim::Wait {
+            class, within_s, ..
+        } => {
+            let of: usize = counted(jobs, class).map(counts).sum();
+            let hits: usize = counted(jobs, class)
+                .map(|t| in_time(t, ms(*within_s)))
+                .sum();
+            (share(hits, of), of)
+        }
+        Aim::Finished {
+            class, within_s, ..
+        } => {
+            let of = counted(jobs, class).count();
+            // Done means that the user hears so as well.
+            let hit = |t: &&Tracked| {
+                let last = t.last_done();
+                last.is_some_and(|at| at - t.at <= ms(*within_s)) && t.told_done.is_some()
+            };
+            (share(counted(jobs, class).filter(hit).count(), of), of)
+        }
+        Aim::Guarantee { within_s, .. } => {
+            let all = || {
+                jobs.values()
+                    .filter(|t| t.guaranteed && !t.unwanted && !t.refused)
+            };
+            let of: usize = all().map(counts).sum();
+            let hits: usize = all().map(|t| in_time(t, ms(*within_s))).sum();
+            (share(hits, of), of)
+        }
+        Aim::Submit { within_s, .. } => {
+            let all = || jobs.values().filter(|t| !t.refused);
+            let hit = |t: &&Tracked| t.accepted.is_some_and(|at| at - t.at <= ms(*within_s));
+            (
+                share(all().filter(hit).count(), all().count()),
+                all().count(),
+            )
+        }
+        Aim::Useful { .. } => (
+            if sums.cost > 0.0 {
+                sums.useful_cost / sums.cost
+            } else {
+                0.0
+            },
+            1,
+        ),
+        Aim::Price { .. } => (sums.price, 1),
+    };
+    let met = match aim {
+        Aim::Wait { share, .. }
+        | Aim::Finished { share, .. }
+        | Aim::Guarantee { share, .. }
+        | Aim::Submit { share, .. }
+        | Aim::Useful { share } => got >= *share,
+        Aim::Price { most } => got <= *most,
+    };
+    Reached {
+        aim: aim.clone(),
+        got,
+        met,
+        of,
+    }
+}
--- /dev/null
+++ b/crates/judge/src/lib.rs
@@ -0,0 +1,13 @@
+//! Judges a recorded history by the protocol page alone: every rule, what
+//! became of each job, and the aims. It shares no code with the controllers,
+//! so a mistake of theirs is not repeated here.
+
+pub mod aims;
+pub mod history;
+pub mod rules;
+pub mod settle;
+
+pub use aims::{Aims, ClassFigures};
+pub use history::{Event, History, What};
+pub use rules::{Breach, Judge, Rule};
+pub use settle::{End, Settled};
--- /dev/null
+++ b/crates/judge/tests/judge.rs
@@ -0,0 +1,477 @@
+//! A judge that can't find a breach proves nothing: each rule is broken once by
+//! a written history, and the judge must name rule, job, machine and both times.
+
+use cherrywood_judge::history::{Aim, Ask, Facts, Job, MachineKind, Off, State, Team};
+use cherrywood_judge::settle::{self, End};
+use cherrywood_judge::{History, Judge, Rule, What, aims};
+
+const CANCEL_S: f64 = 40.0;
+
+fn facts() -> Facts {
+    let team = |name: &str, cpus_max| Team {
+        name: name.into(),
+        cpus: 4.0,
+        cpus_max,
+    };
+    Facts {
+        cancel_s: CANCEL_S,
+        teams: vec![team("t", Some(6.0)), team("guest", None)],
+        kinds: vec![MachineKind {
+            name: "m4".into(),
+            cpus: 4.0,
+            price: 3.6,
+            spot_price: Some(0.9),
+        }],
+        aims: Vec::new(),
+    }
+}
+
+fn job(id: &str, tasks: u32) -> Job {
+    Job {
+        id: id.into(),
+        class: "c".into(),
+        team: "t".into(),
+        standing: false,
+        tasks,
+        cpus: 2.0,
+        kinds: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: true,
+    }
+}
+
+/// A history under construction.
+struct Night(History, u64);
+
+impl Night {
+    fn new() -> Night {
+        let mut h = History::default();
+        let night = "test".to_string();
+        let facts = facts();
+        h.record(
+            0,
+            What::Begins {
+                night,
+                seed: 1,
+                facts,
+            },
+        );
+        let mut n = Night(h, 0);
+        for (name, zone, spot) in [("vm-1", "a", true), ("vm-2", "b", false)] {
+            n.0.record(
+                0,
+                What::Rented {
+                    machine: name.into(),
+                    kind: "m4".into(),
+                    zone: zone.into(),
+                    spot,
+                    request: "r".into(),
+                },
+            );
+        }
+        n
+    }
+
+    /// Sets the time, in s.
+    fn at(&mut self, s: u64) -> &mut Night {
+        self.1 = s * 1000;
+        self
+    }
+
+    fn add(&mut self, what: What) -> &mut Night {
+        self.0.record(self.1, what);
+        self
+    }
+
+    fn submit(&mut self, job: Job) -> &mut Night {
+        self.add(What::Submitted { job })
+    }
+
+    /// Told this much later than asked.
+    fn told(&mut self, ask: Ask, job: &str, status: u16, state: Option<State>) -> &mut Night {
+        let sent_ms = self.1.saturating_sub(100);
+        self.add(What::Told {
+            ask,
+            job: job.into(),
+            sent_ms,
+            status,
+            state,
+            node: "n1".into(),
+        })
+    }
+
+    fn accepted(&mut self, job: Job) -> &mut Night {
+        let id = job.id.clone();
+        self.submit(job)
+            .told(Ask::Submit, &id, 201, Some(State::Queued))
+    }
+
+    fn on(&mut self, machine: &str, task: &str) -> &mut Night {
+        self.add(What::On {
+            machine: machine.into(),
+            task: task.into(),
+            attempt: 1,
+        })
+    }
+
+    fn off(&mut self, machine: &str, task: &str, why: Off, kept_s: f64) -> &mut Night {
+        self.add(What::Off {
+            machine: machine.into(),
+            task: task.into(),
+            attempt: 1,
+            why,
+            kept_s,
+        })
+    }
+
+    fn poll(&mut self, job: &str, state: State) -> &mut Night {
+        self.told(Ask::Poll, job, 200, Some(state))
+    }
+
+    /// The only breach, as its message.
+    fn only(&mut self, rule: Rule) -> String {
+        self.add(What::Ends);
+        let judge = Judge::judge(&self.0.events);
+        let rules: Vec<Rule> = judge.breaches.iter().map(|b| b.rule).collect();
+        assert_eq!(rules, [rule], "{:#?}", judge.breaches);
+        judge.breaches[0].to_string()
+    }
+}
+
+#[test]
+fn a_quiet_night_breaks_nothing() {
+    let mut n = Night::new();
+    n.at(1).accepted(job("wk-000001", 1));
+    n.at(2).on("vm-1", "wk-000001/0");
+    n.at(9).off("vm-1", "wk-000001/0", Off::Done, 7.0);
+    n.at(10).poll("wk-000001", State::Done).add(What::Ends);
+    assert!(Judge::judge(&n.0.events).breaches.is_empty());
+    let ends = settle::settle(&n.0.events);
+    assert_eq!(ends["wk-000001"].end, End::Done);
+}
+
+#[test]
+fn ran_twice_names_task_machines_and_times() {
+    let mut n = Night::new();
+    n.at(1).accepted(job("wk-000001", 2));
+    n.at(5).on("vm-1", "wk-000001/0");
+    n.at(8).on("vm-2", "wk-000001/0");
+    let told = n.only(Rule::RanTwice);
+    for part in ["ran_twice", "wk-000001/0", "vm-2 at 8.000", "vm-1", "5.000"] {
+        assert!(told.contains(part), "{told}");
+    }
+    // After it is off, another machine may have it.
+    let mut n = Night::new();
+    n.at(1).accepted(job("wk-000001", 2));
+    n.at(5).on("vm-1", "wk-000001/0");
+    n.at(6).off("vm-1", "wk-000001/0", Off::Lease, 0.0);
+    n.at(8).on("vm-2", "wk-000001/0").add(What::Ends);
+    assert!(Judge::judge(&n.0.events).breaches.is_empty());
+}
+
+#[test]
+fn quota_counts_what_is_on_machines() {
+    let mut n = Night::new();
+    n.at(1).accepted(job("wk-000001", 4));
+    for (s, task) in [(2, 0), (3, 1), (4, 2)] {
+        n.at(s).on("vm-1", &format!("wk-000001/{task}"));
+    }
+    n.at(5).off("vm-1", "wk-000001/0", Off::Done, 3.0);
+    n.at(6).on("vm-1", "wk-000001/0");
+    n.at(7).on("vm-2", "wk-000001/3");
+    let told = n.only(Rule::Quota);
+    for part in ["wk-000001/3", "vm-2 at 7.000", "8 of 6", "6.000"] {
+        assert!(told.contains(part), "{told}");
+    }
+    // A guest has no limit.
+    let mut n = Night::new();
+    let guest = Job {
+        team: "guest".into(),
+        ..job("wk-000001", 9)
+    };
+    n.at(1).accepted(guest);
+    for i in 0..9 {
+        n.at(2).on("vm-1", &format!("wk-000001/{i}"));
+    }
+    n.add(What::Ends);
+    assert!(Judge::judge(&n.0.events).breaches.is_empty());
+}
+
+#[test]
+fn wrong_place_checks_type_zone_kind_and_the_other_tasks() {
+    let with = |change: &dyn Fn(&mut Job)| {
+        let mut j = job("wk-000001", 3);
+        change(&mut j);
+        let mut n = Night::new();
+        n.at(1).accepted(j);
+        n.at(4).on("vm-1", "wk-000001/0");
+        n
+    };
+    let told = with(&|j| j.kinds = Some(vec!["m8".into()])).only(Rule::WrongPlace);
+    assert!(told.contains("wk-000001/0 on vm-1 at 4.000") && told.contains("m4"));
+    with(&|j| j.zone = Some("b".into())).only(Rule::WrongPlace);
+    with(&|j| j.spot = false).only(Rule::WrongPlace);
+    let mut n = with(&|j| j.one_zone = true);
+    let told = n.at(6).on("vm-2", "wk-000001/1").only(Rule::WrongPlace);
+    assert!(
+        told.contains("vm-2 at 6.000") && told.contains("at 4.000"),
+        "{told}"
+    );
+    // 2 of 3 may be in one zone, not 3.
+    let mut n = with(&|j| j.spread = true);
+    n.at(6).on("vm-1", "wk-000001/1");
+    n.at(7).on("vm-1", "wk-000001/2").only(Rule::WrongPlace);
+}
+
+#[test]
+fn ran_cancelled_counts_from_the_telling() {
+    let cancelled = || {
+        let mut n = Night::new();
+        n.at(1).accepted(job("wk-000001", 2));
+        n.at(3).on("vm-1", "wk-000001/0");
+        n.at(10).add(What::Unwanted {
+            job: "wk-000001".into(),
+        });
+        n.at(11)
+            .told(Ask::Cancel, "wk-000001", 200, Some(State::Cancelled));
+        n
+    };
+    let mut n = cancelled();
+    n.at(51)
+        .off("vm-1", "wk-000001/0", Off::Stopped, 0.0)
+        .add(What::Ends);
+    assert!(
+        Judge::judge(&n.0.events).breaches.is_empty(),
+        "at 40 s it is gone"
+    );
+    let mut n = cancelled();
+    n.at(52).off("vm-1", "wk-000001/0", Off::Stopped, 0.0);
+    let told = n.only(Rule::RanCancelled);
+    assert!(
+        told.contains("vm-1 at 51.000") && told.contains("11.000"),
+        "{told}"
+    );
+    let mut n = cancelled();
+    n.at(12).off("vm-1", "wk-000001/0", Off::Stopped, 0.0);
+    n.at(60)
+        .on("vm-2", "wk-000001/1")
+        .at(61)
+        .off("vm-2", "wk-000001/1", Off::Stopped, 0.0);
+    n.only(Rule::RanCancelled);
+    let mut n = cancelled();
+    n.at(70).only(Rule::RanCancelled);
+}
+
+#[test]
+fn forgotten_is_a_404_a_refused_repeat_or_silence_for_one() {
+    let mut n = Night::new();
+    n.at(1).accepted(job("wk-000001", 1));
+    n.at(2).on("vm-1", "wk-000001/0");
+    let told = n
+        .at(9)
+        .told(Ask::Poll, "wk-000001", 404, None)
+        .only(Rule::Forgotten);
+    assert!(
+        told.contains("n1 at 9.000") && told.contains("1.000"),
+        "{told}"
+    );
+    let mut n = Night::new();
+    n.at(1).accepted(job("wk-000001", 1));
+    n.at(2).on("vm-1", "wk-000001/0");
+    n.at(9).told(Ask::Submit, "wk-000001", 422, None);
+    n.only(Rule::Forgotten);
+    // Silence for 90 s counts while most others are answered, and not else.
+    for others in [true, false] {
+        let mut n = Night::new();
+        n.at(1).accepted(job("wk-000001", 1));
+        n.at(1).accepted(job("wk-000002", 1));
+        n.at(2).on("vm-1", "wk-000001/0");
+        for s in (5..=100).step_by(5) {
+            n.at(s).told(Ask::Poll, "wk-000001", 0, None);
+            for _ in 0..2 {
+                let (status, state) = if others {
+                    (200, Some(State::Queued))
+                } else {
+                    (503, None)
+                };
+                n.told(Ask::Poll, "wk-000002", status, state);
+            }
+        }
+        if others {
+            n.only(Rule::Forgotten);
+        } else {
+            n.add(What::Ends);
+            assert!(Judge::judge(&n.0.events).breaches.is_empty());
+        }
+    }
+}
+
+#[test]
+fn invented_not_done_and_went_back() {
+    let mut n = Night::new();
+    n.at(1).accepted(job("wk-000001", 1));
+    n.at(2).on("vm-1", "wk-000001/0");
+    let told = n
+        .at(7)
+        .poll("wk-999999", State::Queued)
+        .only(Rule::Invented);
+    assert!(
+        told.contains("wk-999999") && told.contains("7.000"),
+        "{told}"
+    );
+
+    let mut n = Night::new();
+    n.at(1).accepted(job("wk-000001", 2));
+    n.at(2).on("vm-1", "wk-000001/0");
+    n.at(3).off("vm-1", "wk-000001/0", Off::Done, 1.0);
+    let told = n.at(4).poll("wk-000001", State::Done).only(Rule::NotDone);
+    assert!(told.contains("1 of 2"), "{told}");
+
+    let done = || {
+        let mut n = Night::new();
+        n.at(1).accepted(job("wk-000001", 1));
+        n.at(2).on("vm-1", "wk-000001/0");
+        n.at(3).off("vm-1", "wk-000001/0", Off::Done, 1.0);
+        n.at(4).poll("wk-000001", State::Done);
+        n
+    };
+    let told = done()
+        .at(9)
+        .poll("wk-000001", State::Running)
+        .only(Rule::WentBack);
+    assert!(told.contains("9.000") && told.contains("4.000"), "{told}");
+    // Asked before the user was told: it may have crossed.
+    let mut n = done();
+    n.add(What::Told {
+        ask: Ask::Poll,
+        job: "wk-000001".into(),
+        sent_ms: 3500,
+        status: 200,
+        state: Some(State::Running),
+        node: "n2".into(),
+    });
+    n.add(What::Ends);
+    assert!(Judge::judge(&n.0.events).breaches.is_empty());
+    let mut n = Night::new();
+    n.at(1).accepted(job("wk-000001", 1));
+    n.at(2).on("vm-1", "wk-000001/0");
+    n.at(3).off("vm-1", "wk-000001/0", Off::Stopped, 0.0);
+    n.at(4)
+        .poll("wk-000001", State::Cancelled)
+        .only(Rule::WentBack);
+}
+
+#[test]
+fn nothing_ran_is_a_breach_of_its_own() {
+    let mut n = Night::new();
+    n.at(1).accepted(job("wk-000001", 1));
+    n.at(300).only(Rule::NothingRan);
+}
+
+#[test]
+fn every_job_settles_in_exactly_one_way() {
+    let mut n = Night::new();
+    n.at(1).submit(job("wk-000001", 1));
+    n.told(Ask::Submit, "wk-000001", 422, None);
+    n.submit(job("wk-000002", 1));
+    n.told(Ask::Submit, "wk-000002", 503, None);
+    n.at(61).add(What::GaveUp {
+        job: "wk-000002".into(),
+    });
+    n.accepted(job("wk-000003", 1));
+    n.accepted(job("wk-000004", 1)).add(What::Unwanted {
+        job: "wk-000004".into(),
+    });
+    n.told(Ask::Cancel, "wk-000004", 200, Some(State::Cancelled));
+    n.submit(job("wk-000005", 1));
+    n.told(Ask::Submit, "wk-000005", 422, None);
+    n.on("vm-1", "wk-000005/0");
+    let ends = settle::settle(&n.0.events);
+    let end = |id: &str| ends[id].end;
+    assert_eq!(end("wk-000001"), End::Refused);
+    assert_eq!(end("wk-000002"), End::NeverAccepted);
+    assert_eq!(end("wk-000003"), End::Unsettled);
+    assert_eq!(end("wk-000004"), End::Cancelled);
+    assert_eq!(end("wk-000005"), End::Unsettled, "refused, and ran");
+    assert_eq!(settle::tally(&ends)[&End::Unsettled], 2);
+}
+
+#[test]
+fn aims_price_and_useful_work_are_counted_as_the_page_says() {
+    let mut n = Night::new();
+    let mut f = facts();
+    f.aims = vec![
+        Aim::Wait {
+            class: "c".into(),
+            within_s: 5.0,
+            share: 0.5,
+        },
+        Aim::Finished {
+            class: "c".into(),
+            within_s: 20.0,
+            share: 1.0,
+        },
+        Aim::Submit {
+            within_s: 1.0,
+            share: 1.0,
+        },
+        Aim::Useful { share: 0.4 },
+        Aim::Price { most: 3.0 },
+    ];
+    n.add(What::Begins {
+        night: "test".into(),
+        seed: 1,
+        facts: f,
+    });
+    n.at(0).submit(job("wk-000001", 2));
+    n.at(2)
+        .told(Ask::Submit, "wk-000001", 201, Some(State::Queued));
+    n.at(4).on("vm-1", "wk-000001/0").on("vm-1", "wk-000001/1");
+    // Stopped soon after: that start doesn't count, the next one does.
+    n.at(8).add(What::Stops {
+        machine: "vm-1".into(),
+        task: "wk-000001/1".into(),
+    });
+    n.off("vm-1", "wk-000001/1", Off::Stopped, 0.0);
+    n.at(10).on("vm-1", "wk-000001/1");
+    n.at(14).off("vm-1", "wk-000001/0", Off::Done, 10.0);
+    n.at(20).off("vm-1", "wk-000001/1", Off::Done, 10.0);
+    n.at(21).poll("wk-000001", State::Done);
+    // 3,600 s of 4 CPUs at 0.9 an hour, 40 CPU-seconds of it useful.
+    n.at(3600).add(What::Gone {
+        machine: "vm-1".into(),
+        why: "returned".into(),
+        cost: 0.9,
+    });
+    let a = aims::count(&n.0.events);
+    let got: Vec<(f64, bool)> = a.reached.iter().map(|r| (r.got, r.met)).collect();
+    assert_eq!(got[0], (0.5, true), "one of two tasks within 5 s");
+    assert_eq!(got[1], (1.0, true));
+    assert_eq!(got[2], (0.0, false), "told after 2 s");
+    assert!((a.useful_cpu_s - 40.0).abs() < 1e-9);
+    assert!((got[3].0 - 40.0 / 14_400.0).abs() < 1e-9 && !got[3].1);
+    assert!((a.price - 0.9 / (40.0 * 0.225 / 3600.0)).abs() < 1e-6);
+    let c = &a.classes["c"];
+    assert_eq!((c.jobs, c.done, c.done_mean_s), (1, 1, 20.0));
+    assert_eq!(c.wait_p95_s, 10.0);
+}
+
+#[test]
+fn a_history_reads_back_with_its_digest() {
+    let mut n = Night::new();
+    n.at(1)
+        .accepted(job("wk-000001", 1))
+        .on("vm-1", "wk-000001/0");
+    let mut out = Vec::new();
+    n.0.write(&mut out).unwrap();
+    let text = String::from_utf8(out).unwrap();
+    let again = History::read(&text).unwrap();
+    assert_eq!(again.digest(), n.0.digest());
+    assert_eq!(again.events, n.0.events);
+    let other = text.replacen("vm-1", "vm-3", 1);
+    assert_ne!(History::read(&other).unwrap().digest(), n.0.digest());
+    let err = History::read("{\"at_ms\":1}").unwrap_err();
+    assert!(err.contains("line 1"), "{err}");
+}
