Night files: deployment, workload, troubles, checks and drawing, from YAML

Need: a rehearsal plays what a file says, and a mistake in it gets one clear line. Change: crates/night on serde-saphyr, garde and schemars; an error names file, line, field, what was found and what is allowed.

--- a/crates/control/src/leader/progress.rs
+++ b/crates/control/src/leader/progress.rs
@@ -6,7 +6,10 @@
     /// The next job transaction: final states first, then progress.
     pub fn job_batch(&mut self, progress_too: bool) -> Option<JobBatch> {
         let mut batch = JobBatch {
-            txn: Txn::default(),
+            txn: Txn {
+                guards: Vec::new(),
+                changes: Vec::new(),
+            },
             progress: Vec::new(),
             finals: Vec::new(),
         };
--- a/crates/judge/src/aims.rs
+++ b/crates/judge/src/aims.rs
@@ -295,7 +295,8 @@
     // Of an array, only as many tasks as its team's limit allows at once.
     let counts = |t: &Tracked| {
         let limit = facts.teams.iter().find(|x| x.name == t.job.team);
-        let limit = limit.and_then(|x| x.cpus_max).unwrap_or(f64::INFINITY);
+        let limit = limit.map(|x| x.cpus_max).filter(|most| *most > 0.0);
+        let limit = limit.unwrap_or(f64::INFINITY);
         let at_once = (limit / t.job.cpus.max(0.001)).floor();
         f64::from(t.job.tasks).min(at_once) as usize
     };
--- a/crates/judge/src/history.rs
+++ b/crates/judge/src/history.rs
@@ -2,6 +2,7 @@
 //! that made trouble. One line of JSON an event; the digest is over these lines,
 //! so `b3sum history.jsonl` repeats it.
 
+pub use cherrywood_night::deployment::{Aim, MachineType, Team};
 use serde::{Deserialize, Serialize};
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -12,55 +13,12 @@
     pub what: What,
 }
 
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Team {
-    pub name: String,
-    pub cpus: f64,
-    /// Most CPUs that its tasks may use; None is no limit.
-    pub cpus_max: Option<f64>,
-}
-
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct MachineKind {
-    pub name: String,
-    pub cpus: f64,
-    /// Of an hour of the whole machine, as published.
-    pub price: f64,
-    pub spot_price: Option<f64>,
-}
-
-/// An aim of the deployment.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-#[serde(tag = "kind", rename_all = "snake_case")]
-pub enum Aim {
-    /// Share of the tasks of a class that start in time.
-    Wait {
-        class: String,
-        within_s: f64,
-        share: f64,
-    },
-    /// Share of the jobs of a class that are done in time.
-    Finished {
-        class: String,
-        within_s: f64,
-        share: f64,
-    },
-    /// Share of the tasks within their team's guarantee that start in time.
-    Guarantee { within_s: f64, share: f64 },
-    /// Share of the jobs accepted in time.
-    Submit { within_s: f64, share: f64 },
-    /// Share of the money that is spent on useful work.
-    Useful { share: f64 },
-    /// Money over what the useful work costs at the lowest nominal price.
-    Price { most: f64 },
-}
-
 /// What the judge must know of the deployment.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Facts {
     pub cancel_s: f64,
     pub teams: Vec<Team>,
-    pub kinds: Vec<MachineKind>,
+    pub kinds: Vec<MachineType>,
     pub aims: Vec<Aim>,
 }
 
--- a/crates/judge/src/rules.rs
+++ b/crates/judge/src/rules.rs
@@ -405,7 +405,8 @@
         let facts = self.facts.as_ref();
         let limit = facts
             .and_then(|f| f.teams.iter().find(|t| t.name == team))
-            .and_then(|t| t.cpus_max);
+            .map(|t| t.cpus_max)
+            .filter(|most| *most > 0.0);
         if let Some(limit) = limit
             && used.0 > limit + ROUNDING
         {
--- a/crates/judge/tests/judge.rs
+++ b/crates/judge/tests/judge.rs
@@ -1,7 +1,7 @@
 //! A judge that can't find a breach proves nothing: each rule is broken once by
 //! a written history, and the judge must name rule, job, machine and both times.
 
-use cherrywood_judge::history::{Aim, Ask, Facts, Job, MachineKind, Off, State, Team};
+use cherrywood_judge::history::{Aim, Ask, Facts, Job, MachineType, Off, State, Team};
 use cherrywood_judge::settle::{self, End};
 use cherrywood_judge::{History, Judge, Rule, What, aims};
 
@@ -12,15 +12,19 @@
         name: name.into(),
         cpus: 4.0,
         cpus_max,
+        gpus: 0.0,
+        gpus_max: 0.0,
+        weight: 1.0,
     };
     Facts {
         cancel_s: CANCEL_S,
-        teams: vec![team("t", Some(6.0)), team("guest", None)],
-        kinds: vec![MachineKind {
+        teams: vec![team("t", 6.0), team("guest", 0.0)],
+        kinds: vec![MachineType {
             name: "m4".into(),
             cpus: 4.0,
             price: 3.6,
             spot_price: Some(0.9),
+            ..MachineType::default()
         }],
         aims: Vec::new(),
     }
--- /dev/null
+++ b/crates/night/src/check.rs
@@ -0,0 +1,167 @@
+//! Checks across fields: what is possible by itself may be impossible together.
+
+use crate::workload::JobKind;
+use crate::{Aim, Night, Trouble};
+use garde::{Error, Path, Report};
+
+fn list(names: &[&str]) -> String {
+    names.join(", ")
+}
+
+/// Appends what is wrong, each with its path.
+pub fn check(night: &Night, report: &mut Report) {
+    let d = &night.deployment;
+    let root = Path::empty;
+    let zones: Vec<&str> = d.zones.iter().map(String::as_str).collect();
+    let kinds: Vec<&str> = d.machine_types.iter().map(|t| t.name.as_str()).collect();
+    let teams: Vec<&str> = d.teams.iter().map(|t| t.name.as_str()).collect();
+    let classes: Vec<&str> = night
+        .workload
+        .classes
+        .iter()
+        .map(|c| c.name.as_str())
+        .collect();
+    let mut bad = |path: Path, why: String| report.append(path, Error::new(why));
+    let one_of = |what: &str, names: &[&str]| format!("no such {what}; allowed: {}", list(names));
+    for (what, names, field) in [
+        ("zone", &zones, "zones"),
+        ("machine type", &kinds, "machine_types"),
+        ("team", &teams, "teams"),
+    ] {
+        let mut seen = names.clone();
+        seen.sort_unstable();
+        if let Some(w) = seen.windows(2).find(|w| w[0] == w[1]) {
+            let why = format!("two {what}s are called {}", w[0]);
+            bad(root().join("deployment").join(field), why);
+        }
+    }
+    let capacity = root().join("deployment").join("capacity");
+    for (i, c) in d.capacity.iter().enumerate() {
+        let at = |field| capacity.join(i).join(field);
+        if !zones.contains(&c.zone.as_str()) {
+            bad(at("zone"), one_of("zone", &zones));
+        }
+        let kind = d.machine_types.iter().find(|t| t.name == c.kind);
+        if kind.is_none() {
+            bad(at("type"), one_of("machine type", &kinds));
+        } else if c.spot > 0 && kind.is_some_and(|k| k.spot_price.is_none()) {
+            bad(at("spot"), format!("{} has no spot_price", c.kind));
+        }
+        if c.up > c.count {
+            bad(at("up"), format!("more than count, which is {}", c.count));
+        }
+    }
+    let total: u32 = d.capacity.iter().map(|c| c.count + c.spot).sum();
+    if total == 0 {
+        let why = "no machine can be rented".to_string();
+        bad(capacity, why);
+    }
+    if d.workers.lease_s < 4.0 * d.workers.report_s {
+        let path = root().join("deployment").join("workers").join("lease_s");
+        let least = 4.0 * d.workers.report_s;
+        bad(path, format!("shorter than four reports, {least} s"));
+    }
+    if d.workers.cancel_s < d.workers.lease_s + 8.0 {
+        let path = root().join("deployment").join("workers").join("cancel_s");
+        let least = d.workers.lease_s + 8.0;
+        bad(path, format!("lower than lease_s and 8 s, {least} s"));
+    }
+    let work = root().join("workload").join("classes");
+    for (i, c) in night.workload.classes.iter().enumerate() {
+        let at = |field| work.join(i).join(field);
+        if let Some(team) = &c.team
+            && !teams.contains(&team.as_str())
+        {
+            bad(at("team"), one_of("team", &teams));
+        }
+        if let Some(zone) = &c.zone
+            && !zones.contains(&zone.as_str())
+        {
+            bad(at("zone"), one_of("zone", &zones));
+        }
+        if let Some(types) = &c.types
+            && let Some(t) = types.iter().find(|t| !kinds.contains(&t.as_str()))
+        {
+            bad(
+                at("types"),
+                format!("{t}: {}", one_of("machine type", &kinds)),
+            );
+        }
+        let fits = d.machine_types.iter().any(|t| {
+            let there = d.capacity.iter().any(|k| {
+                k.kind == t.name
+                    && (k.count > 0 || c.spot && k.spot > 0)
+                    && c.zone.as_ref().is_none_or(|z| *z == k.zone)
+            });
+            there
+                && c.types.as_ref().is_none_or(|a| a.contains(&t.name))
+                && c.cpus <= t.cpus
+                && c.gpus <= t.gpus
+                && c.ram_gb <= t.ram_gb
+        });
+        if !fits {
+            let why = "a task fits no machine type that can be rented for it";
+            bad(at("cpus"), why.to_string());
+        }
+        if c.kind == JobKind::Standing {
+            let least = d
+                .teams
+                .iter()
+                .filter(|t| c.team.as_ref().is_none_or(|n| *n == t.name))
+                .map(|t| {
+                    if t.cpus_max > 0.0 {
+                        t.cpus_max
+                    } else {
+                        f64::INFINITY
+                    }
+                })
+                .fold(f64::INFINITY, f64::min);
+            let most = c.tasks.most.or(c.tasks.p95).unwrap_or(c.tasks.median);
+            if most * c.cpus > least {
+                let why = format!("a standing job of {most} tasks is more than its team's limit");
+                bad(at("tasks"), why);
+            }
+        }
+    }
+    let aims = root().join("deployment").join("aims");
+    for (i, a) in d.aims.iter().enumerate() {
+        // Aims on classes that a night leaves out count nothing, and may stay.
+        if let Aim::Wait { class, .. } | Aim::Finished { class, .. } = a
+            && class.is_empty()
+        {
+            bad(aims.join(i), "class is empty".to_string());
+        }
+    }
+    let troubles = root().join("troubles");
+    for (i, t) in night.troubles.iter().enumerate() {
+        let at = |field| troubles.join(i).join(field);
+        if t.at_s() >= night.play_s {
+            let why = format!("after the end of play, which is at {} s", night.play_s);
+            bad(at("at_s"), why);
+        }
+        let zone = match t {
+            Trouble::ZoneCut(t) => Some(&t.zone),
+            Trouble::CloudFull(t) => t.zone.as_ref(),
+            Trouble::BootsLate(t) => t.zone.as_ref(),
+            Trouble::MachineDie(t) => t.zone.as_ref(),
+            _ => None,
+        };
+        if zone.is_some_and(|z| !zones.contains(&z.as_str())) {
+            bad(at("zone"), one_of("zone", &zones));
+        }
+        if let Trouble::JobBurst(t) = t
+            && !classes.contains(&t.class.as_str())
+        {
+            bad(at("class"), one_of("class", &classes));
+        }
+    }
+    for (i, draw) in night.drawn.iter().enumerate() {
+        let at = |field| root().join("drawn").join(i).join(field);
+        if draw.to_s <= draw.from_s {
+            bad(at("to_s"), format!("not after from_s, {} s", draw.from_s));
+        } else if draw.to_s > night.play_s {
+            let why = format!("after the end of play, which is at {} s", night.play_s);
+            bad(at("to_s"), why);
+        }
+    }
+}
--- /dev/null
+++ b/crates/night/src/file.rs
@@ -0,0 +1,148 @@
+//! Reading a file, and what its author is told when it can't be used: one line
+//! with file, line, field, what was found and what is allowed.
+
+use crate::Night;
+use garde::Validate;
+use serde::de::DeserializeOwned;
+use std::path::Path;
+
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("{0}")]
+pub struct FileError(String);
+
+impl FileError {
+    pub fn new(text: impl Into<String>) -> FileError {
+        FileError(text.into())
+    }
+}
+
+impl Night {
+    pub fn load(path: &Path) -> Result<Night, FileError> {
+        let name = path.display().to_string();
+        Night::parse(&name, &read(path)?)
+    }
+
+    pub fn parse(file: &str, text: &str) -> Result<Night, FileError> {
+        parse::<Checked>(file, text).map(|c| c.0)
+    }
+}
+
+/// The whole of a small text file.
+pub fn read(path: &Path) -> Result<String, FileError> {
+    std::fs::read_to_string(path).map_err(|e| FileError(format!("{}: {e}", path.display())))
+}
+
+/// Reads YAML and validates it.
+pub fn parse<T>(file: &str, text: &str) -> Result<T, FileError>
+where
+    T: DeserializeOwned + Validate,
+    T::Context: Default,
+{
+    serde_saphyr::from_str_valid(text).map_err(|e| FileError(explain(file, text, &e)))
+}
+
+/// Night files are also checked across their fields.
+#[derive(serde::Deserialize)]
+#[serde(transparent)]
+struct Checked(Night);
+
+impl Validate for Checked {
+    type Context = ();
+
+    fn validate_into(
+        &self,
+        ctx: &Self::Context,
+        parent: &mut dyn FnMut() -> garde::Path,
+        report: &mut garde::Report,
+    ) {
+        self.0.validate_into(ctx, parent, report);
+        if report.is_empty() {
+            crate::check::check(&self.0, report);
+        }
+    }
+}
+
+fn explain(file: &str, text: &str, error: &serde_saphyr::Error) -> String {
+    let plain = error.without_snippet().to_string();
+    // The first of several; the rest shows when it is mended.
+    let first = plain.lines().next().unwrap_or_default();
+    let (what, at) = match first.rsplit_once(" at line ") {
+        Some((what, at)) => (what, at.split(',').next().unwrap_or_default()),
+        None => (first, ""),
+    };
+    let line: usize = at.trim().parse().unwrap_or(0);
+    let mut line = if line == 0 {
+        error.location().map_or(0, |l| l.line() as usize)
+    } else {
+        line
+    };
+    let mut field = String::new();
+    let mut what = what.to_string();
+    if let Some(rest) = what.strip_prefix("validation error at ")
+        && let Some((path, why)) = rest.split_once(": ")
+    {
+        // The value of a variant has no name in the file.
+        (field, what) = (path.replace("][0]", "]"), why.to_string());
+    }
+    let key = field
+        .rsplit(['.', ']'])
+        .next()
+        .unwrap_or_default()
+        .to_string();
+    // Inside a list the position is that of the entry: its field is below.
+    let lines: Vec<&str> = text.lines().collect();
+    let has = |n: usize, key: &str| lines.get(n - 1).is_some_and(|l| value_of(l, key).is_some());
+    if line > 0
+        && !key.is_empty()
+        && let Some(n) = (line..line + 30).find(|n| has(*n, &key))
+    {
+        line = n;
+    }
+    let source = lines.get(line.wrapping_sub(1)).copied().unwrap_or_default();
+    if field.is_empty() {
+        field = key_of(source).unwrap_or_default();
+    }
+    let key = if key.is_empty() { field.clone() } else { key };
+    let mut out = format!("{file}, line {line}");
+    if !field.is_empty() {
+        out.push_str(&format!(", {field}"));
+    }
+    out.push_str(&format!(": {what}"));
+    if let Some(found) = value_of(source, &key).filter(|f| !f.is_empty()) {
+        out.push_str(&format!(", found {found}"));
+    }
+    out.replace('\n', " ")
+}
+
+/// `key` of `  - key: value`.
+fn key_of(line: &str) -> Option<String> {
+    let line = line.trim().trim_start_matches("- ").trim_start_matches('{');
+    let (key, _) = line.split_once(':')?;
+    Some(key.trim().to_string())
+}
+
+/// What stands behind `key:` in the line.
+fn value_of(line: &str, key: &str) -> Option<String> {
+    if key.is_empty() {
+        return None;
+    }
+    let code = line.split(" #").next().unwrap_or_default();
+    let mut from = 0;
+    while let Some(at) = code[from..].find(key) {
+        let at = from + at;
+        let before = code[..at].chars().next_back();
+        let rest = code[at + key.len()..].trim_start();
+        let starts = before.is_none_or(|c| !c.is_alphanumeric() && c != '_');
+        if starts && let Some(value) = rest.strip_prefix(':') {
+            let value = value.trim();
+            let end = if value.starts_with(['[', '{', '"', '\'']) {
+                value.len()
+            } else {
+                value.find([',', '}']).unwrap_or(value.len())
+            };
+            return Some(value[..end].trim().to_string());
+        }
+        from = at + key.len();
+    }
+    None
+}
--- /dev/null
+++ b/crates/night/src/trouble.rs
@@ -0,0 +1,388 @@
+//! What can go wrong.
+
+use garde::Validate;
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+/// Which controllers a trouble hits.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum Who {
+    /// The one that leads at that moment.
+    Leader,
+    /// One that doesn't lead, drawn from the seed.
+    Follower,
+    /// Any one, drawn from the seed.
+    #[default]
+    Any,
+    All,
+}
+
+/// What becomes of packets on a broken path.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum Cut {
+    /// Held back, and delivered in order when the path is whole again.
+    #[default]
+    Hold,
+    /// Connections are reset.
+    Reset,
+}
+
+/// What a controller is cut off from.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, JsonSchema,
+)]
+#[serde(rename_all = "snake_case")]
+pub enum Side {
+    State,
+    Cloud,
+    Workers,
+    Users,
+    Peers,
+}
+
+impl Side {
+    pub const ALL: [Side; 5] = [
+        Side::State,
+        Side::Cloud,
+        Side::Workers,
+        Side::Users,
+        Side::Peers,
+    ];
+}
+
+fn all_sides() -> Vec<Side> {
+    Side::ALL.to_vec()
+}
+
+macro_rules! troubles {
+    ($(
+        $(#[doc = $about:literal])*
+        $name:ident {
+            $( $(#[$field_meta:meta])* $field:ident : $ty:ty ),* $(,)?
+        }
+    )*) => {
+        /// A trouble; `at_s` counts from the beginning of the night.
+        #[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema, Validate)]
+        #[serde(rename_all = "snake_case", deny_unknown_fields)]
+        pub enum Trouble {
+            $( $(#[doc = $about])* $name(#[garde(dive)] $name), )*
+        }
+
+        $(
+            $(#[doc = $about])*
+            #[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema, Validate)]
+            #[serde(deny_unknown_fields)]
+            pub struct $name {
+                #[garde(range(min = 0.0, max = 86_400.0))]
+                pub at_s: f64,
+                $( $(#[$field_meta])* pub $field: $ty, )*
+            }
+        )*
+
+        impl Trouble {
+            pub fn at_s(&self) -> f64 {
+                match self { $( Trouble::$name(t) => t.at_s, )* }
+            }
+        }
+    };
+}
+
+troubles! {
+    /// Controllers are killed, and started again.
+    NodeCrash {
+        #[serde(default)]
+        #[garde(skip)]
+        who: Who,
+    }
+    /// All controllers are restarted, one after the other.
+    NodeRoll {
+        #[garde(range(min = 0.5, max = 600.0))]
+        every_s: f64,
+    }
+    /// Controllers stand still while their clocks run on.
+    NodeFreeze {
+        #[garde(range(min = 0.1, max = 3600.0))]
+        for_s: f64,
+        #[serde(default)]
+        #[garde(skip)]
+        who: Who,
+    }
+    /// Controllers lose the network, or a part of it.
+    NodeCut {
+        #[garde(range(min = 0.1, max = 3600.0))]
+        for_s: f64,
+        #[serde(default)]
+        #[garde(skip)]
+        who: Who,
+        /// From whom; all if it isn't given.
+        #[serde(default = "all_sides")]
+        #[garde(length(min = 1))]
+        from: Vec<Side>,
+        #[serde(default)]
+        #[garde(skip)]
+        mode: Cut,
+    }
+    /// The state service answers 503 to these controllers alone.
+    NodeRefused {
+        #[garde(range(min = 0.1, max = 3600.0))]
+        for_s: f64,
+        #[serde(default)]
+        #[garde(skip)]
+        who: Who,
+    }
+    /// Connections between controllers are refused.
+    PeersRefuse {
+        #[garde(range(min = 0.1, max = 3600.0))]
+        for_s: f64,
+    }
+    /// The state service answers 503 to all.
+    StateOutage {
+        #[garde(range(min = 0.1, max = 3600.0))]
+        for_s: f64,
+    }
+    /// A share of its answers takes longer.
+    StateSlow {
+        #[garde(range(min = 0.1, max = 3600.0))]
+        for_s: f64,
+        #[garde(range(min = 0.0, max = 1.0))]
+        share: f64,
+        /// ms that such an answer takes.
+        #[garde(range(min = 1.0, max = 60_000.0))]
+        ms: f64,
+    }
+    /// It falls behind: only this share of its rates is left.
+    StateBehind {
+        #[garde(range(min = 0.1, max = 3600.0))]
+        for_s: f64,
+        #[garde(range(min = 0.01, max = 1.0))]
+        share: f64,
+    }
+    /// Answers of the state service are lost.
+    StateLoses {
+        #[garde(range(min = 0.1, max = 3600.0))]
+        for_s: f64,
+        #[garde(range(min = 0.0, max = 1.0))]
+        share: f64,
+        #[serde(default)]
+        #[garde(skip)]
+        when: Lost,
+        /// s by which a late request is executed late.
+        #[serde(default = "late_s")]
+        #[garde(range(min = 0.1, max = 600.0))]
+        late_s: f64,
+    }
+    /// The cloud answers 503 to all.
+    CloudOutage {
+        #[garde(range(min = 0.1, max = 3600.0))]
+        for_s: f64,
+    }
+    /// It has no capacity left, anywhere or in a zone.
+    CloudFull {
+        #[garde(range(min = 0.1, max = 3600.0))]
+        for_s: f64,
+        #[serde(default)]
+        #[garde(skip)]
+        zone: Option<String>,
+    }
+    /// It executes a share of its requests late: a machine is granted, or
+    /// deleted, after the caller gave up.
+    CloudLate {
+        #[garde(range(min = 0.1, max = 3600.0))]
+        for_s: f64,
+        #[garde(range(min = 0.0, max = 1.0))]
+        share: f64,
+        #[garde(range(min = 0.1, max = 600.0))]
+        by_s: f64,
+    }
+    /// Its machine list is this much older, and goes backwards.
+    CloudStale {
+        #[garde(range(min = 0.1, max = 3600.0))]
+        for_s: f64,
+        #[garde(range(min = 0.1, max = 600.0))]
+        lag_s: f64,
+    }
+    /// Machines rented meanwhile boot late, or never.
+    BootsLate {
+        #[garde(range(min = 0.1, max = 3600.0))]
+        for_s: f64,
+        #[garde(range(min = 0.0, max = 1.0))]
+        late: f64,
+        #[garde(range(min = 1.0, max = 100.0))]
+        times: f64,
+        #[serde(default)]
+        #[garde(range(min = 0.0, max = 1.0))]
+        never: f64,
+        #[serde(default)]
+        #[garde(skip)]
+        zone: Option<String>,
+    }
+    /// Machines stop, with all that is on them.
+    MachineDie {
+        #[garde(range(min = 1, max = 100_000))]
+        count: u32,
+        #[serde(default)]
+        #[garde(skip)]
+        zone: Option<String>,
+    }
+    /// Machines stand still, and may go on later.
+    MachineHang {
+        #[garde(range(min = 1, max = 100_000))]
+        count: u32,
+        #[garde(range(min = 0.1, max = 3600.0))]
+        for_s: f64,
+    }
+    /// Machines run their tasks slower.
+    MachineSlow {
+        #[garde(range(min = 1, max = 100_000))]
+        count: u32,
+        #[garde(range(min = 0.1, max = 3600.0))]
+        for_s: f64,
+        #[garde(range(min = 1.0, max = 100.0))]
+        times: f64,
+    }
+    /// Machines fail every task that they start.
+    MachineFaulty {
+        #[garde(range(min = 1, max = 100_000))]
+        count: u32,
+        #[garde(range(min = 0.1, max = 3600.0))]
+        for_s: f64,
+    }
+    /// Machines lose the network.
+    MachineCut {
+        #[garde(range(min = 1, max = 100_000))]
+        count: u32,
+        #[garde(range(min = 0.1, max = 3600.0))]
+        for_s: f64,
+        #[serde(default)]
+        #[garde(skip)]
+        mode: Cut,
+    }
+    /// A share of the spot machines is taken back.
+    SpotWave {
+        #[garde(range(min = 0.0, max = 1.0))]
+        share: f64,
+        #[garde(range(min = 0.0, max = 3600.0))]
+        over_s: f64,
+        /// s of notice; 0 is none.
+        #[serde(default)]
+        #[garde(range(min = 0.0, max = 600.0))]
+        notice_s: f64,
+    }
+    /// A zone is cut off from everything; inside, it goes on.
+    ZoneCut {
+        #[garde(range(min = 0.1, max = 3600.0))]
+        for_s: f64,
+        #[garde(length(min = 1))]
+        zone: String,
+        #[serde(default)]
+        #[garde(skip)]
+        mode: Cut,
+    }
+    /// Jobs of a class come several times as often.
+    JobBurst {
+        #[garde(range(min = 0.1, max = 3600.0))]
+        for_s: f64,
+        #[garde(length(min = 1))]
+        class: String,
+        #[garde(range(min = 1.0, max = 100.0))]
+        times: f64,
+    }
+    /// Users ask many times as often.
+    PollStorm {
+        #[garde(range(min = 0.1, max = 3600.0))]
+        for_s: f64,
+        #[garde(range(min = 1.0, max = 100.0))]
+        times: f64,
+    }
+}
+
+fn late_s() -> f64 {
+    5.0
+}
+
+/// When the answer of the state service is lost.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum Lost {
+    /// The request was not executed.
+    Before,
+    /// It was.
+    #[default]
+    After,
+    /// It will be, later.
+    Late,
+}
+
+impl Trouble {
+    /// s until it is over; None for a moment.
+    pub fn for_s(&self) -> Option<f64> {
+        use Trouble as T;
+        match self {
+            T::NodeCrash(_) | T::NodeRoll(_) | T::MachineDie(_) => None,
+            T::SpotWave(t) => Some(t.over_s),
+            T::NodeFreeze(t) => Some(t.for_s),
+            T::NodeCut(t) => Some(t.for_s),
+            T::NodeRefused(t) => Some(t.for_s),
+            T::PeersRefuse(t) => Some(t.for_s),
+            T::StateOutage(t) => Some(t.for_s),
+            T::StateSlow(t) => Some(t.for_s),
+            T::StateBehind(t) => Some(t.for_s),
+            T::StateLoses(t) => Some(t.for_s),
+            T::CloudOutage(t) => Some(t.for_s),
+            T::CloudFull(t) => Some(t.for_s),
+            T::CloudLate(t) => Some(t.for_s),
+            T::CloudStale(t) => Some(t.for_s),
+            T::BootsLate(t) => Some(t.for_s),
+            T::MachineHang(t) => Some(t.for_s),
+            T::MachineSlow(t) => Some(t.for_s),
+            T::MachineFaulty(t) => Some(t.for_s),
+            T::MachineCut(t) => Some(t.for_s),
+            T::ZoneCut(t) => Some(t.for_s),
+            T::JobBurst(t) => Some(t.for_s),
+            T::PollStorm(t) => Some(t.for_s),
+        }
+    }
+
+    /// Its name in a night file.
+    pub fn name(&self) -> &'static str {
+        use Trouble as T;
+        match self {
+            T::NodeCrash(_) => "node_crash",
+            T::NodeRoll(_) => "node_roll",
+            T::NodeFreeze(_) => "node_freeze",
+            T::NodeCut(_) => "node_cut",
+            T::NodeRefused(_) => "node_refused",
+            T::PeersRefuse(_) => "peers_refuse",
+            T::StateOutage(_) => "state_outage",
+            T::StateSlow(_) => "state_slow",
+            T::StateBehind(_) => "state_behind",
+            T::StateLoses(_) => "state_loses",
+            T::CloudOutage(_) => "cloud_outage",
+            T::CloudFull(_) => "cloud_full",
+            T::CloudLate(_) => "cloud_late",
+            T::CloudStale(_) => "cloud_stale",
+            T::BootsLate(_) => "boots_late",
+            T::MachineDie(_) => "machine_die",
+            T::MachineHang(_) => "machine_hang",
+            T::MachineSlow(_) => "machine_slow",
+            T::MachineFaulty(_) => "machine_faulty",
+            T::MachineCut(_) => "machine_cut",
+            T::SpotWave(_) => "spot_wave",
+            T::ZoneCut(_) => "zone_cut",
+            T::JobBurst(_) => "job_burst",
+            T::PollStorm(_) => "poll_storm",
+        }
+    }
+
+    /// Can it be made with real processes on loopback? Paths between them can't
+    /// be broken there.
+    pub fn on_loopback(&self) -> bool {
+        use Trouble as T;
+        !matches!(
+            self,
+            T::NodeCut(_) | T::PeersRefuse(_) | T::MachineCut(_) | T::ZoneCut(_)
+        )
+    }
+}
--- /dev/null
+++ b/crates/night/src/workload.rs
@@ -0,0 +1,231 @@
+//! What users do.
+
+use garde::Validate;
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema, Validate)]
+#[serde(deny_unknown_fields, default)]
+pub struct Workload {
+    #[garde(length(min = 1, max = 100), dive)]
+    pub classes: Vec<Class>,
+    /// s between two polls for a job.
+    #[garde(range(min = 0.5, max = 600.0))]
+    pub poll_s: f64,
+    /// Questions a minute about jobs that nobody submitted.
+    #[garde(range(min = 0.0, max = 10_000.0))]
+    pub strangers_per_minute: f64,
+    /// Share of jobs that are submitted again after their end.
+    #[garde(range(min = 0.0, max = 1.0))]
+    pub repeats: f64,
+    /// Share of jobs that can never run.
+    #[garde(range(min = 0.0, max = 1.0))]
+    pub impossible: f64,
+}
+
+impl Default for Workload {
+    fn default() -> Self {
+        let tiles = Class {
+            name: "tiles".into(),
+            team: Some("day".into()),
+            per_minute: 4.0,
+            at_start: 3,
+            tasks: Spread::new(12.0, 40.0, 80.0),
+            run_s: Spread::new(15.0, 45.0, 80.0),
+            cpus: 2.0,
+            ram_gb: 7.0,
+            images: Images {
+                count: 4,
+                gb: Spread::new(1.2, 2.5, 4.0),
+                zipf: 1.0,
+            },
+            cancelled: 0.03,
+            ..Class::default()
+        };
+        let matching = Class {
+            name: "matching".into(),
+            team: Some("night".into()),
+            per_minute: 3.0,
+            at_start: 2,
+            tasks: Spread::new(8.0, 24.0, 40.0),
+            run_s: Spread::new(40.0, 90.0, 150.0),
+            cpus: 4.0,
+            ram_gb: 13.0,
+            images: Images {
+                count: 8,
+                gb: Spread::new(1.5, 3.0, 4.0),
+                zipf: 0.5,
+            },
+            checkpoint_s: 15.0,
+            save_s: 3.0,
+            cancelled: 0.03,
+            ..Class::default()
+        };
+        Workload {
+            classes: vec![tiles, matching],
+            poll_s: 5.0,
+            strangers_per_minute: 2.0,
+            repeats: 0.03,
+            impossible: 0.02,
+        }
+    }
+}
+
+/// A lognormal distribution, cut off at `most`.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize, JsonSchema, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct Spread {
+    #[garde(range(min = 0.001, max = 1.0e6))]
+    pub median: f64,
+    /// 95 of 100 are below; like the median if it isn't given.
+    #[serde(default)]
+    #[garde(inner(range(min = 0.001, max = 1.0e6)))]
+    pub p95: Option<f64>,
+    #[serde(default)]
+    #[garde(inner(range(min = 0.001, max = 1.0e6)))]
+    pub most: Option<f64>,
+}
+
+impl Spread {
+    pub fn new(median: f64, p95: f64, most: f64) -> Spread {
+        Spread {
+            median,
+            p95: Some(p95),
+            most: Some(most),
+        }
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum JobKind {
+    Array,
+    /// Runs until its user cancels it.
+    Standing,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum Rank {
+    Critical,
+    Urgent,
+    Normal,
+    Low,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize, JsonSchema, Validate)]
+#[serde(deny_unknown_fields, default)]
+pub struct Images {
+    #[garde(range(min = 1, max = 10_000))]
+    pub count: u32,
+    #[garde(dive)]
+    pub gb: Spread,
+    /// How much more often the first ones are used.
+    #[garde(range(min = 0.0, max = 4.0))]
+    pub zipf: f64,
+}
+
+impl Default for Images {
+    fn default() -> Self {
+        Images {
+            count: 4,
+            gb: Spread::new(1.0, 2.0, 4.0),
+            zipf: 1.0,
+        }
+    }
+}
+
+/// A class of jobs.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema, Validate)]
+#[serde(deny_unknown_fields, default)]
+pub struct Class {
+    #[garde(length(min = 1, max = 60))]
+    pub name: String,
+    /// None: any team, by weight.
+    #[garde(skip)]
+    pub team: Option<String>,
+    #[garde(skip)]
+    pub kind: JobKind,
+    #[garde(skip)]
+    pub rank: Rank,
+    #[garde(range(min = 0.0, max = 100_000.0))]
+    pub per_minute: f64,
+    #[garde(range(max = 100_000))]
+    pub at_start: u32,
+    #[garde(dive)]
+    pub tasks: Spread,
+    #[garde(dive)]
+    pub run_s: Spread,
+    /// Of each task.
+    #[garde(range(min = 0.01, max = 100_000.0))]
+    pub cpus: f64,
+    #[garde(range(min = 0.0, max = 10_000.0))]
+    pub gpus: f64,
+    #[garde(range(min = 0.0, max = 1.0e6))]
+    pub ram_gb: f64,
+    #[garde(dive)]
+    pub images: Images,
+    /// Allowed machine types; None is any.
+    #[garde(skip)]
+    pub types: Option<Vec<String>>,
+    #[garde(skip)]
+    pub zone: Option<String>,
+    #[garde(skip)]
+    pub one_zone: bool,
+    #[garde(skip)]
+    pub spread: bool,
+    /// May it use spot machines?
+    #[garde(skip)]
+    pub spot: bool,
+    /// s between two saves; 0 never saves.
+    #[garde(range(min = 0.0, max = 86_400.0))]
+    pub checkpoint_s: f64,
+    #[garde(range(min = 0.0, max = 600.0))]
+    pub save_s: f64,
+    /// Spread of the owner's estimates around the truth.
+    #[garde(range(min = 0.0, max = 3.0))]
+    pub estimate_error: f64,
+    /// Factor by which estimates are off on this night.
+    #[garde(range(min = 0.01, max = 100.0))]
+    pub estimate_bias: f64,
+    /// Share of jobs that their user cancels.
+    #[garde(range(min = 0.0, max = 1.0))]
+    pub cancelled: f64,
+    /// Share submitted with a mistake: they fail everywhere.
+    #[garde(range(min = 0.0, max = 1.0))]
+    pub mistaken: f64,
+    /// s after which a standing job is cancelled.
+    #[garde(range(min = 1.0, max = 86_400.0))]
+    pub stands_s: f64,
+}
+
+impl Default for Class {
+    fn default() -> Self {
+        Class {
+            name: "work".into(),
+            team: None,
+            kind: JobKind::Array,
+            rank: Rank::Normal,
+            per_minute: 2.0,
+            at_start: 0,
+            tasks: Spread::new(8.0, 20.0, 40.0),
+            run_s: Spread::new(20.0, 50.0, 100.0),
+            cpus: 2.0,
+            gpus: 0.0,
+            ram_gb: 4.0,
+            images: Images::default(),
+            types: None,
+            zone: None,
+            one_zone: false,
+            spread: false,
+            spot: true,
+            checkpoint_s: 0.0,
+            save_s: 0.0,
+            estimate_error: 0.3,
+            estimate_bias: 1.0,
+            cancelled: 0.0,
+            mistaken: 0.0,
+            stands_s: 120.0,
+        }
+    }
+}
--- a/crates/wire/src/state.rs
+++ b/crates/wire/src/state.rs
@@ -63,7 +63,7 @@
     },
 }
 
-#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Txn<V = Value> {
     #[serde(rename = "guards", default)]
     pub guards: Vec<Guard>,
