Emulated network and processes: delay, loss, broken paths, power, clocks

Need: the same controllers in virtual time, with a network that breaks as the protocol says. Change: crates/emulator: fabric (streams in memory) and processes that drift, stand still and end.

--- /dev/null
+++ b/crates/emulator/src/fabric.rs
@@ -0,0 +1,619 @@
+//! The network between emulated hosts: streams in memory with delay, loss, and
+//! broken paths. A path that holds delivers what was sent meanwhile when it is
+//! whole again, in order, even if the sender has given up; one that resets ends
+//! its connections. A host without power is silent: nothing comes back from it.
+//!
+//! Virtual time moves in steps of a millisecond, as the runtime's timers do.
+
+use cherrywood_net::host::{Accept, Listener, Stream};
+use cherrywood_night::Cut;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
+use std::collections::{BTreeMap, VecDeque};
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
+use std::task::{Context, Poll, Waker};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::sync::Notify;
+use tokio::time::{Instant, Sleep, sleep, sleep_until};
+
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Bytes on their way in one direction before a writer must wait.
+const WINDOW: usize = 1 << 20;
+/// s after which a lost packet, or a connection attempt, is sent again.
+const RESEND_S: f64 = 0.2;
+const CONNECT_AGAIN_S: f64 = 1.0;
+
+/// What a host is for; paths are broken between roles, zones or single hosts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Role {
+    Node,
+    Worker,
+    State,
+    Cloud,
+    Users,
+}
+
+#[derive(Debug, Clone)]
+struct Place {
+    role: Role,
+    /// None: of the region, in no zone.
+    zone: Option<String>,
+    /// Without power: silent.
+    dead: bool,
+}
+
+/// Hosts on one side of a broken path.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Group {
+    Hosts(Vec<IpAddr>),
+    Role(Role),
+    Zone(String),
+    /// Everything that is not in this zone.
+    Outside(String),
+    Everyone,
+}
+
+/// How a path is broken.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Break {
+    Cut(Cut),
+    /// New connections are refused; those there go on.
+    Refuse,
+}
+
+#[derive(Debug)]
+struct Broken {
+    id: u64,
+    a: Group,
+    b: Group,
+    how: Break,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Path {
+    Whole,
+    Held,
+    Reset,
+    Refused,
+    /// One end has no power.
+    Silent,
+}
+
+/// How long packets take.
+#[derive(Debug, Clone, Copy)]
+pub struct Delays {
+    pub same_zone_ms: f64,
+    pub cross_zone_ms: f64,
+    pub jitter: f64,
+    pub loss: f64,
+}
+
+#[derive(Debug)]
+struct Net {
+    rng: Pcg64,
+    delays: Delays,
+    hosts: BTreeMap<IpAddr, Place>,
+    backlogs: BTreeMap<SocketAddr, Arc<Mutex<Backlog>>>,
+    conns: BTreeMap<u64, Weak<Conn>>,
+    broken: Vec<Broken>,
+    next_id: u64,
+    next_port: u16,
+}
+
+#[derive(Debug)]
+pub struct Fabric {
+    net: Mutex<Net>,
+    /// A path was broken or mended, or a host lost its power.
+    changed: Notify,
+}
+
+#[derive(Debug, Default)]
+struct Backlog {
+    waiting: VecDeque<(End, SocketAddr)>,
+    waker: Option<Waker>,
+}
+
+#[derive(Debug)]
+struct Segment {
+    /// None while its path holds it.
+    at: Option<Instant>,
+    bytes: Vec<u8>,
+    read: usize,
+}
+
+/// One direction of a connection.
+#[derive(Debug, Default)]
+struct Pipe {
+    queue: VecDeque<Segment>,
+    buffered: usize,
+    /// Nothing more comes behind the queue.
+    closed: bool,
+    /// Nobody reads any more.
+    deaf: bool,
+    last: Option<Instant>,
+    reader: Option<Waker>,
+    writer: Option<Waker>,
+}
+
+#[derive(Debug, Default)]
+struct Pipes {
+    /// From the end that connected, and to it.
+    way: [Pipe; 2],
+    reset: bool,
+    silent: bool,
+}
+
+#[derive(Debug)]
+struct Conn {
+    ends: [IpAddr; 2],
+    pipes: Mutex<Pipes>,
+}
+
+impl Pipes {
+    fn wake(&mut self) {
+        for p in &mut self.way {
+            for w in [p.reader.take(), p.writer.take()].into_iter().flatten() {
+                w.wake();
+            }
+        }
+    }
+}
+
+impl Net {
+    fn within(&self, group: &Group, ip: IpAddr) -> bool {
+        let place = self.hosts.get(&ip);
+        match group {
+            Group::Hosts(ips) => ips.contains(&ip),
+            Group::Role(role) => place.is_some_and(|p| p.role == *role),
+            Group::Zone(zone) => place.is_some_and(|p| p.zone.as_ref() == Some(zone)),
+            Group::Outside(zone) => place.is_none_or(|p| p.zone.as_ref() != Some(zone)),
+            Group::Everyone => true,
+        }
+    }
+
+    fn path(&self, from: IpAddr, to: IpAddr) -> Path {
+        let dead = |ip: &IpAddr| self.hosts.get(ip).is_none_or(|p| p.dead);
+        if dead(&from) || dead(&to) {
+            return Path::Silent;
+        }
+        if from == to {
+            return Path::Whole;
+        }
+        let mut worst = Path::Whole;
+        for b in &self.broken {
+            let here = |a: &Group, b: &Group| self.within(a, from) && self.within(b, to);
+            if !here(&b.a, &b.b) && !here(&b.b, &b.a) {
+                continue;
+            }
+            match b.how {
+                Break::Cut(Cut::Reset) => return Path::Reset,
+                Break::Cut(Cut::Hold) => worst = Path::Held,
+                Break::Refuse if worst == Path::Whole => worst = Path::Refused,
+                Break::Refuse => {}
+            }
+        }
+        worst
+    }
+
+    /// How long a packet takes, with resends.
+    fn delay(&mut self, from: IpAddr, to: IpAddr) -> Duration {
+        let zone = |ip: &IpAddr| self.hosts.get(ip).and_then(|p| p.zone.as_ref());
+        let d = self.delays;
+        let base = if from == to {
+            0.0
+        } else if zone(&from).is_some() && zone(&from) == zone(&to) {
+            d.same_zone_ms
+        } else {
+            d.cross_zone_ms
+        };
+        let mut ms = base * (1.0 + d.jitter * self.rng.random::<f64>());
+        while d.loss > 0.0 && self.rng.random::<f64>() < d.loss {
+            ms += RESEND_S * 1000.0;
+        }
+        Duration::from_secs_f64(ms / 1000.0)
+    }
+}
+
+impl Fabric {
+    pub fn new(seed: u64, delays: Delays) -> Arc<Fabric> {
+        Arc::new(Fabric {
+            net: Mutex::new(Net {
+                rng: Pcg64::seed_from_u64(seed),
+                delays,
+                hosts: BTreeMap::new(),
+                backlogs: BTreeMap::new(),
+                conns: BTreeMap::new(),
+                broken: Vec::new(),
+                next_id: 1,
+                next_port: 20_000,
+            }),
+            changed: Notify::new(),
+        })
+    }
+
+    /// A host with power; one of the same address is replaced.
+    pub fn join(&self, ip: IpAddr, role: Role, zone: Option<&str>) {
+        let place = Place {
+            role,
+            zone: zone.map(str::to_string),
+            dead: false,
+        };
+        lock(&self.net).hosts.insert(ip, place);
+    }
+
+    /// The host loses its power: its connections fall silent, without an end.
+    pub fn cut_power(&self, ip: IpAddr) {
+        let conns = {
+            let mut net = lock(&self.net);
+            if let Some(place) = net.hosts.get_mut(&ip) {
+                place.dead = true;
+            }
+            net.backlogs.retain(|at, _| at.ip() != ip);
+            self.crossing(&mut net, |c| c.ends.contains(&ip))
+        };
+        for c in conns {
+            let mut pipes = lock(&c.pipes);
+            pipes.silent = true;
+            pipes.wake();
+        }
+        self.changed.notify_waiters();
+    }
+
+    fn crossing(&self, net: &mut Net, which: impl Fn(&Conn) -> bool) -> Vec<Arc<Conn>> {
+        net.conns.retain(|_, c| c.strong_count() > 0);
+        let all = net.conns.values().filter_map(Weak::upgrade);
+        all.filter(|c| which(c)).collect()
+    }
+
+    /// Breaks the paths between two groups, until [`Fabric::mend`].
+    pub fn cut(&self, a: Group, b: Group, how: Break) -> u64 {
+        let (id, reset) = {
+            let mut net = lock(&self.net);
+            let id = net.next_id;
+            net.next_id += 1;
+            net.broken.push(Broken { id, a, b, how });
+            let mut reset = Vec::new();
+            if how == Break::Cut(Cut::Reset) {
+                let all = self.crossing(&mut net, |_| true);
+                reset.extend(
+                    all.into_iter()
+                        .filter(|c| net.path(c.ends[0], c.ends[1]) == Path::Reset),
+                );
+            }
+            (id, reset)
+        };
+        for c in reset {
+            let mut pipes = lock(&c.pipes);
+            pipes.reset = true;
+            pipes.wake();
+        }
+        self.changed.notify_waiters();
+        id
+    }
+
+    /// Mends what was broken under this number; what was held arrives now.
+    pub fn mend(&self, id: u64) {
+        {
+            let mut net = lock(&self.net);
+            net.broken.retain(|b| b.id != id);
+            let all = self.crossing(&mut net, |_| true);
+            for c in all {
+                for way in 0..2 {
+                    let (from, to) = (c.ends[way], c.ends[1 - way]);
+                    let held = lock(&c.pipes).way[way].queue.iter().any(|s| s.at.is_none());
+                    if !held || net.path(from, to) != Path::Whole {
+                        continue;
+                    }
+                    let at = Instant::now() + net.delay(from, to);
+                    let mut pipes = lock(&c.pipes);
+                    let pipe = &mut pipes.way[way];
+                    for s in pipe.queue.iter_mut().filter(|s| s.at.is_none()) {
+                        s.at = Some(at);
+                    }
+                    pipe.last = Some(at);
+                    if let Some(w) = pipe.reader.take() {
+                        w.wake();
+                    }
+                }
+            }
+        }
+        self.changed.notify_waiters();
+    }
+
+    /// Users' connections to a host are reset by the load balancer.
+    pub fn reset_between(&self, a: IpAddr, b: IpAddr) {
+        let conns = self.crossing(&mut lock(&self.net), |c| {
+            c.ends.contains(&a) && c.ends.contains(&b)
+        });
+        for c in conns {
+            let mut pipes = lock(&c.pipes);
+            pipes.reset = true;
+            pipes.wake();
+        }
+    }
+
+    pub fn bind(self: &Arc<Self>, at: SocketAddr) -> io::Result<Listener> {
+        let mut net = lock(&self.net);
+        if net.backlogs.contains_key(&at) {
+            return Err(io::ErrorKind::AddrInUse.into());
+        }
+        let backlog = Arc::new(Mutex::new(Backlog::default()));
+        net.backlogs.insert(at, backlog.clone());
+        Ok(Listener::Emulated(Box::new(Bound {
+            fabric: self.clone(),
+            at,
+            backlog,
+        })))
+    }
+
+    /// Connects, waits as long as the path is silent, or is refused.
+    pub async fn connect(self: Arc<Self>, from: IpAddr, to: SocketAddr) -> io::Result<Stream> {
+        loop {
+            let changed = self.changed.notified();
+            let path = lock(&self.net).path(from, to.ip());
+            match path {
+                Path::Whole => {}
+                Path::Refused => return self.refused(from, to).await,
+                Path::Held | Path::Reset | Path::Silent => {
+                    // A packet is sent again now and then; one that was
+                    // abandoned doesn't connect later.
+                    changed.await;
+                    sleep(Duration::from_secs_f64(CONNECT_AGAIN_S)).await;
+                    continue;
+                }
+            }
+            let there = lock(&self.net).delay(from, to.ip());
+            sleep(there).await;
+            let end = match self.establish(from, to) {
+                Ok(Some(end)) => end,
+                Ok(None) => continue,
+                Err(()) => return self.refused(from, to).await,
+            };
+            let back = lock(&self.net).delay(to.ip(), from);
+            sleep(back).await;
+            return Ok(Stream::Emulated(Box::new(end)));
+        }
+    }
+
+    /// The caller's end of a new connection, whose other end waits to be
+    /// accepted. None if the path broke meanwhile, an error if nobody listens.
+    fn establish(self: &Arc<Self>, from: IpAddr, to: SocketAddr) -> Result<Option<End>, ()> {
+        let mut net = lock(&self.net);
+        if net.path(from, to.ip()) != Path::Whole {
+            return Ok(None);
+        }
+        let backlog = net.backlogs.get(&to).cloned().ok_or(())?;
+        let conn = Arc::new(Conn {
+            ends: [from, to.ip()],
+            pipes: Mutex::default(),
+        });
+        let id = net.next_id;
+        net.next_id += 1;
+        net.next_port = net.next_port.checked_add(1).unwrap_or(20_000);
+        let source = SocketAddr::new(from, net.next_port);
+        net.conns.insert(id, Arc::downgrade(&conn));
+        if id.is_multiple_of(1024) {
+            net.conns.retain(|_, c| c.strong_count() > 0);
+        }
+        let end = |side| End {
+            fabric: self.clone(),
+            conn: conn.clone(),
+            side,
+            timer: None,
+        };
+        let mut backlog = lock(&backlog);
+        backlog.waiting.push_back((end(1), source));
+        if let Some(w) = backlog.waker.take() {
+            w.wake();
+        }
+        Ok(Some(end(0)))
+    }
+
+    async fn refused(&self, from: IpAddr, to: SocketAddr) -> io::Result<Stream> {
+        let back = lock(&self.net).delay(to.ip(), from);
+        sleep(back).await;
+        Err(io::ErrorKind::ConnectionRefused.into())
+    }
+}
+
+struct Bound {
+    fabric: Arc<Fabric>,
+    at: SocketAddr,
+    backlog: Arc<Mutex<Backlog>>,
+}
+
+impl Accept for Bound {
+    fn poll_accept(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<(Stream, SocketAddr)>> {
+        let mut backlog = lock(&self.backlog);
+        match backlog.waiting.pop_front() {
+            Some((end, from)) => Poll::Ready(Ok((Stream::Emulated(Box::new(end)), from))),
+            None => {
+                backlog.waker = Some(cx.waker().clone());
+                Poll::Pending
+            }
+        }
+    }
+
+    fn addr(&self) -> SocketAddr {
+        self.at
+    }
+}
+
+impl Drop for Bound {
+    fn drop(&mut self) {
+        let mut net = lock(&self.fabric.net);
+        let ours = net.backlogs.get(&self.at);
+        if ours.is_some_and(|b| Arc::ptr_eq(b, &self.backlog)) {
+            net.backlogs.remove(&self.at);
+        }
+        drop(net);
+        // Who waits to be accepted is told so, outside any lock.
+        let waiting = std::mem::take(&mut lock(&self.backlog).waiting);
+        drop(waiting);
+    }
+}
+
+/// One end of a connection.
+#[derive(Debug)]
+struct End {
+    fabric: Arc<Fabric>,
+    conn: Arc<Conn>,
+    side: usize,
+    timer: Option<Pin<Box<Sleep>>>,
+}
+
+impl AsyncRead for End {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let me = self.get_mut();
+        let mut pipes = lock(&me.conn.pipes);
+        if pipes.reset {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
+        }
+        let silent = pipes.silent;
+        let pipe = &mut pipes.way[1 - me.side];
+        pipe.reader = Some(cx.waker().clone());
+        if silent {
+            return Poll::Pending;
+        }
+        let now = Instant::now();
+        let mut got = false;
+        while buf.remaining() > 0
+            && let Some(first) = pipe.queue.front_mut()
+            && first.at.is_some_and(|at| at <= now)
+        {
+            let n = buf.remaining().min(first.bytes.len() - first.read);
+            buf.put_slice(&first.bytes[first.read..first.read + n]);
+            first.read += n;
+            pipe.buffered -= n;
+            got = true;
+            if first.read == first.bytes.len() {
+                pipe.queue.pop_front();
+            }
+        }
+        if got {
+            if let Some(w) = pipe.writer.take() {
+                w.wake();
+            }
+            return Poll::Ready(Ok(()));
+        }
+        match pipe.queue.front().map(|s| s.at) {
+            Some(Some(at)) => {
+                let timer = me.timer.get_or_insert_with(|| Box::pin(sleep_until(at)));
+                timer.as_mut().reset(at);
+                drop(pipes);
+                // Registers this task; it may be due at once.
+                if timer.as_mut().poll(cx).is_ready() {
+                    cx.waker().wake_by_ref();
+                }
+                Poll::Pending
+            }
+            Some(None) => Poll::Pending,
+            None if pipe.closed => Poll::Ready(Ok(())),
+            None => Poll::Pending,
+        }
+    }
+}
+
+impl End {
+    fn send(&self, bytes: Vec<u8>, last: bool) {
+        let (from, to) = (self.conn.ends[self.side], self.conn.ends[1 - self.side]);
+        let at = {
+            let mut net = lock(&self.fabric.net);
+            match net.path(from, to) {
+                Path::Silent => return,
+                Path::Held | Path::Reset => None,
+                Path::Whole | Path::Refused => Some(Instant::now() + net.delay(from, to)),
+            }
+        };
+        let mut pipes = lock(&self.conn.pipes);
+        let pipe = &mut pipes.way[self.side];
+        // Packets arrive in order; behind one that is held, all are.
+        let held = pipe.queue.back().is_some_and(|s| s.at.is_none());
+        let at = at
+            .filter(|_| !held)
+            .map(|at| pipe.last.map_or(at, |l| l.max(at)));
+        if at.is_some() {
+            pipe.last = at;
+        }
+        pipe.buffered += bytes.len();
+        if !pipe.deaf {
+            let segment = Segment { at, bytes, read: 0 };
+            pipe.queue.push_back(segment);
+        }
+        pipe.closed |= last;
+        if let Some(w) = pipe.reader.take() {
+            w.wake();
+        }
+    }
+}
+
+impl AsyncWrite for End {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let me = self.get_mut();
+        {
+            let mut pipes = lock(&me.conn.pipes);
+            if pipes.reset {
+                return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
+            }
+            let pipe = &mut pipes.way[me.side];
+            if pipe.closed {
+                return Poll::Ready(Err(io::ErrorKind::BrokenPipe.into()));
+            }
+            if pipe.deaf {
+                return Poll::Ready(Ok(buf.len()));
+            }
+            if pipe.buffered >= WINDOW {
+                pipe.writer = Some(cx.waker().clone());
+                return Poll::Pending;
+            }
+        }
+        me.send(buf.to_vec(), false);
+        Poll::Ready(Ok(buf.len()))
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let me = self.get_mut();
+        let open = !lock(&me.conn.pipes).way[me.side].closed;
+        if open {
+            me.send(Vec::new(), true);
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl Drop for End {
+    fn drop(&mut self) {
+        let (open, silent) = {
+            let mut pipes = lock(&self.conn.pipes);
+            let incoming = &mut pipes.way[1 - self.side];
+            incoming.deaf = true;
+            incoming.queue.clear();
+            if let Some(w) = incoming.writer.take() {
+                w.wake();
+            }
+            (!pipes.way[self.side].closed, pipes.silent)
+        };
+        if open && !silent {
+            self.send(Vec::new(), true);
+        }
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/proc.rs
@@ -0,0 +1,238 @@
+//! An emulated process: its own clocks and chance, tasks that can stand still
+//! and be killed, and a way to the network, which is the fabric or, in a
+//! rehearsal with real processes, loopback.
+
+use crate::fabric::{Fabric, lock};
+use cherrywood_net::host::{Boxed, Host, Listener, Stream, Surroundings};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, Weak};
+use std::task::{Context, Poll, Waker};
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::AbortHandle;
+use tokio::time::{Instant, sleep};
+
+thread_local! {
+    static CURRENT: RefCell<Option<Arc<str>>> = const { RefCell::new(None) };
+}
+
+/// The process whose task runs on this thread now; for logs.
+pub fn current() -> Option<Arc<str>> {
+    CURRENT.with_borrow(Clone::clone)
+}
+
+/// How its clocks go.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Clocks {
+    /// Share by which the steady clock runs fast.
+    pub drift: f64,
+    /// s that the steady clock shows when the process starts.
+    pub offset_s: f64,
+    /// ms by which the time of day is off.
+    pub wall_off_ms: f64,
+}
+
+#[derive(Debug, Clone)]
+pub enum Medium {
+    Fabric(Arc<Fabric>),
+    Loopback,
+}
+
+#[derive(Debug, Default)]
+struct Tasks {
+    frozen: bool,
+    dead: bool,
+    waiting: Vec<Waker>,
+    handles: BTreeMap<u64, AbortHandle>,
+    next: u64,
+}
+
+/// Unix time at which every emulated night begins: 2026-01-01.
+const DAWN_MS: u64 = 1_767_225_600_000;
+
+pub struct Proc {
+    pub name: Arc<str>,
+    pub ip: IpAddr,
+    medium: Medium,
+    clocks: Clocks,
+    start: Instant,
+    night: Instant,
+    rng: Mutex<Pcg64>,
+    tasks: Mutex<Tasks>,
+    me: Weak<Proc>,
+}
+
+impl std::fmt::Debug for Proc {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "Proc({})", self.name)
+    }
+}
+
+impl Proc {
+    /// `night` is the instant at which the night began.
+    pub fn new(
+        name: &str,
+        ip: IpAddr,
+        medium: Medium,
+        clocks: Clocks,
+        night: Instant,
+        seed: u64,
+    ) -> Arc<Proc> {
+        Arc::new_cyclic(|me| Proc {
+            name: name.into(),
+            ip,
+            medium,
+            clocks,
+            start: Instant::now(),
+            night,
+            rng: Mutex::new(Pcg64::seed_from_u64(seed)),
+            tasks: Mutex::default(),
+            me: me.clone(),
+        })
+    }
+
+    pub fn host(&self) -> Host {
+        let me = self.me.upgrade();
+        Host::emulated(me.expect("a process outlives the call on it"))
+    }
+
+    /// All its tasks stand still; its clocks run on.
+    pub fn freeze(&self) {
+        lock(&self.tasks).frozen = true;
+    }
+
+    pub fn thaw(&self) {
+        let waiting = {
+            let mut tasks = lock(&self.tasks);
+            tasks.frozen = false;
+            std::mem::take(&mut tasks.waiting)
+        };
+        for w in waiting {
+            w.wake();
+        }
+    }
+
+    pub fn is_frozen(&self) -> bool {
+        lock(&self.tasks).frozen
+    }
+
+    pub fn is_dead(&self) -> bool {
+        lock(&self.tasks).dead
+    }
+
+    /// Ends all its tasks; what they hold is dropped.
+    pub fn kill(&self) {
+        let handles = {
+            let mut tasks = lock(&self.tasks);
+            tasks.dead = true;
+            tasks.frozen = false;
+            tasks.waiting.clear();
+            std::mem::take(&mut tasks.handles)
+        };
+        for h in handles.into_values() {
+            h.abort();
+        }
+    }
+
+    /// Of this clock's seconds, how many true ones.
+    fn true_s(&self, s: f64) -> Duration {
+        // A timer of a year is as good as none, and can be added to any time.
+        Duration::from_secs_f64((s / (1.0 + self.clocks.drift)).clamp(0.0, 3.0e7))
+    }
+}
+
+impl Surroundings for Proc {
+    fn now(&self) -> f64 {
+        let s = self.start.elapsed().as_secs_f64();
+        self.clocks.offset_s + s * (1.0 + self.clocks.drift)
+    }
+
+    fn wall_ms(&self) -> u64 {
+        let since = self.night.elapsed().as_millis() as u64;
+        DAWN_MS + (since as f64 + self.clocks.wall_off_ms).max(0.0) as u64
+    }
+
+    fn random(&self) -> u64 {
+        lock(&self.rng).random()
+    }
+
+    fn sleep(&self, s: f64) -> Boxed<()> {
+        Box::pin(sleep(self.true_s(s)))
+    }
+
+    fn spawn(&self, task: Boxed<()>) {
+        let Some(proc) = self.me.upgrade() else {
+            return;
+        };
+        let mut tasks = lock(&self.tasks);
+        if tasks.dead {
+            return;
+        }
+        let id = tasks.next;
+        tasks.next += 1;
+        let gate = Gate { proc, id, task };
+        let handle = tokio::spawn(gate).abort_handle();
+        tasks.handles.insert(id, handle);
+    }
+
+    fn connect(&self, to: SocketAddr) -> Boxed<io::Result<Stream>> {
+        match &self.medium {
+            Medium::Fabric(fabric) => Box::pin(fabric.clone().connect(self.ip, to)),
+            Medium::Loopback => Box::pin(async move {
+                let stream = TcpStream::connect(to).await?;
+                let _ = stream.set_nodelay(true);
+                Ok(Stream::Tcp(stream))
+            }),
+        }
+    }
+
+    fn bind(&self, at: SocketAddr) -> io::Result<Listener> {
+        match &self.medium {
+            Medium::Fabric(fabric) => fabric.bind(at),
+            Medium::Loopback => {
+                let listener = std::net::TcpListener::bind(at)?;
+                listener.set_nonblocking(true)?;
+                TcpListener::from_std(listener).map(Listener::Tcp)
+            }
+        }
+    }
+}
+
+/// A task of a process: not polled while the process stands still.
+struct Gate {
+    proc: Arc<Proc>,
+    id: u64,
+    task: Boxed<()>,
+}
+
+impl Future for Gate {
+    type Output = ();
+
+    fn poll(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
+        let me = self.get_mut();
+        {
+            let mut tasks = lock(&me.proc.tasks);
+            if tasks.dead {
+                return Poll::Ready(());
+            }
+            if tasks.frozen {
+                tasks.waiting.push(cx.waker().clone());
+                return Poll::Pending;
+            }
+        }
+        let before = CURRENT.replace(Some(me.proc.name.clone()));
+        let out = me.task.as_mut().poll(cx);
+        CURRENT.set(before);
+        if out.is_ready() {
+            lock(&me.proc.tasks).handles.remove(&me.id);
+        }
+        out
+    }
+}
