--- /dev/null
+++ b/crates/emulator/src/balancer.rs
@@ -0,0 +1,216 @@
+//! The load balancer's published rules. A state machine without I/O.
+
+use std::collections::VecDeque;
+
+/// s between two probes, and that one may take.
+pub const PROBE_EVERY_S: f64 = 1.0;
+pub const PROBE_WAIT_S: f64 = 1.0;
+/// s that a node may take to accept a connection, and nodes tried for one.
+pub const ACCEPT_WAIT_S: f64 = 0.5;
+pub const TRIES: usize = 3;
+/// Connections that a node fails in a row before it is skipped, and s.
+const SKIP_AFTER: u32 = 3;
+const SKIP_S: f64 = 3.0;
+/// Probes looked back on, and failures among them that make a node unhealthy;
+/// so many in a row do as well.
+const LAST: usize = 6;
+const FAILURES: usize = 3;
+const FAILURES_ROW: usize = 2;
+/// Successes in a row that make it healthy again.
+const SUCCESSES_ROW: usize = 2;
+/// s of pause after a removal, doubled with every further one within so many
+/// seconds, up to a most.
+const PAUSE_S: f64 = 3.0;
+const PAUSE_MOST_S: f64 = 60.0;
+const REMOVALS_WITHIN_S: f64 = 120.0;
+/// s in which a healthy node gets its share of new connections.
+const RAMP_S: f64 = 10.0;
+/// s after which the connections of an unhealthy node are reset.
+pub const RESET_AFTER_S: f64 = 5.0;
+
+#[derive(Debug, Clone, Default)]
+struct View {
+    healthy: bool,
+    ever: bool,
+    /// The newest last.
+    probes: VecDeque<bool>,
+    /// When it became healthy, or unhealthy.
+    since: f64,
+    /// When it was removed, within the last two minutes.
+    removals: Vec<f64>,
+    back_at: f64,
+    open: u32,
+    failed: u32,
+    skip_until: f64,
+    reset: bool,
+}
+
+#[derive(Debug, Clone)]
+pub struct Balancer {
+    nodes: Vec<View>,
+}
+
+impl Balancer {
+    pub fn new(nodes: usize) -> Balancer {
+        Balancer {
+            nodes: vec![View::default(); nodes],
+        }
+    }
+
+    pub fn healthy(&self, node: usize) -> bool {
+        self.nodes[node].healthy
+    }
+
+    /// A probe of `GET /healthz` was answered with 200 in time, or was not.
+    pub fn probed(&mut self, node: usize, ok: bool, now: f64) {
+        let v = &mut self.nodes[node];
+        v.probes.push_back(ok);
+        if v.probes.len() > LAST {
+            v.probes.pop_front();
+        }
+        let last = |n: usize, what: bool| {
+            v.probes.len() >= n && v.probes.iter().rev().take(n).all(|p| *p == what)
+        };
+        if v.healthy {
+            let failures = v.probes.iter().filter(|p| !**p).count();
+            if last(FAILURES_ROW, false) || failures >= FAILURES {
+                v.removals.retain(|t| now - t < REMOVALS_WITHIN_S);
+                let pause = PAUSE_S * 2f64.powi(v.removals.len().min(10) as i32);
+                v.removals.push(now);
+                v.healthy = false;
+                v.since = now;
+                v.reset = false;
+                v.back_at = now + pause.min(PAUSE_MOST_S);
+            }
+        } else if !v.ever && ok || last(SUCCESSES_ROW, true) && now >= v.back_at {
+            // Old failures must not remove it at once.
+            v.probes.clear();
+            (v.healthy, v.ever, v.since) = (true, true, now);
+        }
+    }
+
+    /// Has it been unhealthy for so long that its connections are reset now?
+    /// True once for each time.
+    pub fn resets(&mut self, node: usize, now: f64) -> bool {
+        let v = &mut self.nodes[node];
+        let due = v.ever && !v.healthy && !v.reset && now - v.since >= RESET_AFTER_S;
+        v.reset |= due;
+        due
+    }
+
+    /// The node for a new connection, besides those tried already.
+    pub fn choose(&self, tried: &[usize], chance: f64, now: f64) -> Option<usize> {
+        let load = |v: &View| {
+            let ramp = ((now - v.since) / RAMP_S).clamp(0.1, 1.0);
+            (f64::from(v.open) + 1.0) / ramp
+        };
+        let fit = |(i, v): &(usize, &View)| v.healthy && !tried.contains(i) && now >= v.skip_until;
+        let all = || self.nodes.iter().enumerate().filter(fit);
+        let least = all().map(|(_, v)| load(v)).fold(f64::INFINITY, f64::min);
+        let best: Vec<usize> = all()
+            .filter(|(_, v)| load(v) <= least + 1e-9)
+            .map(|(i, _)| i)
+            .collect();
+        let at = (chance * best.len() as f64) as usize;
+        best.get(at.min(best.len().saturating_sub(1))).copied()
+    }
+
+    pub fn connected(&mut self, node: usize) {
+        let v = &mut self.nodes[node];
+        v.open += 1;
+        v.failed = 0;
+    }
+
+    pub fn refused(&mut self, node: usize, now: f64) {
+        let v = &mut self.nodes[node];
+        v.failed += 1;
+        if v.failed >= SKIP_AFTER {
+            v.failed = 0;
+            v.skip_until = now + SKIP_S;
+        }
+    }
+
+    pub fn closed(&mut self, node: usize) {
+        let v = &mut self.nodes[node];
+        v.open = v.open.saturating_sub(1);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn probes(b: &mut Balancer, from: f64, all: &str) -> Vec<bool> {
+        let one = |(i, c): (usize, char)| {
+            b.probed(0, c == '+', from + i as f64);
+            b.healthy(0)
+        };
+        all.chars().enumerate().map(one).collect()
+    }
+
+    #[test]
+    fn two_failures_in_a_row_or_three_of_six_remove_a_node() {
+        let mut b = Balancer::new(1);
+        assert_eq!(
+            probes(&mut b, 0.0, "-+"),
+            [false, true],
+            "one success at first"
+        );
+        assert_eq!(probes(&mut b, 2.0, "-+--"), [true, true, true, false]);
+        let mut b = Balancer::new(1);
+        assert_eq!(
+            probes(&mut b, 0.0, "+-+-+-"),
+            [true, true, true, true, true, false]
+        );
+    }
+
+    #[test]
+    fn the_pause_doubles_with_every_removal_within_two_minutes() {
+        let mut b = Balancer::new(1);
+        probes(&mut b, 0.0, "+--");
+        let back = |b: &mut Balancer, from: f64| {
+            (0..)
+                .find(|i| {
+                    b.probed(0, true, from + f64::from(*i));
+                    b.healthy(0)
+                })
+                .unwrap()
+        };
+        assert_eq!(back(&mut b, 3.0), 2, "not before 3 s have passed");
+        probes(&mut b, 6.0, "--");
+        assert_eq!(back(&mut b, 8.0), 5, "6 s");
+        probes(&mut b, 14.0, "--");
+        assert_eq!(back(&mut b, 16.0), 11, "12 s");
+        // Two minutes later it is the first again.
+        probes(&mut b, 300.0, "--");
+        assert_eq!(back(&mut b, 302.0), 2);
+    }
+
+    #[test]
+    fn connections_go_where_fewest_are_and_a_fresh_node_gets_few() {
+        let mut b = Balancer::new(2);
+        b.probed(0, true, 0.0);
+        for _ in 0..4 {
+            b.connected(b.choose(&[], 0.5, 20.0).unwrap());
+        }
+        b.probed(1, true, 20.0);
+        assert_eq!(b.choose(&[], 0.5, 20.0), Some(0), "5 against 1 / 0.1");
+        assert_eq!(b.choose(&[], 0.5, 25.0), Some(1));
+        assert_eq!(b.choose(&[1], 0.5, 25.0), Some(0));
+        for _ in 0..3 {
+            b.refused(1, 25.0);
+        }
+        assert_eq!(b.choose(&[], 0.5, 25.0), Some(0), "skipped for 3 s");
+        assert_eq!(b.choose(&[], 0.5, 28.0), Some(1));
+    }
+
+    #[test]
+    fn an_unhealthy_node_s_connections_are_reset_once_after_five_seconds() {
+        let mut b = Balancer::new(1);
+        assert!(!b.resets(0, 50.0), "it never had any");
+        probes(&mut b, 0.0, "+--");
+        assert!(!b.resets(0, 6.9));
+        assert!(b.resets(0, 7.0));
+        assert!(!b.resets(0, 8.0));
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/cloud.rs
@@ -0,0 +1,635 @@
+//! The cloud: rents machines by the second, boots them, lists them late, takes
+//! spot machines back.
+
+use crate::fabric::{Role, lock};
+use crate::machine::Traits;
+use crate::proc::Proc;
+use crate::state::named;
+use crate::worker::{Worker, up};
+use crate::world::World;
+use cherrywood_judge::What;
+use cherrywood_net::Host;
+use cherrywood_net::server::{self, Request, Response};
+use cherrywood_night::Trouble;
+use cherrywood_night::deployment::MachineType;
+use cherrywood_store::service::Rate;
+use cherrywood_wire::cloud::{
+    Listed, ListedState, MachineList, MachineType as WireType, MachineTypes, Names, Rent,
+};
+use cherrywood_wire::state::Refusal;
+use cherrywood_wire::{decode, encode};
+use rand::Rng;
+use rand_pcg::Pcg64;
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// Machines in one rental, names in one deletion, machines in one page.
+const RENT_MOST: u32 = 50;
+const DELETE_MOST: usize = 100;
+const PAGE_MOST: usize = 500;
+/// s worth of the rate that may come at once.
+const BURST_S: f64 = 2.0;
+/// A machine that is deleted costs at least so many s.
+const LEAST_S: f64 = 60.0;
+/// Listed boot times that booting usually takes.
+const BOOT_USUAL: (f64, f64) = (0.6, 1.5);
+const BOOT_LATE: (f64, f64) = (2.0, 5.0);
+/// Share of machines that are up within so many s.
+const BOOT_AT_ONCE: f64 = 0.02;
+const BOOT_AT_ONCE_S: (f64, f64) = (0.5, 2.0);
+/// Share by which image fetches of machines differ.
+const FETCH_DIFFERS: f64 = 0.33;
+/// s for which a dead machine stays listed as running.
+const DEAD_LISTED_S: f64 = 30.0;
+/// Share of lists that are up to twice as old as usual.
+const LIST_OLD: f64 = 0.15;
+/// s between two moves of the spot prices.
+const PRICE_EVERY_S: f64 = 30.0;
+/// Share by which a notice may be longer or shorter.
+const NOTICE_DIFFERS: f64 = 0.5;
+/// Connections of controllers.
+const CONNECTIONS: usize = 1000;
+
+struct Rented {
+    kind: MachineType,
+    zone: String,
+    spot: bool,
+    /// s of the night; None while it isn't so.
+    rented: f64,
+    up: Option<f64>,
+    died: Option<f64>,
+    gone: Option<f64>,
+    worker: Option<Arc<Worker>>,
+}
+
+impl Rented {
+    /// Still charged and taking a place.
+    fn held(&self) -> bool {
+        self.died.is_none() && self.gone.is_none()
+    }
+}
+
+struct Core {
+    rng: Pcg64,
+    rate: Rate,
+    machines: BTreeMap<String, Rented>,
+    hires: BTreeMap<String, Vec<String>>,
+    next: u64,
+    /// Spot prices of each type, as factors of the nominal one, by time.
+    prices: BTreeMap<String, Vec<(f64, f64)>>,
+}
+
+pub struct Cloud {
+    world: Arc<World>,
+    host: Host,
+    core: Mutex<Core>,
+    proc: Arc<Proc>,
+}
+
+fn between(rng: &mut Pcg64, (least, most): (f64, f64)) -> f64 {
+    least + rng.random::<f64>() * (most - least)
+}
+
+async fn wait(s: f64) {
+    tokio::time::sleep(Duration::from_secs_f64(s.max(0.0))).await;
+}
+
+impl Cloud {
+    pub async fn start(world: &Arc<World>) -> io::Result<Arc<Cloud>> {
+        let proc = world.region("cloud", Role::Cloud);
+        let d = &world.night.deployment;
+        let prices = d.machine_types.iter();
+        let me = Arc::new(Cloud {
+            world: world.clone(),
+            host: proc.host(),
+            core: Mutex::new(Core {
+                rng: world.rng("cloud"),
+                rate: Rate::new(d.cloud.rps, BURST_S),
+                machines: BTreeMap::new(),
+                hires: BTreeMap::new(),
+                next: 1,
+                prices: prices.map(|t| (t.name.clone(), vec![(0.0, 1.0)])).collect(),
+            }),
+            proc,
+        });
+        let at = world.addresses.cloud;
+        let listener = me.host.bind(at).await.map_err(|e| named(at, &e))?;
+        let own = me.clone();
+        let on_request = Arc::new(move |request, _: SocketAddr| {
+            let own = own.clone();
+            async move { own.answer(request).await }
+        });
+        let serve = server::serve(me.host.clone(), listener, CONNECTIONS, on_request);
+        me.host.spawn(serve);
+        for c in &d.capacity {
+            for _ in 0..c.up {
+                let name = me.add(&c.kind, &c.zone, false, "first");
+                me.boot(&name, Some(0.0));
+            }
+        }
+        let own = me.clone();
+        me.host.spawn(async move { own.move_prices().await });
+        Ok(me)
+    }
+
+    pub fn proc(&self) -> &Proc {
+        &self.proc
+    }
+
+    async fn move_prices(&self) {
+        loop {
+            self.host.sleep(PRICE_EVERY_S).await;
+            let most = self.world.night.deployment.cloud.price_moves;
+            let now = self.world.now_s();
+            let core = &mut *lock(&self.core);
+            for steps in core.prices.values_mut() {
+                let last = steps.last().map_or(1.0, |s| s.1);
+                let step = (core.rng.random::<f64>() - 0.5) * most;
+                let next = (last + step).clamp(1.0 - most, 1.0 + most);
+                steps.push((now, next));
+            }
+        }
+    }
+
+    // --- requests ---
+
+    async fn answer(self: &Arc<Self>, request: Request) -> Response {
+        let d = &self.world.night.deployment.cloud;
+        let (path, query) = request.path.split_once('?').unwrap_or((&request.path, ""));
+        let half = d.latency_ms / 2000.0 * (0.5 + self.chance());
+        self.host.sleep(half).await;
+        let down = |t: &Trouble| matches!(t, Trouble::CloudOutage(_)).then_some(());
+        if !self.world.now_in(down).is_empty() {
+            return refuse("trouble");
+        }
+        if !lock(&self.core).rate.take(1.0, self.host.now()) {
+            return Response::empty(429);
+        }
+        // Executed late: whoever asked may have given up.
+        let late = |t: &Trouble| match t {
+            Trouble::CloudLate(t) => Some((t.share, t.by_s)),
+            _ => None,
+        };
+        for (share, by_s) in self.world.now_in(late) {
+            if self.chance() < share {
+                self.host.sleep(by_s).await;
+            }
+        }
+        let answer = match (request.method.as_str(), path) {
+            ("GET", "/machine_types") => self.types(),
+            ("GET", "/machines") => self.list(query),
+            ("POST", "/machines") => match decode::<Rent>(&request.body) {
+                Ok(rent) => self.rent(&rent),
+                Err(_) => Response::empty(400),
+            },
+            ("POST", "/machines/delete") => match decode::<Names>(&request.body) {
+                Ok(names) if names.machines.len() <= DELETE_MOST => {
+                    for name in &names.machines {
+                        self.take(name, "deleted");
+                    }
+                    Response::new(200, encode(&Names { machines: vec![] }))
+                }
+                _ => Response::empty(400),
+            },
+            _ => Response::empty(404),
+        };
+        self.host.sleep(half).await;
+        answer
+    }
+
+    fn chance(&self) -> f64 {
+        lock(&self.core).rng.random()
+    }
+
+    fn types(&self) -> Response {
+        let d = &self.world.night.deployment;
+        let core = lock(&self.core);
+        let of = |t: &MachineType| WireType {
+            name: t.name.clone(),
+            cpus: t.cpus,
+            gpus: t.gpus,
+            memory_gb: t.ram_gb,
+            cache_gb: t.cache_gb,
+            fetch_gb_per_s: t.fetch_gb_per_s,
+            price: t.price,
+            spot_price: t.spot_price.map(|p| {
+                let steps = core.prices.get(&t.name);
+                p * steps.and_then(|s| s.last()).map_or(1.0, |s| s.1)
+            }),
+            boot_s: t.boot_s,
+            zones: d
+                .capacity
+                .iter()
+                .filter(|c| c.kind == t.name)
+                .map(|c| c.zone.clone())
+                .collect(),
+        };
+        let types = d.machine_types.iter().map(of).collect();
+        Response::new(200, encode(&MachineTypes { types }))
+    }
+
+    fn list(&self, query: &str) -> Response {
+        let field = |name: &str| {
+            let mut pairs = query.split('&').filter_map(|p| p.split_once('='));
+            pairs.find(|(k, _)| *k == name).map(|(_, v)| v.to_string())
+        };
+        let from = field("from").unwrap_or_default();
+        let limit: usize = field("limit")
+            .and_then(|l| l.parse().ok())
+            .unwrap_or(PAGE_MOST);
+        let mut lag = self.world.night.deployment.cloud.list_lag_s;
+        if self.chance() < LIST_OLD {
+            lag *= 1.0 + self.chance();
+        }
+        let stale = |t: &Trouble| match t {
+            Trouble::CloudStale(t) => Some(t.lag_s),
+            _ => None,
+        };
+        for extra in self.world.now_in(stale) {
+            lag += extra * self.chance();
+        }
+        let as_of = self.world.now_s() - lag;
+        let core = lock(&self.core);
+        let there = core
+            .machines
+            .iter()
+            .filter(|(name, m)| {
+                name.as_str() > from.as_str()
+                    && m.rented <= as_of
+                    && m.gone.is_none_or(|t| t > as_of)
+            })
+            .map(|(name, m)| {
+                let state = if m.died.is_some_and(|t| t + DEAD_LISTED_S <= as_of) {
+                    ListedState::Failed
+                } else if m.up.is_some_and(|t| t <= as_of) {
+                    ListedState::Running
+                } else {
+                    ListedState::Booting
+                };
+                Listed {
+                    id: name.clone(),
+                    kind: m.kind.name.clone(),
+                    zone: m.zone.clone(),
+                    spot: m.spot,
+                    state,
+                    age_s: as_of - m.rented,
+                }
+            });
+        let limit = limit.clamp(1, PAGE_MOST);
+        let mut machines: Vec<Listed> = there.take(limit + 1).collect();
+        let more = machines.len() > limit;
+        machines.truncate(limit);
+        Response::new(200, encode(&MachineList { machines, more }))
+    }
+
+    fn rent(self: &Arc<Self>, rent: &Rent) -> Response {
+        if let Some(names) = lock(&self.core).hires.get(&rent.request) {
+            let machines = names.clone();
+            return Response::new(200, encode(&Names { machines }));
+        }
+        let d = &self.world.night.deployment;
+        let kind = d.machine_types.iter().find(|t| t.name == rent.kind);
+        let place = d
+            .capacity
+            .iter()
+            .find(|c| c.kind == rent.kind && c.zone == rent.zone);
+        let (Some(_), Some(place)) = (kind, place) else {
+            return Response::empty(400);
+        };
+        if rent.count == 0 || rent.count > RENT_MOST {
+            return Response::empty(400);
+        }
+        let full = |t: &Trouble| match t {
+            Trouble::CloudFull(t) => Some(t.zone.clone()),
+            _ => None,
+        };
+        let full = self.world.now_in(full);
+        let full = full
+            .iter()
+            .any(|z| z.as_ref().is_none_or(|z| *z == rent.zone));
+        let most = if rent.spot { place.spot } else { place.count };
+        let held = {
+            let core = lock(&self.core);
+            let same = |m: &&Rented| {
+                m.held() && m.kind.name == rent.kind && m.zone == rent.zone && m.spot == rent.spot
+            };
+            core.machines.values().filter(same).count() as u32
+        };
+        let free = if full { 0 } else { most.saturating_sub(held) };
+        if free == 0 {
+            return refuse("no capacity");
+        }
+        let mut machines = Vec::new();
+        for _ in 0..rent.count.min(free) {
+            let name = self.add(&rent.kind, &rent.zone, rent.spot, &rent.request);
+            self.boot(&name, None);
+            machines.push(name);
+        }
+        lock(&self.core)
+            .hires
+            .insert(rent.request.clone(), machines.clone());
+        Response::new(200, encode(&Names { machines }))
+    }
+
+    fn add(&self, kind: &str, zone: &str, spot: bool, request: &str) -> String {
+        let types = &self.world.night.deployment.machine_types;
+        let found = types.iter().find(|t| t.name == kind);
+        let machine = Rented {
+            kind: found.cloned().unwrap_or_default(),
+            zone: zone.to_string(),
+            spot,
+            rented: self.world.now_s(),
+            up: None,
+            died: None,
+            gone: None,
+            worker: None,
+        };
+        let name = {
+            let mut core = lock(&self.core);
+            let name = format!("vm-{:06}", core.next);
+            core.next += 1;
+            core.machines.insert(name.clone(), machine);
+            name
+        };
+        self.world.record(What::Rented {
+            machine: name.clone(),
+            kind: kind.to_string(),
+            zone: zone.to_string(),
+            spot,
+            request: request.to_string(),
+        });
+        name
+    }
+
+    /// Boots a machine in a time that is drawn, or in this one.
+    fn boot(self: &Arc<Self>, name: &str, after_s: Option<f64>) {
+        let drawn = self.boot_s(name);
+        let Some(s) = after_s.or(drawn) else {
+            return;
+        };
+        let (own, name) = (self.clone(), name.to_string());
+        self.host.spawn(async move {
+            own.host.sleep(s).await;
+            own.come_up(&name).await;
+        });
+    }
+
+    /// None: it never comes up.
+    fn boot_s(&self, name: &str) -> Option<f64> {
+        let boots = |t: &Trouble| match t {
+            Trouble::BootsLate(t) => Some((t.late, t.times, t.never, t.zone.clone())),
+            _ => None,
+        };
+        let troubles = self.world.now_in(boots);
+        let core = &mut *lock(&self.core);
+        let m = core.machines.get(name)?;
+        let (mut late, mut never, mut times) = (m.kind.boot_late, m.kind.boot_never, None);
+        for (l, t, n, zone) in troubles {
+            if zone.is_none_or(|z| z == m.zone) {
+                (late, never, times) = (l.max(late), n.max(never), Some(t));
+            }
+        }
+        let rng = &mut core.rng;
+        let chance: f64 = rng.random();
+        if chance < never {
+            return None;
+        }
+        if chance < never + late {
+            let by = times.unwrap_or_else(|| between(rng, BOOT_LATE));
+            return Some(m.kind.boot_s * by);
+        }
+        if chance > 1.0 - BOOT_AT_ONCE {
+            return Some(between(rng, BOOT_AT_ONCE_S));
+        }
+        Some(m.kind.boot_s * between(rng, BOOT_USUAL))
+    }
+
+    async fn come_up(self: &Arc<Self>, name: &str) {
+        let w = &self.world.night.deployment.workers;
+        let (kind, zone, spot, traits) = {
+            let core = &mut *lock(&self.core);
+            let Some(m) = core.machines.get(name).filter(|m| m.held()) else {
+                return;
+            };
+            let differs = |rng: &mut Pcg64, by: f64| between(rng, (1.0 - by, 1.0 + by));
+            let traits = Traits {
+                speed: differs(&mut core.rng, w.speed_differs),
+                fetch_gb_per_s: m.kind.fetch_gb_per_s * differs(&mut core.rng, FETCH_DIFFERS),
+                fetch_shared: w.fetch_shared,
+                slow: 1.0,
+                faulty: false,
+            };
+            (m.kind.clone(), m.zone.clone(), m.spot, traits)
+        };
+        let started = Worker::start(&self.world, name, &kind, &zone, spot, traits).await;
+        let worker = match started {
+            Ok(worker) => worker,
+            Err(e) => {
+                self.world.stop(&format!("the worker of {name}: {e}"));
+                return;
+            }
+        };
+        up(&self.world, name);
+        let reclaim = {
+            let mut core = lock(&self.core);
+            let chance: f64 = core.rng.random();
+            let Some(m) = core.machines.get_mut(name) else {
+                return;
+            };
+            m.up = Some(self.world.now_s());
+            m.worker = Some(worker);
+            let per_s = self.world.night.deployment.spot.per_hour / 3600.0;
+            (m.spot && per_s > 0.0).then(|| -libm::log(1.0 - chance) / per_s)
+        };
+        if let Some(s) = reclaim {
+            let (own, name) = (self.clone(), name.to_string());
+            self.host.spawn(async move {
+                own.host.sleep(s).await;
+                let spot = &own.world.night.deployment.spot;
+                let silent = own.chance() < spot.silent;
+                let notice = if silent { 0.0 } else { spot.notice_s };
+                own.reclaim(&name, notice).await;
+            });
+        }
+    }
+
+    /// The cloud takes a spot machine back.
+    pub async fn reclaim(&self, name: &str, notice_s: f64) {
+        let worker = self.worker(name);
+        if notice_s > 0.0
+            && let Some(worker) = worker
+        {
+            let differs = (1.0 - NOTICE_DIFFERS, 1.0 + NOTICE_DIFFERS);
+            let s = notice_s * between(&mut lock(&self.core).rng, differs);
+            worker.notice(s);
+            drop(worker);
+            wait(s).await;
+        }
+        self.take(name, "taken");
+    }
+
+    fn worker(&self, name: &str) -> Option<Arc<Worker>> {
+        let core = lock(&self.core);
+        let m = core.machines.get(name).filter(|m| m.held())?;
+        m.worker.clone()
+    }
+
+    /// What it has cost until now; a machine that is deleted costs a minimum.
+    fn cost(core: &Core, m: &Rented, now: f64, least_s: f64) -> f64 {
+        let until = now.max(m.rented + least_s);
+        let nominal = if m.spot {
+            m.kind.spot_price.unwrap_or(m.kind.price)
+        } else {
+            m.kind.price
+        };
+        let flat = [(0.0, 1.0)];
+        let steps = match core.prices.get(&m.kind.name) {
+            Some(steps) if m.spot => steps.as_slice(),
+            _ => &flat,
+        };
+        let mut cost = 0.0;
+        for (i, (at, factor)) in steps.iter().enumerate() {
+            let end = steps.get(i + 1).map_or(f64::INFINITY, |s| s.0);
+            let s = until.min(end) - m.rented.max(*at);
+            cost += s.max(0.0) * nominal * factor / 3600.0;
+        }
+        cost
+    }
+
+    /// The machine and everything on it are gone.
+    fn take(&self, name: &str, why: &str) {
+        let (worker, cost) = {
+            let mut core = lock(&self.core);
+            let now = self.world.now_s();
+            let Some(m) = core.machines.get(name) else {
+                return;
+            };
+            if m.gone.is_some() {
+                return;
+            }
+            let least = if why == "deleted" { LEAST_S } else { 0.0 };
+            let cost = m.held().then(|| Cloud::cost(&core, m, now, least));
+            let Some(m) = core.machines.get_mut(name) else {
+                return;
+            };
+            m.gone = Some(now);
+            (m.worker.take(), cost)
+        };
+        if let Some(worker) = worker {
+            worker.die();
+        }
+        if let Some(cost) = cost {
+            self.gone(name, why, cost);
+        }
+    }
+
+    fn gone(&self, name: &str, why: &str, cost: f64) {
+        self.world.record(What::Gone {
+            machine: name.to_string(),
+            why: why.to_string(),
+            cost,
+        });
+    }
+
+    /// The machine stops, with all that is on it; the cloud notices later.
+    pub fn die(&self, name: &str) {
+        let (worker, cost) = {
+            let mut core = lock(&self.core);
+            let now = self.world.now_s();
+            let Some(m) = core.machines.get(name).filter(|m| m.held()) else {
+                return;
+            };
+            let cost = Cloud::cost(&core, m, now, 0.0);
+            let Some(m) = core.machines.get_mut(name) else {
+                return;
+            };
+            m.died = Some(now);
+            (m.worker.take(), cost)
+        };
+        if let Some(worker) = worker {
+            worker.die();
+        }
+        self.gone(name, "died", cost);
+    }
+
+    /// Everything is returned at the end of the night.
+    pub fn close(&self) {
+        let names: Vec<String> = {
+            let core = lock(&self.core);
+            let held = core.machines.iter().filter(|(_, m)| m.held());
+            held.map(|(name, _)| name.clone()).collect()
+        };
+        for name in names {
+            self.take(&name, "the night is over");
+        }
+    }
+
+    // --- for troubles and those who watch ---
+
+    /// So many machines that are up, drawn from the seed.
+    pub fn draw(
+        &self,
+        count: u32,
+        zone: Option<&str>,
+        which: impl Fn(bool) -> bool,
+    ) -> Vec<(String, Arc<Worker>)> {
+        let core = &mut *lock(&self.core);
+        let mut up: Vec<(String, Arc<Worker>)> = core
+            .machines
+            .iter()
+            .filter(|(_, m)| m.held() && which(m.spot))
+            .filter(|(_, m)| zone.is_none_or(|z| z == m.zone))
+            .filter_map(|(name, m)| Some((name.clone(), m.worker.clone()?)))
+            .collect();
+        let mut drawn = Vec::new();
+        while drawn.len() < count as usize && !up.is_empty() {
+            let at = core.rng.random_range(0..up.len());
+            drawn.push(up.swap_remove(at));
+        }
+        drawn
+    }
+
+    /// Of each zone and kind: booting, up, and tasks running and fetching.
+    pub fn fleet(&self) -> BTreeMap<(String, String, bool), [usize; 4]> {
+        let core = lock(&self.core);
+        let mut fleet: BTreeMap<_, [usize; 4]> = BTreeMap::new();
+        for m in core.machines.values().filter(|m| m.held()) {
+            let key = (m.zone.clone(), m.kind.name.clone(), m.spot);
+            let n = fleet.entry(key).or_default();
+            match &m.worker {
+                Some(w) => {
+                    let (running, fetching) = w.load();
+                    n[1] += 1;
+                    n[2] += running;
+                    n[3] += fetching;
+                }
+                None => n[0] += 1,
+            }
+        }
+        fleet
+    }
+
+    /// Money an hour, and all that was spent until now.
+    pub fn spending(&self) -> (f64, f64) {
+        let core = lock(&self.core);
+        let now = self.world.now_s();
+        let (mut rate, mut spent) = (0.0, 0.0);
+        for m in core.machines.values() {
+            let until = m.gone.or(m.died).unwrap_or(now);
+            spent += Cloud::cost(&core, m, until, 0.0);
+            if m.held() {
+                rate += Cloud::cost(&core, m, now, 0.0)
+                    - Cloud::cost(&core, m, (now - 1.0).max(m.rented), 0.0);
+            }
+        }
+        (rate * 3600.0, spent)
+    }
+}
+
+fn refuse(why: &str) -> Response {
+    let error = why.to_string();
+    Response::new(503, encode(&Refusal { error }))
+}
--- a/crates/emulator/src/fabric.rs
+++ b/crates/emulator/src/fabric.rs
@@ -64,7 +64,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Break {
     Cut(Cut),
-    /// New connections are refused; those there go on.
+    /// A packet filter: connections are refused, and those there reset.
     Refuse,
 }
 
@@ -280,12 +280,11 @@
             net.next_id += 1;
             net.broken.push(Broken { id, a, b, how });
             let mut reset = Vec::new();
-            if how == Break::Cut(Cut::Reset) {
+            if how != Break::Cut(Cut::Hold) {
                 let all = self.crossing(&mut net, |_| true);
-                reset.extend(
-                    all.into_iter()
-                        .filter(|c| net.path(c.ends[0], c.ends[1]) == Path::Reset),
-                );
+                let broken = [Path::Reset, Path::Refused];
+                let ends = |c: &Arc<Conn>| broken.contains(&net.path(c.ends[0], c.ends[1]));
+                reset.extend(all.into_iter().filter(ends));
             }
             (id, reset)
         };
--- /dev/null
+++ b/crates/emulator/src/machine.rs
@@ -0,0 +1,623 @@
+//! One rented machine and its worker's state: tasks, images, lease, token. A
+//! state machine without I/O; the time is its own clock's, in seconds.
+
+use cherrywood_judge::history::Off;
+use cherrywood_night::deployment::MachineType;
+use cherrywood_wire::agent::{Command, Orders, Report, ReportAnswer, TaskReport, TaskState, Why};
+use std::collections::BTreeMap;
+
+/// What the platform knows of a task's job, uploaded by its user.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Sheet {
+    pub job: String,
+    pub tasks: u32,
+    pub cpus: f64,
+    pub gpus: f64,
+    pub ram_gb: f64,
+    pub image: String,
+    pub image_gb: f64,
+    /// True run time of this task at ordinary speed, s; None runs until stopped.
+    pub run_s: Option<f64>,
+    pub checkpoint_s: f64,
+    pub save_s: f64,
+    /// Submitted with a mistake: it fails everywhere.
+    pub mistaken: bool,
+    /// Progress kept outside machines, s, and whether it is finished.
+    pub saved_s: f64,
+    pub finished: bool,
+}
+
+/// What happened, for the history and for what is kept outside.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Note {
+    Starts {
+        task: String,
+        attempt: u64,
+    },
+    On {
+        task: String,
+        attempt: u64,
+    },
+    Stops {
+        task: String,
+    },
+    Off {
+        task: String,
+        attempt: u64,
+        why: Off,
+        kept_s: f64,
+    },
+    LeaseEnds,
+    /// Progress of the task is kept outside the machine.
+    Saved {
+        task: String,
+        progress_s: f64,
+        finished: bool,
+    },
+}
+
+#[derive(Debug)]
+struct Task {
+    id: String,
+    attempt: u64,
+    state: TaskState,
+    why: Option<Why>,
+    kept: Option<bool>,
+    sheet: Sheet,
+    /// s of run time behind it, and what of it was kept before it came here.
+    progress: f64,
+    kept_before: f64,
+    /// When its save is over.
+    save_until: f64,
+    /// When it fails, if it is to fail.
+    fails_at: Option<f64>,
+}
+
+#[derive(Debug)]
+struct Image {
+    gb: f64,
+    /// GB still to fetch; 0 is cached.
+    left: f64,
+    used: f64,
+}
+
+/// What differs from machine to machine, and from hour to hour.
+#[derive(Debug, Clone, Copy)]
+pub struct Traits {
+    pub speed: f64,
+    pub fetch_gb_per_s: f64,
+    pub fetch_shared: bool,
+    /// Runs its tasks this many times slower.
+    pub slow: f64,
+    /// Fails every task that it starts.
+    pub faulty: bool,
+}
+
+#[derive(Debug)]
+pub struct Machine {
+    pub name: String,
+    pub addr: String,
+    pub kind: MachineType,
+    pub zone: String,
+    pub spot: bool,
+    pub traits: Traits,
+    lease_s: f64,
+    pub session: u64,
+    seq: u64,
+    pub token: u64,
+    /// On this clock: when the cloud takes it.
+    notice_until: Option<f64>,
+    tasks: Vec<Task>,
+    images: BTreeMap<String, Image>,
+    /// The lease counts from here.
+    leased: f64,
+    advanced: f64,
+    token_told: f64,
+    /// Something changed that the next report should tell soon.
+    pub changed: bool,
+    notes: Vec<Note>,
+}
+
+/// s after which a task that is to fail does so.
+const FAILS_AFTER_S: f64 = 2.0;
+/// Amounts that sums of decimal numbers may be off by.
+const ROUNDING: f64 = 1e-6;
+
+impl Machine {
+    #[expect(clippy::too_many_arguments, reason = "what a machine is")]
+    pub fn new(
+        name: &str,
+        addr: String,
+        kind: MachineType,
+        zone: &str,
+        spot: bool,
+        traits: Traits,
+        lease_s: f64,
+        now: f64,
+    ) -> Machine {
+        Machine {
+            name: name.to_string(),
+            addr,
+            kind,
+            zone: zone.to_string(),
+            spot,
+            traits,
+            lease_s,
+            session: 1,
+            seq: 0,
+            token: 0,
+            notice_until: None,
+            tasks: Vec::new(),
+            images: BTreeMap::new(),
+            leased: now,
+            advanced: now,
+            token_told: f64::NEG_INFINITY,
+            changed: false,
+            notes: Vec::new(),
+        }
+    }
+
+    pub fn notes(&mut self) -> Vec<Note> {
+        std::mem::take(&mut self.notes)
+    }
+
+    /// Tasks on it, and those that wait for an image.
+    pub fn load(&self) -> (usize, usize) {
+        let of = |s: &[TaskState]| self.tasks.iter().filter(|t| s.contains(&t.state)).count();
+        (
+            of(&[TaskState::Running, TaskState::Saving]),
+            of(&[TaskState::Fetching]),
+        )
+    }
+
+    /// The next message of this worker.
+    pub fn report(&mut self, now: f64) -> Report {
+        self.seq += 1;
+        Report {
+            machine: self.name.clone(),
+            addr: self.addr.clone(),
+            kind: self.kind.name.clone(),
+            zone: self.zone.clone(),
+            spot: self.spot,
+            session: self.session,
+            seq: self.seq,
+            token: self.token,
+            notice_s: self.notice_until.map(|t| (t - now).max(0.0)),
+            tasks: self
+                .tasks
+                .iter()
+                .map(|t| TaskReport {
+                    task: t.id.clone(),
+                    attempt: t.attempt,
+                    state: t.state,
+                    why: t.why,
+                    saved: t.kept,
+                })
+                .collect(),
+        }
+    }
+
+    /// The answer to the report that was sent at `sent` in `session`. False if
+    /// it had to be dropped.
+    pub fn answered(
+        &mut self,
+        answer: &ReportAnswer,
+        session: u64,
+        sent: f64,
+        now: f64,
+        sheet: &mut dyn FnMut(&str) -> Option<Sheet>,
+    ) -> bool {
+        self.advance(now);
+        if session != self.session || answer.token < self.token {
+            return false;
+        }
+        self.leased = self.leased.max(sent);
+        self.see(answer.token, now);
+        for c in &answer.commands {
+            self.obey(c, now, sheet);
+        }
+        self.advance(now);
+        true
+    }
+
+    /// `POST /orders`; false if nothing was executed.
+    pub fn ordered(
+        &mut self,
+        orders: &Orders,
+        now: f64,
+        sheet: &mut dyn FnMut(&str) -> Option<Sheet>,
+    ) -> bool {
+        self.advance(now);
+        if orders.token < self.token || orders.session != self.session {
+            return false;
+        }
+        self.see(orders.token, now);
+        for c in &orders.commands {
+            self.obey(c, now, sheet);
+        }
+        self.advance(now);
+        true
+    }
+
+    fn see(&mut self, token: u64, now: f64) {
+        if token > self.token {
+            self.token = token;
+            // At most once per half of a lease.
+            if now - self.token_told >= self.lease_s / 2.0 {
+                self.token_told = now;
+                self.changed = true;
+            }
+        }
+    }
+
+    fn obey(&mut self, c: &Command, now: f64, sheet: &mut dyn FnMut(&str) -> Option<Sheet>) {
+        match c {
+            Command::Start { task, attempt } => self.start(task, *attempt, now, sheet),
+            Command::Stop {
+                task,
+                attempt,
+                grace_s,
+            } => self.stop(task, *attempt, *grace_s, now),
+            Command::Forget { task, attempt } => {
+                let over = |t: &Task| {
+                    t.id == *task && t.attempt == *attempt && t.state == TaskState::Exited
+                };
+                let before = self.tasks.len();
+                self.tasks.retain(|t| !over(t));
+                self.changed |= self.tasks.len() != before;
+            }
+        }
+    }
+
+    fn start(
+        &mut self,
+        id: &str,
+        attempt: u64,
+        now: f64,
+        sheet: &mut dyn FnMut(&str) -> Option<Sheet>,
+    ) {
+        if self
+            .tasks
+            .iter()
+            .any(|t| t.id == id && t.attempt == attempt)
+        {
+            return;
+        }
+        self.changed = true;
+        let known = sheet(id);
+        let live = |t: &&Task| t.state != TaskState::Exited;
+        let refusal = match &known {
+            None => Some(Why::Unknown),
+            Some(_) if self.tasks.iter().filter(live).any(|t| t.id == id) => Some(Why::Busy),
+            Some(s) => {
+                let sum = |of: fn(&Sheet) -> f64| -> f64 {
+                    self.tasks.iter().filter(live).map(|t| of(&t.sheet)).sum()
+                };
+                let k = &self.kind;
+                let full = sum(|s| s.cpus) + s.cpus > k.cpus + ROUNDING
+                    || sum(|s| s.gpus) + s.gpus > k.gpus + ROUNDING
+                    || sum(|s| s.ram_gb) + s.ram_gb > k.ram_gb + ROUNDING;
+                full.then_some(Why::NoRoom)
+            }
+        };
+        let empty = || Sheet {
+            job: String::new(),
+            tasks: 0,
+            cpus: 0.0,
+            gpus: 0.0,
+            ram_gb: 0.0,
+            image: String::new(),
+            image_gb: 0.0,
+            run_s: None,
+            checkpoint_s: 0.0,
+            save_s: 0.0,
+            mistaken: false,
+            saved_s: 0.0,
+            finished: false,
+        };
+        let sheet = known.unwrap_or_else(empty);
+        let state = match refusal {
+            Some(_) => TaskState::Exited,
+            None => TaskState::Fetching,
+        };
+        if refusal.is_none() {
+            self.notes.push(Note::Starts {
+                task: id.to_string(),
+                attempt,
+            });
+            let gb = sheet.image_gb;
+            let image = self.images.entry(sheet.image.clone()).or_insert(Image {
+                gb,
+                left: gb,
+                used: now,
+            });
+            image.used = now;
+        }
+        self.tasks.push(Task {
+            id: id.to_string(),
+            attempt,
+            state,
+            why: refusal,
+            kept: None,
+            progress: sheet.saved_s,
+            kept_before: sheet.saved_s,
+            sheet,
+            save_until: 0.0,
+            fails_at: None,
+        });
+        self.evict();
+    }
+
+    /// Keeps the most recently used images that fit; those that tasks need stay.
+    fn evict(&mut self) {
+        let needed = |name: &String, tasks: &[Task]| {
+            let of = |t: &Task| t.state != TaskState::Exited && t.sheet.image == *name;
+            tasks.iter().any(of)
+        };
+        while self.images.values().map(|i| i.gb).sum::<f64>() > self.kind.cache_gb {
+            let oldest = self
+                .images
+                .iter()
+                .filter(|(name, _)| !needed(name, &self.tasks))
+                .min_by(|a, b| a.1.used.total_cmp(&b.1.used))
+                .map(|(name, _)| name.clone());
+            match oldest {
+                Some(name) => self.images.remove(&name),
+                None => return,
+            };
+        }
+    }
+
+    fn stop(&mut self, id: &str, attempt: u64, slack_s: f64, now: f64) {
+        let found = |t: &Task| t.id == id && t.attempt == attempt;
+        let Some(at) = self.tasks.iter().position(found) else {
+            return;
+        };
+        let noticed = self.notice_until.is_some();
+        let t = &mut self.tasks[at];
+        match t.state {
+            TaskState::Exited => return,
+            TaskState::Running if !noticed => self.notes.push(Note::Stops {
+                task: id.to_string(),
+            }),
+            _ => {}
+        }
+        self.changed = true;
+        let t = &mut self.tasks[at];
+        let saves = t.sheet.checkpoint_s > 0.0 && slack_s >= t.sheet.save_s;
+        match t.state {
+            TaskState::Running if saves => {
+                t.state = TaskState::Saving;
+                t.save_until = now + t.sheet.save_s;
+            }
+            TaskState::Saving if slack_s > 0.0 => {}
+            _ => self.exit(at, Why::Stopped, Off::Stopped, false),
+        }
+    }
+
+    /// Ends a task; `all` of its progress is kept, or what its checkpoints hold.
+    fn exit(&mut self, at: usize, why: Why, off: Off, all: bool) {
+        let t = &mut self.tasks[at];
+        let was_on = matches!(t.state, TaskState::Running | TaskState::Saving);
+        t.state = TaskState::Exited;
+        t.why = Some(why);
+        self.changed = true;
+        let finished = off == Off::Done;
+        let every = t.sheet.checkpoint_s;
+        let kept = if all || finished || t.sheet.run_s.is_none() {
+            t.progress
+        } else if every > 0.0 {
+            ((t.progress / every).floor() * every).max(t.kept_before)
+        } else {
+            t.kept_before
+        };
+        if why == Why::Stopped && every > 0.0 {
+            t.kept = Some(all);
+        }
+        if was_on {
+            let kept_s = if t.sheet.finished {
+                0.0
+            } else {
+                (kept - t.kept_before).max(0.0)
+            };
+            self.notes.push(Note::Off {
+                task: t.id.clone(),
+                attempt: t.attempt,
+                why: off,
+                kept_s,
+            });
+        }
+        if t.sheet.run_s.is_some() && (finished || kept > t.kept_before) {
+            self.notes.push(Note::Saved {
+                task: t.id.clone(),
+                progress_s: kept,
+                finished,
+            });
+        }
+        self.drop_useless_fetches();
+    }
+
+    fn drop_useless_fetches(&mut self) {
+        let waits = |name: &String| {
+            let of = |t: &Task| t.state == TaskState::Fetching && t.sheet.image == *name;
+            self.tasks.iter().any(of)
+        };
+        let useless: Vec<String> = self
+            .images
+            .iter()
+            .filter(|(name, i)| i.left > 0.0 && !waits(name))
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in useless {
+            self.images.remove(&name);
+        }
+    }
+
+    /// s of progress for each s.
+    fn pace(&self) -> f64 {
+        self.traits.speed / self.traits.slow
+    }
+
+    fn fetching(&self) -> usize {
+        self.images.values().filter(|i| i.left > 0.0).count()
+    }
+
+    fn fetch_rate(&self) -> f64 {
+        let k = if self.traits.fetch_shared {
+            self.fetching().max(1)
+        } else {
+            1
+        };
+        self.traits.fetch_gb_per_s / k as f64
+    }
+
+    /// When something happens here by itself.
+    pub fn next_due(&self) -> f64 {
+        let mut due = self.leased + self.lease_s;
+        let rate = self.fetch_rate();
+        for i in self.images.values().filter(|i| i.left > 0.0) {
+            due = due.min(self.advanced + i.left / rate);
+        }
+        for t in &self.tasks {
+            match t.state {
+                TaskState::Running => {
+                    if let Some(run) = t.sheet.run_s {
+                        due = due.min(self.advanced + (run - t.progress).max(0.0) / self.pace());
+                    }
+                    due = due.min(t.fails_at.unwrap_or(f64::INFINITY));
+                }
+                TaskState::Saving => due = due.min(t.save_until),
+                TaskState::Fetching if self.has_image(t) => due = due.min(self.advanced),
+                _ => {}
+            }
+        }
+        due
+    }
+
+    fn has_image(&self, t: &Task) -> bool {
+        let image = self.images.get(&t.sheet.image);
+        image.is_none_or(|i| i.left <= 0.0)
+    }
+
+    /// It stood still from `since` on: nothing here moved meanwhile.
+    pub fn stood_still(&mut self, now: f64) {
+        let gap = now - self.advanced;
+        self.advanced = now;
+        for t in &mut self.tasks {
+            t.save_until += gap;
+            t.fails_at = t.fails_at.map(|at| at + gap);
+        }
+    }
+
+    /// Lets time pass up to now: leases, fetches, tasks.
+    pub fn advance(&mut self, now: f64) {
+        // Events in between change rates, so one at a time.
+        while self.next_due() <= now {
+            let at = self.next_due().max(self.advanced);
+            self.pass(at);
+            self.happen(at);
+        }
+        self.pass(now);
+    }
+
+    fn pass(&mut self, to: f64) {
+        let s = (to - self.advanced).max(0.0);
+        let (rate, pace) = (self.fetch_rate(), self.pace());
+        for i in self.images.values_mut().filter(|i| i.left > 0.0) {
+            i.left = (i.left - s * rate).max(0.0);
+            if i.left < 1e-9 {
+                i.left = 0.0;
+            }
+        }
+        for t in &mut self.tasks {
+            if t.state == TaskState::Running {
+                t.progress += s * pace;
+                if let Some(run) = t.sheet.run_s
+                    && run - t.progress < 1e-9
+                {
+                    t.progress = run;
+                }
+            }
+        }
+        self.advanced = self.advanced.max(to);
+    }
+
+    fn happen(&mut self, now: f64) {
+        if now >= self.leased + self.lease_s {
+            self.expire(now);
+            return;
+        }
+        for at in 0..self.tasks.len() {
+            let t = &self.tasks[at];
+            match t.state {
+                TaskState::Fetching => {
+                    let ready = self
+                        .images
+                        .get(&t.sheet.image)
+                        .is_none_or(|i| i.left <= 0.0);
+                    if ready {
+                        self.go_on(at, now);
+                    }
+                }
+                TaskState::Running => {
+                    if t.fails_at.is_some_and(|f| now >= f) {
+                        self.exit(at, Why::Error, Off::Error, false);
+                    } else if t.sheet.run_s.is_some_and(|run| t.progress >= run) {
+                        self.exit(at, Why::Done, Off::Done, true);
+                    }
+                }
+                TaskState::Saving if now >= t.save_until => {
+                    self.exit(at, Why::Stopped, Off::Stopped, true);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// The task has its image: it is on the machine from now on.
+    fn go_on(&mut self, at: usize, now: f64) {
+        let faulty = self.traits.faulty;
+        let t = &mut self.tasks[at];
+        t.state = TaskState::Running;
+        self.changed = true;
+        self.notes.push(Note::On {
+            task: t.id.clone(),
+            attempt: t.attempt,
+        });
+        if t.sheet.finished {
+            self.exit(at, Why::Done, Off::Done, true);
+        } else if faulty || t.sheet.mistaken {
+            t.fails_at = Some(now + FAILS_AFTER_S);
+        }
+    }
+
+    /// The lease is over: every task is killed and forgotten.
+    fn expire(&mut self, now: f64) {
+        self.notes.push(Note::LeaseEnds);
+        self.end_all(Off::Lease);
+        self.session += 1;
+        self.leased = now;
+        self.changed = true;
+    }
+
+    /// Everything on it goes at once: its lease ended, or it is gone.
+    pub fn end_all(&mut self, off: Off) {
+        for at in 0..self.tasks.len() {
+            if self.tasks[at].state != TaskState::Exited {
+                self.exit(at, Why::Stopped, off, false);
+            }
+        }
+        self.tasks.clear();
+        self.drop_useless_fetches();
+    }
+
+    pub fn notice(&mut self, until: f64) {
+        self.notice_until = Some(until);
+        self.changed = true;
+    }
+
+    /// When its lease ends, unless a report is answered.
+    pub fn lease_until(&self) -> f64 {
+        self.leased + self.lease_s
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/state.rs
@@ -0,0 +1,273 @@
+//! The state service, with its troubles: outages for all or for one controller,
+//! slowness, falling behind, answers lost before, after or long before the
+//! request is executed.
+
+use crate::fabric::{Role, lock};
+use crate::proc::Proc;
+use crate::world::World;
+use cherrywood_net::Host;
+use cherrywood_net::server::{self, Request, Response};
+use cherrywood_night::trouble::Lost;
+use cherrywood_night::{Trouble, Who};
+use cherrywood_store::service::{Allowed, Watch};
+use cherrywood_store::{Reply, Service};
+use rand::Rng;
+use rand_pcg::Pcg64;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use tokio::sync::Notify;
+
+/// ms that a slow answer takes: "now and then a few hundred".
+const SLOW_MS: (f64, f64) = (100.0, 400.0);
+/// s by which the end of a lease may be late.
+const LEASE_LATE_S: f64 = 0.1;
+/// s after which a connection whose answer was lost is closed.
+const LOST_S: f64 = 30.0;
+/// Connections from one controller.
+const CONNECTIONS: usize = 2000;
+
+pub struct StateHost {
+    world: Arc<World>,
+    host: Host,
+    service: Mutex<Service>,
+    rng: Mutex<Pcg64>,
+    /// Something changed, or an outage ended.
+    changed: Notify,
+    /// Controllers that it refuses alone, by trouble.
+    refused: Mutex<Vec<(u64, Vec<usize>)>>,
+    proc: Arc<Proc>,
+}
+
+impl StateHost {
+    pub async fn start(world: &Arc<World>) -> io::Result<Arc<StateHost>> {
+        let proc = world.region("state", Role::State);
+        let s = &world.night.deployment.state;
+        let allowed = Allowed {
+            rps: s.rps,
+            write_rps: s.write_rps,
+            value_kb: s.value_kb,
+            txn_ops: s.txn_ops,
+        };
+        let me = Arc::new(StateHost {
+            world: world.clone(),
+            host: proc.host(),
+            service: Mutex::new(Service::new(allowed)),
+            rng: Mutex::new(world.rng("state")),
+            changed: Notify::new(),
+            refused: Mutex::default(),
+            proc,
+        });
+        for (node, at) in world.addresses.state.iter().enumerate() {
+            let listener = me.host.bind(*at).await.map_err(|e| named(*at, &e))?;
+            let own = me.clone();
+            let on_request = Arc::new(move |request, _: SocketAddr| {
+                let own = own.clone();
+                async move { own.answer(node, request).await }
+            });
+            let serve = server::serve(me.host.clone(), listener, CONNECTIONS, on_request);
+            me.host.spawn(serve);
+        }
+        let own = me.clone();
+        me.host.spawn(async move { own.end_leases().await });
+        Ok(me)
+    }
+
+    pub fn proc(&self) -> &Proc {
+        &self.proc
+    }
+
+    /// The controller that holds the leader key.
+    pub fn leader(&self) -> Option<String> {
+        let service = lock(&self.service);
+        let item = service.engine.get("L/leader")?;
+        let fields = item.value.as_map()?;
+        let leader = fields.iter().find(|(k, _)| k.as_str() == Some("leader"))?;
+        leader.1.as_str().map(str::to_string)
+    }
+
+    /// Keys, and bytes of their values.
+    pub fn size(&self) -> (usize, usize) {
+        lock(&self.service).engine.size()
+    }
+
+    /// Requests it answered with 429.
+    pub fn over_rate(&self) -> u64 {
+        lock(&self.service).refused
+    }
+
+    pub fn refuse(&self, id: u64, nodes: Vec<usize>) {
+        lock(&self.refused).push((id, nodes));
+    }
+
+    pub fn accept(&self, id: u64) {
+        lock(&self.refused).retain(|(n, _)| *n != id);
+        self.changed.notify_waiters();
+    }
+
+    fn down(&self) -> bool {
+        let down = |t: &Trouble| matches!(t, Trouble::StateOutage(_)).then_some(());
+        !self.world.now_in(down).is_empty()
+    }
+
+    /// After an outage every lease has its full time again.
+    pub fn recovered(&self) {
+        if !self.down() {
+            lock(&self.service).engine.refresh(self.host.now());
+            self.changed.notify_waiters();
+        }
+    }
+
+    /// Sets its rates to this share, while it falls behind.
+    pub fn set_share(&self) {
+        let behind = |t: &Trouble| match t {
+            Trouble::StateBehind(t) => Some(t.share),
+            _ => None,
+        };
+        let share = self.world.now_in(behind).into_iter().fold(1.0, f64::min);
+        lock(&self.service).set_share(share);
+    }
+
+    fn turns_away(&self, node: usize) -> bool {
+        self.down() || lock(&self.refused).iter().any(|(_, n)| n.contains(&node))
+    }
+
+    fn chance(&self) -> f64 {
+        lock(&self.rng).random()
+    }
+
+    /// s that this request takes, before and after it is executed.
+    fn latency(&self) -> f64 {
+        let s = &self.world.night.deployment.state;
+        let mut ms = s.latency_ms * (0.5 + self.chance());
+        if self.chance() < s.slow {
+            ms += SLOW_MS.0 + self.chance() * (SLOW_MS.1 - SLOW_MS.0);
+        }
+        let slow = |t: &Trouble| match t {
+            Trouble::StateSlow(t) => Some((t.share, t.ms)),
+            _ => None,
+        };
+        for (share, extra) in self.world.now_in(slow) {
+            if self.chance() < share {
+                ms += extra * (0.5 + self.chance());
+            }
+        }
+        ms / 1000.0
+    }
+
+    fn loses(&self) -> Option<(Lost, f64)> {
+        let loses = |t: &Trouble| match t {
+            Trouble::StateLoses(t) => Some((t.share, t.when, t.late_s)),
+            _ => None,
+        };
+        let all = self.world.now_in(loses);
+        let hit = all.into_iter().find(|(share, ..)| self.chance() < *share);
+        hit.map(|(_, when, late_s)| (when, late_s))
+    }
+
+    async fn answer(self: &Arc<Self>, node: usize, request: Request) -> Response {
+        if self.turns_away(node) {
+            return Response::empty(503);
+        }
+        let s = self.latency();
+        self.host.sleep(s / 2.0).await;
+        if self.turns_away(node) {
+            return Response::empty(503);
+        }
+        match self.loses() {
+            None => {}
+            Some((when, late_s)) => {
+                match when {
+                    Lost::Before => {}
+                    Lost::After => drop(self.execute(&request)),
+                    Lost::Late => {
+                        let own = self.clone();
+                        self.host.spawn(async move {
+                            own.host.sleep(late_s).await;
+                            while own.down() {
+                                own.host.sleep(LEASE_LATE_S).await;
+                            }
+                            drop(own.execute(&request));
+                        });
+                    }
+                }
+                self.host.sleep(LOST_S).await;
+                return Response {
+                    close: true,
+                    ..Response::empty(503)
+                };
+            }
+        }
+        let answer = match self.execute(&request) {
+            Reply::Now(answer) => answer,
+            Reply::Hold(watch) => self.hold(node, &watch).await,
+        };
+        self.host.sleep(s / 2.0).await;
+        answer
+    }
+
+    fn execute(&self, request: &Request) -> Reply {
+        let mut service = lock(&self.service);
+        let before = service.engine.revision();
+        let reply = service.answer(request, self.host.now());
+        if service.engine.revision() != before {
+            self.changed.notify_waiters();
+        }
+        reply
+    }
+
+    /// A watch stays open during an outage, and while its node is refused.
+    async fn hold(&self, node: usize, watch: &Watch) -> Response {
+        let until = self.host.now() + watch.hold_ms as f64 / 1000.0;
+        loop {
+            let changed = self.changed.notified();
+            let away = self.turns_away(node);
+            let over = self.host.now() >= until;
+            if !away && let Some(answer) = lock(&self.service).resume(watch, over) {
+                return answer;
+            }
+            let left = if away {
+                LEASE_LATE_S
+            } else {
+                until - self.host.now()
+            };
+            let _ = self.host.timeout(left, changed).await;
+        }
+    }
+
+    /// Leases that are not renewed end, up to 100 ms late and never early.
+    async fn end_leases(&self) {
+        loop {
+            let next = lock(&self.service).engine.next_end();
+            let now = self.host.now();
+            let wait = next.map_or(LEASE_LATE_S, |at| {
+                (at - now).max(0.0) + self.chance() * LEASE_LATE_S
+            });
+            self.host.sleep(wait.clamp(0.001, LEASE_LATE_S)).await;
+            if !self.down() && lock(&self.service).engine.expire(self.host.now()) > 0 {
+                self.changed.notify_waiters();
+            }
+        }
+    }
+}
+
+pub(crate) fn named(at: SocketAddr, e: &io::Error) -> io::Error {
+    io::Error::new(e.kind(), format!("{at}: {e}"))
+}
+
+/// The controllers that a trouble hits, of those that are there.
+pub(crate) fn who(who: Who, leader: Option<usize>, nodes: usize, rng: &mut Pcg64) -> Vec<usize> {
+    let drawn = rng.random_range(0..nodes.max(1));
+    match who {
+        Who::All => (0..nodes).collect(),
+        Who::Any => vec![drawn],
+        Who::Leader => vec![leader.unwrap_or(drawn)],
+        Who::Follower => {
+            let others: Vec<usize> = (0..nodes).filter(|n| Some(*n) != leader).collect();
+            match others.get(drawn % others.len().max(1)) {
+                Some(n) => vec![*n],
+                None => vec![drawn],
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/troubles.rs
@@ -0,0 +1,299 @@
+//! Makes the night's troubles, each at its time.
+
+use crate::cloud::Cloud;
+use crate::fabric::{Break, Group, Role, lock};
+use crate::proc::Medium;
+use crate::state::{StateHost, who};
+use crate::world::World;
+use cherrywood_judge::What;
+use cherrywood_night::trouble::Side;
+use cherrywood_night::{Trouble, Who};
+use rand_pcg::Pcg64;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// Controllers, which whoever plays the night starts and ends: as tasks in
+/// virtual time, or as processes.
+pub trait Nodes: Send + Sync {
+    fn start(&self, node: usize);
+    fn kill(&self, node: usize);
+    fn freeze(&self, node: usize);
+    fn thaw(&self, node: usize);
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Is {
+    Up,
+    Down,
+    Frozen,
+}
+
+pub struct Troubles {
+    world: Arc<World>,
+    state: Arc<StateHost>,
+    cloud: Arc<Cloud>,
+    nodes: Arc<dyn Nodes>,
+    is: Mutex<Vec<Is>>,
+    rng: Mutex<Pcg64>,
+}
+
+async fn wait(s: f64) {
+    tokio::time::sleep(Duration::from_secs_f64(s.max(0.0))).await;
+}
+
+impl Troubles {
+    pub fn new(
+        world: &Arc<World>,
+        state: &Arc<StateHost>,
+        cloud: &Arc<Cloud>,
+        nodes: Arc<dyn Nodes>,
+    ) -> Arc<Troubles> {
+        let count = world.night.deployment.controllers as usize;
+        Arc::new(Troubles {
+            world: world.clone(),
+            state: state.clone(),
+            cloud: cloud.clone(),
+            nodes,
+            is: Mutex::new(vec![Is::Down; count]),
+            rng: Mutex::new(world.rng("troubles")),
+        })
+    }
+
+    /// Starts all controllers, and every trouble at its time.
+    pub fn start(self: &Arc<Self>) {
+        for node in 0..lock(&self.is).len() {
+            self.node_up(node);
+        }
+        for t in self.world.night.all_troubles(self.world.seed) {
+            let own = self.clone();
+            tokio::spawn(async move {
+                wait(t.at_s() - own.world.now_s()).await;
+                own.make(&t).await;
+            });
+        }
+    }
+
+    fn node(&self, node: usize, now: &str) {
+        self.world.record(What::Node {
+            node: self.world.node_name(node),
+            now: now.to_string(),
+        });
+    }
+
+    fn node_up(&self, node: usize) {
+        if lock(&self.is)[node] == Is::Down {
+            lock(&self.is)[node] = Is::Up;
+            self.node(node, "up");
+            self.nodes.start(node);
+        }
+    }
+
+    /// Kills a controller; the platform starts it again.
+    pub fn crash(self: &Arc<Self>, node: usize) {
+        if lock(&self.is)[node] == Is::Down {
+            return;
+        }
+        lock(&self.is)[node] = Is::Down;
+        self.node(node, "killed");
+        self.nodes.kill(node);
+        self.restart(node);
+    }
+
+    fn restart(self: &Arc<Self>, node: usize) {
+        let own = self.clone();
+        tokio::spawn(async move {
+            wait(own.world.night.deployment.node.restart_s).await;
+            own.node_up(node);
+        });
+    }
+
+    /// A controller ended by itself, which none should.
+    pub fn ended(self: &Arc<Self>, node: usize, why: &str) {
+        if lock(&self.is)[node] != Is::Down {
+            lock(&self.is)[node] = Is::Down;
+            self.node(node, &format!("ended by itself: {why}"));
+            self.restart(node);
+        }
+    }
+
+    pub fn is_up(&self, node: usize) -> bool {
+        lock(&self.is)[node] == Is::Up
+    }
+
+    pub fn is_frozen(&self, node: usize) -> bool {
+        lock(&self.is)[node] == Is::Frozen
+    }
+
+    pub fn leader(&self) -> Option<usize> {
+        let label = self.state.leader()?;
+        let count = lock(&self.is).len();
+        (0..count).find(|n| self.world.node_name(*n) == label)
+    }
+
+    fn who(&self, which: Who) -> Vec<usize> {
+        let count = lock(&self.is).len();
+        who(which, self.leader(), count, &mut lock(&self.rng))
+    }
+
+    async fn freeze(&self, node: usize, for_s: f64) {
+        if lock(&self.is)[node] != Is::Up {
+            return;
+        }
+        lock(&self.is)[node] = Is::Frozen;
+        self.node(node, "stands still");
+        self.nodes.freeze(node);
+        wait(for_s).await;
+        let frozen = lock(&self.is)[node] == Is::Frozen;
+        if frozen {
+            lock(&self.is)[node] = Is::Up;
+            self.node(node, "goes on");
+            self.nodes.thaw(node);
+        }
+    }
+
+    /// Breaks paths for the length of a trouble.
+    async fn cut(&self, paths: Vec<(Group, Group)>, how: Break, for_s: f64) {
+        let fabric = &self.world.fabric;
+        let cuts = paths.into_iter().map(|(a, b)| fabric.cut(a, b, how));
+        let cuts: Vec<u64> = cuts.collect();
+        wait(for_s).await;
+        for id in cuts {
+            fabric.mend(id);
+        }
+    }
+
+    async fn make(self: &Arc<Self>, trouble: &Trouble) {
+        if matches!(self.world.medium, Medium::Loopback) && !trouble.on_loopback() {
+            return;
+        }
+        let id = self.world.begin(trouble);
+        let for_s = trouble.for_s().unwrap_or(0.0);
+        match trouble {
+            Trouble::NodeCrash(t) => {
+                for node in self.who(t.who) {
+                    self.crash(node);
+                }
+            }
+            Trouble::NodeRoll(t) => {
+                let count = lock(&self.is).len();
+                for node in 0..count {
+                    self.crash(node);
+                    wait(t.every_s).await;
+                }
+            }
+            Trouble::NodeFreeze(t) => {
+                let all = self.who(t.who).into_iter().map(|n| {
+                    let own = self.clone();
+                    tokio::spawn(async move { own.freeze(n, for_s).await })
+                });
+                for one in all.collect::<Vec<_>>() {
+                    let _ = one.await;
+                }
+            }
+            Trouble::NodeCut(t) => {
+                let ip = |n: usize| self.world.addresses.nodes[n].0.ip();
+                let hosts: Vec<_> = self.who(t.who).into_iter().map(ip).collect();
+                let side = |s: &Side| {
+                    Group::Role(match s {
+                        Side::State => Role::State,
+                        Side::Cloud => Role::Cloud,
+                        Side::Workers => Role::Worker,
+                        Side::Users => Role::Users,
+                        Side::Peers => Role::Node,
+                    })
+                };
+                let paths = t
+                    .from
+                    .iter()
+                    .map(|s| (Group::Hosts(hosts.clone()), side(s)));
+                self.cut(paths.collect(), Break::Cut(t.mode), for_s).await;
+            }
+            Trouble::NodeRefused(t) => {
+                self.state.refuse(id, self.who(t.who));
+                wait(for_s).await;
+                self.state.accept(id);
+            }
+            Trouble::PeersRefuse(_) => {
+                let paths = vec![(Group::Role(Role::Node), Group::Role(Role::Node))];
+                self.cut(paths, Break::Refuse, for_s).await;
+            }
+            Trouble::ZoneCut(t) => {
+                let paths = vec![(Group::Zone(t.zone.clone()), Group::Outside(t.zone.clone()))];
+                self.cut(paths, Break::Cut(t.mode), for_s).await;
+            }
+            Trouble::StateOutage(_) => {
+                wait(for_s).await;
+                self.world.end(id);
+                self.state.recovered();
+            }
+            Trouble::StateBehind(_) => {
+                self.state.set_share();
+                wait(for_s).await;
+                self.world.end(id);
+                self.state.set_share();
+            }
+            Trouble::MachineDie(t) => {
+                for (name, _) in self.cloud.draw(t.count, t.zone.as_deref(), |_| true) {
+                    self.cloud.die(&name);
+                }
+            }
+            Trouble::MachineHang(t) => {
+                for (_, worker) in self.cloud.draw(t.count, None, |_| true) {
+                    tokio::spawn(worker.hang(for_s));
+                }
+                wait(for_s).await;
+            }
+            Trouble::MachineSlow(t) => {
+                let hit = self.cloud.draw(t.count, None, |_| true);
+                for (_, worker) in &hit {
+                    worker.set_traits(|m| m.slow = t.times);
+                }
+                wait(for_s).await;
+                for (_, worker) in &hit {
+                    worker.set_traits(|m| m.slow = 1.0);
+                }
+            }
+            Trouble::MachineFaulty(t) => {
+                let hit = self.cloud.draw(t.count, None, |_| true);
+                for (_, worker) in &hit {
+                    worker.set_traits(|m| m.faulty = true);
+                }
+                wait(for_s).await;
+                for (_, worker) in &hit {
+                    worker.set_traits(|m| m.faulty = false);
+                }
+            }
+            Trouble::MachineCut(t) => {
+                let hit = self.cloud.draw(t.count, None, |_| true);
+                let hosts = hit.iter().map(|(_, w)| w.proc.ip).collect();
+                let paths = vec![(Group::Hosts(hosts), Group::Everyone)];
+                self.cut(paths, Break::Cut(t.mode), for_s).await;
+            }
+            Trouble::SpotWave(t) => {
+                let all = self.cloud.draw(u32::MAX, None, |spot| spot);
+                let count = (all.len() as f64 * t.share).round() as usize;
+                let hit: Vec<String> = all.into_iter().take(count).map(|(n, _)| n).collect();
+                for (i, name) in hit.into_iter().enumerate() {
+                    let after = t.over_s * i as f64 / count as f64;
+                    let (own, notice) = (self.clone(), t.notice_s);
+                    tokio::spawn(async move {
+                        wait(after).await;
+                        own.cloud.reclaim(&name, notice).await;
+                    });
+                }
+                wait(for_s).await;
+            }
+            // The rest is looked up by those whom it concerns.
+            Trouble::StateSlow(_)
+            | Trouble::StateLoses(_)
+            | Trouble::CloudOutage(_)
+            | Trouble::CloudFull(_)
+            | Trouble::CloudLate(_)
+            | Trouble::CloudStale(_)
+            | Trouble::BootsLate(_)
+            | Trouble::JobBurst(_)
+            | Trouble::PollStorm(_) => wait(for_s).await,
+        }
+        self.world.end(id);
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/users.rs
@@ -0,0 +1,380 @@
+//! Users behind the load balancer: they submit, retry, poll, cancel, come back
+//! later, and ask about jobs that nobody submitted.
+
+use crate::balancer::{ACCEPT_WAIT_S, Balancer, PROBE_EVERY_S, PROBE_WAIT_S, TRIES};
+use crate::fabric::{Role, lock};
+use crate::jobs::{Order, Shop};
+use crate::proc::Proc;
+use crate::world::World;
+use cherrywood_judge::What;
+use cherrywood_judge::history::{Ask, State};
+use cherrywood_net::client::{Answer, exchange};
+use cherrywood_net::{Host, Stream};
+use cherrywood_night::Trouble;
+use cherrywood_wire::user::{JobState, JobStatus};
+use cherrywood_wire::{decode, encode};
+use rand::Rng;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+/// s that a user waits for the answer to a submission or a cancellation, and
+/// to a poll.
+const ANSWER_WAIT_S: f64 = 5.0;
+const POLL_WAIT_S: f64 = 2.0;
+/// s after which a refused user tries again, at least and at most, and in all.
+const RETRY_S: f64 = 1.0;
+const RETRY_AFTER_MOST_S: f64 = 30.0;
+const RETRY_ALL_S: f64 = 60.0;
+/// s after acceptance in which a user who cancels does so.
+const CANCEL_AFTER_S: (f64, f64) = (5.0, 60.0);
+/// s after which the user of a job with a mistake gives it up.
+const MISTAKE_AFTER_S: (f64, f64) = (60.0, 120.0);
+/// s after the end of a job at which its user may ask again.
+const LATER_S: (f64, f64) = (5.0, 40.0);
+/// Share of users who ask again after the end.
+const LATER_SHARE: f64 = 0.3;
+/// s between two looks at how many jobs come.
+const ARRIVALS_S: f64 = 0.25;
+
+/// The load balancer and all users.
+pub struct Users {
+    world: Arc<World>,
+    proc: Arc<Proc>,
+    host: Host,
+    balancer: Mutex<Balancer>,
+    /// Of each node: how often its connections were reset.
+    resets: Mutex<Vec<u64>>,
+    shop: Mutex<Shop>,
+}
+
+/// A user's connection through the load balancer.
+struct Line {
+    users: Arc<Users>,
+    stream: Stream,
+    node: usize,
+    resets: u64,
+}
+
+impl Drop for Line {
+    fn drop(&mut self) {
+        lock(&self.users.balancer).closed(self.node);
+    }
+}
+
+/// What came of a request.
+struct Told {
+    status: u16,
+    state: Option<JobState>,
+    retry_after_s: Option<f64>,
+}
+
+fn state(s: JobState) -> State {
+    match s {
+        JobState::Queued => State::Queued,
+        JobState::Running => State::Running,
+        JobState::Done => State::Done,
+        JobState::Cancelled => State::Cancelled,
+    }
+}
+
+impl Users {
+    pub fn start(world: &Arc<World>) -> Arc<Users> {
+        let proc = world.region("users", Role::Users);
+        let nodes = world.addresses.nodes.len();
+        let me = Arc::new(Users {
+            world: world.clone(),
+            host: proc.host(),
+            proc,
+            balancer: Mutex::new(Balancer::new(nodes)),
+            resets: Mutex::new(vec![0; nodes]),
+            shop: Mutex::new(Shop::new(world)),
+        });
+        for node in 0..nodes {
+            let own = me.clone();
+            me.host.spawn(async move { own.probe(node).await });
+        }
+        for class in 0..world.night.workload.classes.len() {
+            let own = me.clone();
+            me.host.spawn(async move { own.arrivals(class).await });
+        }
+        if world.night.workload.strangers_per_minute > 0.0 {
+            let own = me.clone();
+            me.host.spawn(async move { own.strangers().await });
+        }
+        me
+    }
+
+    pub fn proc(&self) -> &Proc {
+        &self.proc
+    }
+
+    pub fn healthy(&self, node: usize) -> bool {
+        lock(&self.balancer).healthy(node)
+    }
+
+    fn playing(&self) -> bool {
+        self.world.now_s() < self.world.night.play_s
+    }
+
+    // --- the load balancer ---
+
+    async fn probe(self: Arc<Self>, node: usize) {
+        let to = self.world.addresses.nodes[node].0;
+        // Not all at once.
+        self.host.sleep(self.host.between(0.0, PROBE_EVERY_S)).await;
+        loop {
+            let started = self.host.now();
+            let work = async {
+                let mut stream = self.host.connect(to).await.ok()?;
+                let (answer, _) = exchange(&mut stream, to, "GET", "/healthz", None)
+                    .await
+                    .ok()?;
+                Some(answer.status)
+            };
+            let ok = self.host.timeout(PROBE_WAIT_S, work).await == Ok(Some(200));
+            let reset = {
+                let now = self.host.now();
+                let mut b = lock(&self.balancer);
+                b.probed(node, ok, now);
+                b.resets(node, now)
+            };
+            if reset {
+                lock(&self.resets)[node] += 1;
+                self.world.fabric.reset_between(self.proc.ip, to.ip());
+            }
+            let left = PROBE_EVERY_S - (self.host.now() - started);
+            self.host.sleep(left.max(0.0)).await;
+        }
+    }
+
+    async fn connect(self: &Arc<Self>) -> Option<Line> {
+        let mut tried = Vec::new();
+        for _ in 0..TRIES {
+            let chance = self.host.between(0.0, 1.0);
+            let now = self.host.now();
+            let node = lock(&self.balancer).choose(&tried, chance, now)?;
+            tried.push(node);
+            let to = self.world.addresses.nodes[node].0;
+            let connecting = self.host.connect(to);
+            match self.host.timeout(ACCEPT_WAIT_S, connecting).await {
+                Ok(Ok(stream)) => {
+                    lock(&self.balancer).connected(node);
+                    return Some(Line {
+                        users: self.clone(),
+                        stream,
+                        node,
+                        resets: lock(&self.resets)[node],
+                    });
+                }
+                _ => lock(&self.balancer).refused(node, self.host.now()),
+            }
+        }
+        None
+    }
+
+    fn address(&self, node: usize) -> SocketAddr {
+        self.world.addresses.nodes[node].0
+    }
+
+    /// One request on the user's connection, or a new one.
+    async fn ask(
+        self: &Arc<Self>,
+        line: &mut Option<Line>,
+        ask: Ask,
+        job: &str,
+        body: Option<&[u8]>,
+    ) -> Told {
+        let sent_ms = self.world.now_ms();
+        let (method, path, wait_s) = match ask {
+            Ask::Submit => ("POST", "/submissions".to_string(), ANSWER_WAIT_S),
+            Ask::Poll => ("GET", format!("/submissions/{job}"), POLL_WAIT_S),
+            Ask::Cancel => ("POST", format!("/submissions/{job}/cancel"), ANSWER_WAIT_S),
+        };
+        let mut node = String::new();
+        let work = async {
+            let kept = line.take();
+            let kept = kept.filter(|l| l.resets == lock(&self.resets)[l.node]);
+            let mut open = match kept {
+                Some(open) => open,
+                None => self.connect().await?,
+            };
+            node = self.world.node_name(open.node);
+            let to = self.address(open.node);
+            let told = exchange(&mut open.stream, to, method, &path, body).await;
+            let (answer, close) = told.ok()?;
+            if !close {
+                *line = Some(open);
+            }
+            Some(answer)
+        };
+        let answer: Option<Answer> = self.host.timeout(wait_s, work).await.ok().flatten();
+        let status = answer.as_ref().map_or(0, |a| a.status);
+        let told: Option<JobStatus> = answer
+            .as_ref()
+            .filter(|a| matches!(a.status, 200 | 201))
+            .and_then(|a| decode(&a.body).ok());
+        let said = told.map(|t| t.state);
+        self.world.record(What::Told {
+            ask,
+            job: job.to_string(),
+            sent_ms,
+            status,
+            state: said.map(state),
+            node,
+        });
+        Told {
+            status,
+            state: said,
+            retry_after_s: answer.and_then(|a| a.retry_after_s),
+        }
+    }
+
+    // --- users ---
+
+    async fn arrivals(self: Arc<Self>, class: usize) {
+        let c = self.world.night.workload.classes[class].clone();
+        for _ in 0..c.at_start {
+            self.arrive(class, 0.0);
+        }
+        while self.playing() {
+            let burst = |t: &Trouble| match t {
+                Trouble::JobBurst(t) if t.class == c.name => Some(t.times),
+                _ => None,
+            };
+            let times = self.world.now_in(burst).into_iter().fold(1.0, f64::max);
+            let expected = c.per_minute / 60.0 * ARRIVALS_S * times;
+            // Poisson, by Knuth: few come in so short a time.
+            let (least, mut chance, mut n) = (libm::exp(-expected), 1.0, 0);
+            loop {
+                chance *= self.host.between(0.0, 1.0);
+                if chance <= least {
+                    break;
+                }
+                n += 1;
+            }
+            for _ in 0..n {
+                let after = self.host.between(0.0, ARRIVALS_S);
+                self.arrive(class, after);
+            }
+            self.host.sleep(ARRIVALS_S).await;
+        }
+    }
+
+    fn arrive(self: &Arc<Self>, class: usize, after_s: f64) {
+        let order = lock(&self.shop).order(&self.world, class);
+        let own = self.clone();
+        self.host.spawn(async move {
+            own.host.sleep(after_s).await;
+            own.user(order).await;
+        });
+    }
+
+    async fn user(self: Arc<Self>, order: Order) {
+        let id = order.submission.id.clone();
+        self.world.upload(order.upload, order.job);
+        let body = encode(&order.submission);
+        let mut line = None;
+        let accepted = self.submit(&mut line, &id, &body).await;
+        if !accepted {
+            self.world.close();
+            return;
+        }
+        let now = self.host.now();
+        let between = |(least, most)| self.host.between(least, most);
+        let cancel_at = if order.mistaken {
+            Some(now + between(MISTAKE_AFTER_S))
+        } else if let Some(s) = order.stands_s {
+            let left = (self.world.night.play_s - self.world.now_s()).max(0.0);
+            Some(now + s.min(left))
+        } else if order.cancels {
+            Some(now + between(CANCEL_AFTER_S))
+        } else {
+            None
+        };
+        self.watch(&mut line, &id, cancel_at).await;
+        self.world.close();
+        if self.host.between(0.0, 1.0) < LATER_SHARE {
+            self.host.sleep(between(LATER_S)).await;
+            self.ask(&mut line, Ask::Poll, &id, None).await;
+        }
+        if order.repeats {
+            self.host.sleep(between(LATER_S)).await;
+            self.ask(&mut line, Ask::Submit, &id, Some(&body)).await;
+        }
+    }
+
+    /// Submits until it is accepted (true), refused, or given up.
+    async fn submit(self: &Arc<Self>, line: &mut Option<Line>, id: &str, body: &[u8]) -> bool {
+        let first = self.host.now();
+        loop {
+            let told = self.ask(line, Ask::Submit, id, Some(body)).await;
+            match told.status {
+                200 | 201 => return true,
+                400 | 422 => return false,
+                _ => {}
+            }
+            let wait = told.retry_after_s.unwrap_or(0.0).min(RETRY_AFTER_MOST_S);
+            let wait = wait.max(RETRY_S) * self.host.between(1.0, 1.2);
+            if self.host.now() + wait - first > RETRY_ALL_S {
+                self.world.record(What::GaveUp {
+                    job: id.to_string(),
+                });
+                return false;
+            }
+            self.host.sleep(wait).await;
+        }
+    }
+
+    /// Polls until the job is over, and cancels it when its time has come.
+    async fn watch(self: &Arc<Self>, line: &mut Option<Line>, id: &str, cancel_at: Option<f64>) {
+        let every = self.world.night.workload.poll_s;
+        let mut unwanted = false;
+        loop {
+            let storm = |t: &Trouble| match t {
+                Trouble::PollStorm(t) => Some(t.times),
+                _ => None,
+            };
+            let times = self.world.now_in(storm).into_iter().fold(1.0, f64::max);
+            let pause = every / times * self.host.between(0.8, 1.2);
+            let now = self.host.now();
+            let due = cancel_at.filter(|at| *at <= now + pause);
+            self.host
+                .sleep(due.map_or(pause, |at| (at - now).max(0.0)))
+                .await;
+            let ask = if due.is_some() {
+                Ask::Cancel
+            } else {
+                Ask::Poll
+            };
+            if due.is_some() && !unwanted {
+                unwanted = true;
+                self.world.record(What::Unwanted {
+                    job: id.to_string(),
+                });
+            }
+            let told = self
+                .ask(line, ask, id, (ask == Ask::Cancel).then_some(&[]))
+                .await;
+            if told.state.is_some_and(|s| state(s).is_final()) {
+                return;
+            }
+            if told.status != 200 {
+                let wait = told.retry_after_s.unwrap_or(RETRY_S);
+                self.host
+                    .sleep(wait.clamp(RETRY_S, RETRY_AFTER_MOST_S))
+                    .await;
+            }
+        }
+    }
+
+    async fn strangers(self: Arc<Self>) {
+        let mut rng = self.world.rng("strangers");
+        let every = 60.0 / self.world.night.workload.strangers_per_minute;
+        while self.playing() {
+            self.host.sleep(every * self.host.between(0.5, 1.5)).await;
+            // Seven digits: no user's id.
+            let id = format!("wk-9{:06}", rng.random_range(0..1_000_000));
+            self.ask(&mut None, Ask::Poll, &id, None).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/worker.rs
@@ -0,0 +1,321 @@
+//! A worker: reports to the controllers, serves their direct orders, and lets
+//! its machine's time pass.
+
+use crate::fabric::{Role, lock};
+use crate::machine::{Machine, Traits};
+use crate::proc::{Medium, Proc};
+use crate::state::named;
+use crate::world::{GONE, World};
+use cherrywood_judge::What;
+use cherrywood_net::client::{Answer, exchange};
+use cherrywood_net::server::{self, Request, Response};
+use cherrywood_net::{Host, NetError, Stream};
+use cherrywood_night::deployment::MachineType;
+use cherrywood_wire::agent::{Orders, Redirect, ReportAnswer};
+use cherrywood_wire::{decode, encode};
+use std::io;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::{Arc, Mutex};
+use tokio::sync::Notify;
+
+/// s that a worker waits for an answer, and before it tries the next node.
+const ANSWER_WAIT_S: f64 = 4.0;
+const NEXT_NODE_S: f64 = 1.0;
+/// s between two reports at least, and most s before it follows a redirect.
+const REPORT_LEAST_S: f64 = 0.5;
+const REDIRECT_S: f64 = 0.5;
+/// Share by which the time between two reports varies.
+const REPORT_VARIES: f64 = 0.25;
+/// Connections from controllers.
+const CONNECTIONS: usize = 200;
+const PORT: u16 = 9000;
+
+#[derive(Debug)]
+pub struct Worker {
+    world: Arc<World>,
+    pub proc: Arc<Proc>,
+    host: Host,
+    machine: Mutex<Machine>,
+    /// Something changed on the machine.
+    changed: Notify,
+    tick: Notify,
+}
+
+/// What to do after a report.
+enum Next {
+    Stay,
+    /// Another node, after so long.
+    Go(usize, f64),
+}
+
+fn address(machine: &str) -> IpAddr {
+    let n: u32 = machine.trim_start_matches("vm-").parse().unwrap_or(0);
+    let [_, a, b, c] = n.to_be_bytes();
+    IpAddr::V4(Ipv4Addr::new(10, 16 + a, b, c))
+}
+
+impl Worker {
+    /// A machine that is up: its worker starts to report.
+    pub async fn start(
+        world: &Arc<World>,
+        name: &str,
+        kind: &MachineType,
+        zone: &str,
+        spot: bool,
+        traits: Traits,
+    ) -> io::Result<Arc<Worker>> {
+        let ip = match world.medium {
+            Medium::Fabric(_) => address(name),
+            Medium::Loopback => Ipv4Addr::LOCALHOST.into(),
+        };
+        let proc = world.proc(name, ip, Role::Worker, Some(zone));
+        let host = proc.host();
+        let port = match world.medium {
+            Medium::Fabric(_) => PORT,
+            Medium::Loopback => 0,
+        };
+        let at = SocketAddr::new(ip, port);
+        let listener = host.bind(at).await.map_err(|e| named(at, &e))?;
+        let addr = listener.local_addr()?.to_string();
+        let lease_s = world.night.deployment.workers.lease_s;
+        let now = host.now();
+        let machine = Machine::new(name, addr, kind.clone(), zone, spot, traits, lease_s, now);
+        let me = Arc::new(Worker {
+            world: world.clone(),
+            proc,
+            host: host.clone(),
+            machine: Mutex::new(machine),
+            changed: Notify::new(),
+            tick: Notify::new(),
+        });
+        let own = me.clone();
+        let on_request = Arc::new(move |request, _: SocketAddr| {
+            let own = own.clone();
+            async move { own.serve(request) }
+        });
+        host.spawn(server::serve(
+            host.clone(),
+            listener,
+            CONNECTIONS,
+            on_request,
+        ));
+        let own = me.clone();
+        host.spawn(async move { own.pass_time().await });
+        let own = me.clone();
+        host.spawn(async move { own.report().await });
+        Ok(me)
+    }
+
+    /// Does something to the machine, and tells the world what came of it.
+    fn with<T>(&self, act: impl FnOnce(&mut Machine, f64) -> T) -> T {
+        let (out, notes, changed) = {
+            let mut m = lock(&self.machine);
+            let out = act(&mut m, self.host.now());
+            (out, m.notes(), m.changed)
+        };
+        let name = &self.proc.name;
+        if !notes.is_empty() {
+            self.world.note(name, notes);
+        }
+        self.tick.notify_one();
+        if changed {
+            self.changed.notify_one();
+        }
+        out
+    }
+
+    pub fn load(&self) -> (usize, usize) {
+        lock(&self.machine).load()
+    }
+
+    pub fn set_traits(&self, change: impl FnOnce(&mut Traits)) {
+        self.with(|m, now| {
+            m.advance(now);
+            change(&mut m.traits);
+        });
+    }
+
+    /// The cloud takes it in so many seconds.
+    pub fn notice(&self, s: f64) {
+        self.with(|m, now| m.notice(now + s));
+    }
+
+    /// It loses its power, with everything on it.
+    pub fn die(&self) {
+        self.with(|m, now| {
+            m.advance(now);
+            m.end_all(GONE);
+        });
+        self.world.fabric.cut_power(self.proc.ip);
+        self.proc.kill();
+    }
+
+    /// Stands still for so long; its lease may end meanwhile.
+    pub async fn hang(self: Arc<Self>, for_s: f64) {
+        self.with(|m, now| m.advance(now));
+        self.proc.freeze();
+        // The night's own clock: this process doesn't run.
+        let until = self.host.now() + for_s;
+        let lease = lock(&self.machine).lease_until();
+        if lease < until {
+            tokio::time::sleep(std::time::Duration::from_secs_f64(
+                (lease - self.host.now()).max(0.0) + 0.001,
+            ))
+            .await;
+            if !self.proc.is_dead() {
+                self.with(|m, now| {
+                    m.stood_still(now);
+                    m.advance(now);
+                });
+            }
+        }
+        let left = (until - self.host.now()).max(0.0);
+        tokio::time::sleep(std::time::Duration::from_secs_f64(left)).await;
+        if !self.proc.is_dead() {
+            self.with(|m, now| m.stood_still(now));
+            self.proc.thaw();
+        }
+    }
+
+    async fn pass_time(&self) {
+        loop {
+            let due = self.with(|m, now| {
+                m.advance(now);
+                m.next_due() - now
+            });
+            // `with` has just notified this very loop.
+            self.tick.notified().await;
+            let _ = self
+                .host
+                .timeout(due.max(0.001), self.tick.notified())
+                .await;
+        }
+    }
+
+    fn serve(&self, request: Request) -> Response {
+        let world = self.world.clone();
+        let report = |code: u16| {
+            let body = self.with(|m, now| {
+                m.advance(now);
+                encode(&m.report(now))
+            });
+            Response::new(code, body)
+        };
+        match (request.method.as_str(), request.path.as_str()) {
+            ("POST", "/orders") => {
+                let Ok(orders) = decode::<Orders>(&request.body) else {
+                    return Response::empty(400);
+                };
+                let mut sheet = |task: &str| world.sheet(task);
+                let done = self.with(|m, now| m.ordered(&orders, now, &mut sheet));
+                report(if done { 200 } else { 409 })
+            }
+            ("GET", "/status") => report(200),
+            _ => Response::empty(404),
+        }
+    }
+
+    // --- reports ---
+
+    async fn report(&self) {
+        let nodes = self.world.addresses.nodes.len();
+        let every = self.world.night.deployment.workers.report_s;
+        let mut node = (self.host.random() % nodes as u64) as usize;
+        let mut kept: Option<Stream> = None;
+        let mut next = self.host.now();
+        let mut last = f64::NEG_INFINITY;
+        let mut not_before = next;
+        loop {
+            // A change is told sooner, though never within half a second.
+            loop {
+                let changed = self.changed.notified();
+                let now = self.host.now();
+                let due = if lock(&self.machine).changed {
+                    next.min(last + REPORT_LEAST_S)
+                } else {
+                    next
+                };
+                let due = due.max(not_before);
+                if now >= due {
+                    break;
+                }
+                let _ = self.host.timeout(due - now, changed).await;
+            }
+            let sent = self.host.now();
+            let (body, session) = self.with(|m, now| {
+                m.advance(now);
+                m.changed = false;
+                (encode(&m.report(now)), m.session)
+            });
+            last = sent;
+            next = sent + every * self.host.between(1.0 - REPORT_VARIES, 1.0 + REPORT_VARIES);
+            let to = self.world.addresses.nodes[node].0;
+            let work = self.send(&mut kept, to, &body);
+            let answer = self.host.timeout(ANSWER_WAIT_S, work).await;
+            let outcome = match answer {
+                Ok(Ok(answer)) => self.answered(&answer, node, session, sent),
+                _ => Next::Go((node + 1) % nodes, NEXT_NODE_S),
+            };
+            not_before = f64::NEG_INFINITY;
+            if let Next::Go(to, after) = outcome {
+                kept = None;
+                node = to;
+                not_before = self.host.now() + after;
+                next = not_before;
+            }
+        }
+    }
+
+    async fn send(
+        &self,
+        kept: &mut Option<Stream>,
+        to: SocketAddr,
+        body: &[u8],
+    ) -> Result<Answer, NetError> {
+        let mut stream = match kept.take() {
+            Some(stream) => stream,
+            None => {
+                let stream = self.host.connect(to).await;
+                stream.map_err(|e| NetError::Refused(e.to_string()))?
+            }
+        };
+        let (answer, close) = exchange(&mut stream, to, "POST", "/agent/beat", Some(body)).await?;
+        if !close {
+            *kept = Some(stream);
+        }
+        Ok(answer)
+    }
+
+    fn answered(&self, answer: &Answer, node: usize, session: u64, sent: f64) -> Next {
+        let nodes = self.world.addresses.nodes.len();
+        let next = (node + 1) % nodes;
+        match answer.status {
+            200 => {
+                if let Ok(told) = decode::<ReportAnswer>(&answer.body) {
+                    let world = self.world.clone();
+                    let mut sheet = |task: &str| world.sheet(task);
+                    self.with(|m, now| m.answered(&told, session, sent, now, &mut sheet));
+                }
+                // An answer that it drops holds it here all the same.
+                Next::Stay
+            }
+            421 => {
+                let foreman = decode::<Redirect>(&answer.body)
+                    .ok()
+                    .and_then(|r| r.report_to)
+                    .and_then(|label| (0..nodes).find(|n| self.world.node_name(*n) == label));
+                match foreman.filter(|f| *f != node) {
+                    Some(to) => Next::Go(to, self.host.between(0.0, REDIRECT_S)),
+                    None => Next::Go(next, NEXT_NODE_S),
+                }
+            }
+            _ => Next::Go(next, NEXT_NODE_S),
+        }
+    }
+}
+
+/// Records that a machine is up.
+pub(crate) fn up(world: &World, machine: &str) {
+    let machine = machine.to_string();
+    world.record(What::Up { machine });
+}
--- a/crates/emulator/tests/fabric.rs
+++ b/crates/emulator/tests/fabric.rs
@@ -113,16 +113,19 @@
 }
 
 #[test]
-fn a_path_that_resets_ends_what_crosses_it_and_refusal_ends_nothing() {
+fn a_path_that_resets_or_refuses_ends_what_crosses_it() {
     play(|w| async move {
-        let (mut c, mut s, mut l) = pair(&w).await;
+        let (mut c, _s, mut l) = pair(&w).await;
         let refuse = w
             .fabric
             .cut(Group::Hosts(vec![ip(1)]), Group::Everyone, Break::Refuse);
         assert!(w.a.host().connect(at(2)).await.is_err());
+        assert!(c.write_all(b"x").await.is_err());
+        w.fabric.mend(refuse);
+        let mut c = w.a.host().connect(at(2)).await.unwrap();
+        let (mut s, _) = l.accept().await.unwrap();
         c.write_all(b"x").await.unwrap();
         assert_eq!(read(&mut s, 1).await, b"x");
-        w.fabric.mend(refuse);
         let cut = w.fabric.cut(
             Group::Zone("x".into()),
             Group::Outside("x".into()),
--- /dev/null
+++ b/crates/emulator/tests/machine.rs
@@ -0,0 +1,249 @@
+//! A worker by the protocol page: tasks, leases, tokens, sessions, saves.
+
+use cherrywood_emulator::machine::{Machine, Note, Sheet, Traits};
+use cherrywood_judge::history::Off;
+use cherrywood_night::deployment::MachineType;
+use cherrywood_wire::agent::{Command, Orders, ReportAnswer, TaskState, Why};
+
+fn machine() -> Machine {
+    let kind = MachineType {
+        cpus: 8.0,
+        ram_gb: 32.0,
+        cache_gb: 3.0,
+        ..MachineType::default()
+    };
+    let traits = Traits {
+        speed: 1.0,
+        fetch_gb_per_s: 0.5,
+        fetch_shared: true,
+        slow: 1.0,
+        faulty: false,
+    };
+    Machine::new("vm-1", "a:1".into(), kind, "x", true, traits, 10.0, 0.0)
+}
+
+fn sheet(task: &str) -> Option<Sheet> {
+    let (job, n) = task.split_once('/')?;
+    let saves = job == "wk-000002";
+    (job != "wk-000009" && n.parse::<u32>().ok()? < 8).then(|| Sheet {
+        job: job.into(),
+        tasks: 8,
+        cpus: 2.0,
+        gpus: 0.0,
+        ram_gb: 4.0,
+        image: format!("img-{}", &job[8..]),
+        image_gb: 1.0,
+        run_s: Some(20.0),
+        checkpoint_s: if saves { 5.0 } else { 0.0 },
+        save_s: if saves { 3.0 } else { 0.0 },
+        mistaken: job == "wk-000007",
+        saved_s: 0.0,
+        finished: false,
+    })
+}
+
+fn start(task: &str, attempt: u64) -> Command {
+    Command::Start {
+        task: task.into(),
+        attempt,
+    }
+}
+
+fn stop(task: &str, attempt: u64, grace_s: f64) -> Command {
+    Command::Stop {
+        task: task.into(),
+        attempt,
+        grace_s,
+    }
+}
+
+/// Answers a report sent just now.
+fn tell(m: &mut Machine, token: u64, commands: Vec<Command>, now: f64) -> bool {
+    let answer = ReportAnswer { token, commands };
+    let session = m.session;
+    m.answered(&answer, session, now, now, &mut sheet)
+}
+
+fn states(m: &mut Machine, now: f64) -> Vec<(String, TaskState, Option<Why>)> {
+    m.advance(now);
+    let tasks = m.report(now).tasks;
+    tasks
+        .into_iter()
+        .map(|t| (t.task, t.state, t.why))
+        .collect()
+}
+
+fn state(m: &mut Machine, now: f64) -> (TaskState, Option<Why>) {
+    let all = states(m, now);
+    (all[0].1, all[0].2)
+}
+
+#[test]
+fn a_task_fetches_runs_and_is_done_and_a_repeated_start_does_nothing() {
+    let mut m = machine();
+    assert!(tell(&mut m, 5, vec![start("wk-000001/0", 1)], 0.0));
+    assert_eq!(state(&mut m, 1.9).0, TaskState::Fetching);
+    assert_eq!(state(&mut m, 2.0).0, TaskState::Running, "1 GB at 0.5 GB/s");
+    assert!(tell(&mut m, 5, vec![start("wk-000001/0", 1)], 9.0));
+    assert!(tell(&mut m, 5, vec![], 18.0));
+    assert_eq!(state(&mut m, 21.9).0, TaskState::Running);
+    assert_eq!(state(&mut m, 22.0), (TaskState::Exited, Some(Why::Done)));
+    let notes = m.notes();
+    let off = notes.iter().find_map(|n| match n {
+        Note::Off { why, kept_s, .. } => Some((*why, *kept_s)),
+        _ => None,
+    });
+    assert_eq!(off, Some((Off::Done, 20.0)));
+    // Once forgotten, the attempt is unknown and starts again.
+    let forget = Command::Forget {
+        task: "wk-000001/0".into(),
+        attempt: 1,
+    };
+    tell(&mut m, 5, vec![forget, start("wk-000001/0", 1)], 23.0);
+    assert_eq!(
+        state(&mut m, 23.0).0,
+        TaskState::Running,
+        "the image is there"
+    );
+}
+
+#[test]
+fn starts_are_refused_for_the_reasons_of_the_page() {
+    let mut m = machine();
+    let all = (0..5)
+        .map(|i| start(&format!("wk-000001/{i}"), 1))
+        .collect();
+    tell(&mut m, 5, all, 0.0);
+    tell(
+        &mut m,
+        5,
+        vec![
+            start("wk-000001/0", 2),
+            start("wk-000009/0", 1),
+            start("wk-000001/8", 1),
+        ],
+        0.1,
+    );
+    let why: Vec<Option<Why>> = states(&mut m, 0.1).into_iter().map(|t| t.2).collect();
+    let refused = [Why::NoRoom, Why::Busy, Why::Unknown, Why::Unknown].map(Some);
+    assert_eq!(why[4..], refused, "four tasks of 2 CPUs fill 8");
+}
+
+#[test]
+fn lower_tokens_are_dropped_and_renew_nothing() {
+    let mut m = machine();
+    tell(&mut m, 5, vec![start("wk-000001/0", 1)], 0.0);
+    assert!(!tell(&mut m, 4, vec![stop("wk-000001/0", 1, 0.0)], 6.0));
+    assert_eq!(state(&mut m, 9.9).0, TaskState::Running);
+    assert!(states(&mut m, 10.0).is_empty(), "the lease counts from 0");
+    assert_eq!(m.session, 2);
+    let notes = m.notes();
+    assert!(notes.contains(&Note::LeaseEnds));
+    // An answer to a report of the earlier session is dropped.
+    let late = ReportAnswer {
+        token: 9,
+        commands: vec![start("wk-000001/1", 3)],
+    };
+    assert!(!m.answered(&late, 1, 9.0, 10.5, &mut sheet));
+    assert!(states(&mut m, 10.5).is_empty());
+}
+
+#[test]
+fn direct_orders_need_token_and_session_and_renew_no_lease() {
+    let mut m = machine();
+    let order = |token, session| Orders {
+        token,
+        session,
+        commands: vec![start("wk-000001/0", 1)],
+    };
+    assert!(tell(&mut m, 5, vec![], 0.0));
+    assert!(!m.ordered(&order(4, 1), 1.0, &mut sheet), "an older token");
+    assert!(!m.ordered(&order(5, 2), 1.0, &mut sheet), "another session");
+    assert!(m.ordered(&order(6, 1), 1.0, &mut sheet));
+    assert_eq!(m.token, 6);
+    assert_eq!(state(&mut m, 9.0).0, TaskState::Running);
+    assert!(states(&mut m, 10.0).is_empty());
+}
+
+#[test]
+fn a_task_that_saves_keeps_its_progress_and_another_only_its_checkpoints() {
+    for (task, grace, kept, ends) in [
+        ("wk-000002/0", 3.0, 8.0, 13.0),
+        ("wk-000002/0", 2.0, 5.0, 10.0),
+        ("wk-000001/0", 30.0, 0.0, 10.0),
+    ] {
+        let mut m = machine();
+        tell(&mut m, 5, vec![start(task, 1)], 0.0);
+        tell(&mut m, 5, vec![], 6.0);
+        tell(&mut m, 5, vec![stop(task, 1, grace)], 10.0);
+        assert_eq!(state(&mut m, ends).0, TaskState::Exited, "{task} {grace}");
+        let off = m.notes().into_iter().find_map(|n| match n {
+            Note::Off { kept_s, .. } => Some(kept_s),
+            _ => None,
+        });
+        assert_eq!(off, Some(kept), "{task} with {grace} s");
+    }
+    // A second stop with no slack ends a save.
+    let mut m = machine();
+    tell(&mut m, 5, vec![start("wk-000002/0", 1)], 0.0);
+    tell(&mut m, 5, vec![stop("wk-000002/0", 1, 9.0)], 9.0);
+    assert_eq!(state(&mut m, 10.0).0, TaskState::Saving);
+    tell(&mut m, 5, vec![stop("wk-000002/0", 1, 0.0)], 10.0);
+    assert_eq!(state(&mut m, 10.0).0, TaskState::Exited);
+}
+
+#[test]
+fn fetches_share_the_rate_end_with_their_tasks_and_fall_out_of_the_cache() {
+    let mut m = machine();
+    tell(
+        &mut m,
+        5,
+        vec![start("wk-000001/0", 1), start("wk-000003/0", 1)],
+        0.0,
+    );
+    assert_eq!(
+        state(&mut m, 3.9).0,
+        TaskState::Fetching,
+        "half the rate each"
+    );
+    assert_eq!(state(&mut m, 4.0).0, TaskState::Running);
+    tell(&mut m, 5, vec![start("wk-000004/0", 1)], 5.0);
+    tell(&mut m, 5, vec![stop("wk-000004/0", 1, 0.0)], 6.0);
+    tell(&mut m, 5, vec![start("wk-000004/1", 1)], 7.0);
+    let running = |m: &mut Machine, now| states(m, now).last().unwrap().1 == TaskState::Running;
+    assert!(!running(&mut m, 8.9), "the first fetch was given up");
+    assert!(running(&mut m, 9.0));
+    // The cache of 3 GB is full; the least recently used image goes.
+    tell(
+        &mut m,
+        5,
+        vec![stop("wk-000001/0", 1, 0.0), stop("wk-000003/0", 1, 0.0)],
+        10.0,
+    );
+    tell(&mut m, 5, vec![start("wk-000005/0", 1)], 11.0);
+    tell(&mut m, 5, vec![start("wk-000003/1", 1)], 14.0);
+    assert!(running(&mut m, 14.0), "img-3 stayed");
+}
+
+#[test]
+fn mistakes_and_faulty_machines_fail_what_starts() {
+    let mut m = machine();
+    tell(&mut m, 5, vec![start("wk-000007/0", 1)], 0.0);
+    assert_eq!(state(&mut m, 4.0), (TaskState::Exited, Some(Why::Error)));
+    let mut m = machine();
+    m.traits.faulty = true;
+    tell(&mut m, 5, vec![start("wk-000001/0", 1)], 0.0);
+    assert_eq!(state(&mut m, 4.0), (TaskState::Exited, Some(Why::Error)));
+}
+
+#[test]
+fn a_machine_that_stood_still_goes_on_where_it_was() {
+    let mut m = machine();
+    tell(&mut m, 5, vec![start("wk-000001/0", 1)], 0.0);
+    m.advance(5.0);
+    m.stood_still(9.0);
+    tell(&mut m, 5, vec![], 9.0);
+    tell(&mut m, 5, vec![], 18.0);
+    assert_eq!(state(&mut m, 25.9).0, TaskState::Running, "4 s are missing");
+    assert_eq!(state(&mut m, 26.0).0, TaskState::Exited);
+}
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -14,10 +14,11 @@
     idle: Mutex<Vec<(Stream, f64)>>,
 }
 
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Answer {
     pub status: u16,
     pub body: Vec<u8>,
+    pub retry_after_s: Option<f64>,
 }
 
 impl Client {
@@ -61,24 +62,7 @@
                 Err(_) => return Err(NetError::Refused("connecting takes too long".into())),
             },
         };
-        let mut bytes = format!("{method} {path} HTTP/1.1\r\nHost: {}\r\n", self.addr).into_bytes();
-        if let Some(body) = body {
-            let head = format!(
-                "Content-Type: application/msgpack\r\nContent-Length: {}\r\n\r\n",
-                body.len()
-            );
-            bytes.extend_from_slice(head.as_bytes());
-            bytes.extend_from_slice(body);
-        } else {
-            bytes.extend_from_slice(b"\r\n");
-        }
-        let talk = async {
-            stream
-                .write_all(&bytes)
-                .await
-                .map_err(|e| NetError::Unknown(e.to_string()))?;
-            read_answer(&mut stream).await
-        };
+        let talk = exchange(&mut stream, self.addr, method, path, body);
         let left = deadline - self.host.now();
         match self.host.timeout(left, talk).await {
             Ok(Ok((answer, close))) => {
@@ -101,6 +85,31 @@
     }
 }
 
+/// One request on an open connection: the answer, and whether the other side
+/// closes the connection after it.
+pub async fn exchange(
+    stream: &mut Stream,
+    to: SocketAddr,
+    method: &str,
+    path: &str,
+    body: Option<&[u8]>,
+) -> Result<(Answer, bool), NetError> {
+    let mut bytes = format!("{method} {path} HTTP/1.1\r\nHost: {to}\r\n").into_bytes();
+    if let Some(body) = body {
+        let head = format!(
+            "Content-Type: application/msgpack\r\nContent-Length: {}\r\n\r\n",
+            body.len()
+        );
+        bytes.extend_from_slice(head.as_bytes());
+        bytes.extend_from_slice(body);
+    } else {
+        bytes.extend_from_slice(b"\r\n");
+    }
+    let sent = stream.write_all(&bytes).await;
+    sent.map_err(|e| NetError::Unknown(e.to_string()))?;
+    read_answer(stream).await
+}
+
 async fn read_answer(stream: &mut Stream) -> Result<(Answer, bool), NetError> {
     let mut buf = Vec::with_capacity(2048);
     loop {
@@ -119,13 +128,15 @@
             _ => return Err(NetError::Bad("not HTTP".into())),
         };
         let status = res.code.unwrap_or(0);
-        let (mut length, mut close) = (0usize, false);
+        let (mut length, mut close, mut retry_after_s) = (0usize, false, None);
         for h in res.headers.iter() {
             let text = std::str::from_utf8(h.value).unwrap_or("").trim();
             if h.name.eq_ignore_ascii_case("content-length") {
                 length = text
                     .parse()
                     .map_err(|_| NetError::Bad("content-length".into()))?;
+            } else if h.name.eq_ignore_ascii_case("retry-after") {
+                retry_after_s = text.parse().ok();
             } else if h.name.eq_ignore_ascii_case("connection") {
                 close |= text.eq_ignore_ascii_case("close");
             } else if h.name.eq_ignore_ascii_case("transfer-encoding") {
@@ -145,6 +156,11 @@
             }
         }
         let body = buf[head..head + length].to_vec();
-        return Ok((Answer { status, body }, close));
+        let answer = Answer {
+            status,
+            body,
+            retry_after_s,
+        };
+        return Ok((answer, close));
     }
 }
--- a/crates/store/src/service.rs
+++ b/crates/store/src/service.rs
@@ -14,6 +14,7 @@
 /// A rate that allows bursts of some seconds' worth.
 #[derive(Debug, Clone, Copy)]
 pub struct Rate {
+    full: (f64, f64),
     per_s: f64,
     most: f64,
     level: f64,
@@ -24,6 +25,7 @@
     pub fn new(per_s: f64, burst_s: f64) -> Rate {
         let most = per_s * burst_s;
         Rate {
+            full: (per_s, most),
             per_s,
             most,
             level: most,
@@ -31,6 +33,11 @@
         }
     }
 
+    /// From now on only this share of it.
+    fn set_share(&mut self, share: f64) {
+        (self.per_s, self.most) = (self.full.0 * share, self.full.1 * share);
+    }
+
     /// Takes `n` if the rate allows it.
     pub fn take(&mut self, n: f64, now: f64) -> bool {
         self.level = (self.level + (now - self.at).max(0.0) * self.per_s).min(self.most);
@@ -106,6 +113,12 @@
         }
     }
 
+    /// Serves only this share of its rates.
+    pub fn set_share(&mut self, share: f64) {
+        self.requests.set_share(share);
+        self.writes.set_share(share);
+    }
+
     fn revision(&self) -> Revision {
         let revision = self.engine.revision();
         Revision { revision }
