--- a/crates/control/src/cluster.rs
+++ b/crates/control/src/cluster.rs
@@ -1,10 +1,10 @@
 //! What the platform's settings say about the deployment.
 
-use serde::{Deserialize, Deserializer};
+use serde::{Deserialize, Deserializer, Serialize};
 
 /// Guarantees and limits. A guest team has neither: a limit of 0, or none at
 /// all, stands for "no limit" and is read as infinite.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Team {
     pub name: String,
     #[serde(default)]
@@ -26,14 +26,14 @@
     Ok(if given > 0.0 { given } else { unlimited() })
 }
 
-#[derive(Debug, Clone, Copy, Deserialize)]
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub struct Workers {
     pub report_s: f64,
     pub lease_s: f64,
     pub cancel_s: f64,
 }
 
-#[derive(Debug, Clone, Copy, Deserialize)]
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub struct StateLimits {
     pub rps: f64,
     pub write_rps: f64,
@@ -41,14 +41,14 @@
     pub txn_ops: usize,
 }
 
-#[derive(Debug, Clone, Copy, Deserialize)]
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub struct CloudLimits {
     pub rps: f64,
     pub list_lag_s: f64,
 }
 
 /// An aim on starting (`wait`) or finishing (`finished`).
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Objective {
     pub kind: String,
     #[serde(default)]
@@ -57,7 +57,7 @@
     pub within_s: f64,
 }
 
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Settings {
     #[serde(default)]
     pub objectives: Vec<Objective>,
--- a/crates/control/src/holder.rs
+++ b/crates/control/src/holder.rs
@@ -47,6 +47,11 @@
             .map(|g| g.token)
     }
 
+    /// Machines that this node may answer now.
+    pub fn grants(&self, now: f64) -> usize {
+        self.grants.values().filter(|g| now < g.until).count()
+    }
+
     /// Notes a report; returns (task, run time) of tasks that are done now.
     pub fn observe(&mut self, report: &Report, now: f64) -> Vec<(String, f64)> {
         let w = self.watched.entry(report.machine.clone()).or_default();
--- a/crates/control/src/leader/fleet.rs
+++ b/crates/control/src/leader/fleet.rs
@@ -481,13 +481,27 @@
         }
     }
 
+    /// Tasks that wait in each level.
+    pub fn waiting(&self) -> Vec<u32> {
+        (0..limits::LEVELS)
+            .map(|l| self.queue.level_len(l))
+            .collect()
+    }
+
+    /// Each team's name, CPUs used and most allowed.
+    pub fn teams(&self) -> Vec<(String, f64, f64)> {
+        let used = |name: &str| self.usage.get(name).map_or(0.0, |u| u.0);
+        let teams = self.settings.teams.iter();
+        teams
+            .map(|t| (t.name.clone(), used(&t.name), t.cpus_max))
+            .collect()
+    }
+
     /// One line for the log.
     pub fn summary(&self) -> String {
         let placed: usize = self.machines.values().map(|m| m.placed.len()).sum();
         let up = self.machines.values().filter(|m| m.up).count();
-        let waiting: Vec<u32> = (0..limits::LEVELS)
-            .map(|l| self.queue.level_len(l))
-            .collect();
+        let waiting = self.waiting();
         let all = |m: &&Machine| m.up && !m.deleting;
         let cpus: f64 = self
             .machines
--- a/crates/emulator/src/troubles.rs
+++ b/crates/emulator/src/troubles.rs
@@ -61,7 +61,8 @@
 
     /// Starts all controllers, and every trouble at its time.
     pub fn start(self: &Arc<Self>) {
-        for node in 0..lock(&self.is).len() {
+        let count = lock(&self.is).len();
+        for node in 0..count {
             self.node_up(node);
         }
         for t in self.world.night.all_troubles(self.world.seed) {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -19,6 +19,15 @@
 
 /// Runs a controller until the process is killed.
 pub async fn run(host: Host, settings: settings::Settings) -> anyhow::Result<()> {
+    start(host, settings).await?.1.await;
+    Ok(())
+}
+
+/// A controller whose loops run, and what serves its users and workers.
+pub async fn start(
+    host: Host,
+    settings: settings::Settings,
+) -> anyhow::Result<(Arc<Node>, impl Future<Output = ()> + Send)> {
     let at = &settings.platform;
     let users = host.bind(at.serve_on).await;
     let users = users.with_context(|| format!("serve_on {}", at.serve_on))?;
@@ -41,10 +50,11 @@
     });
     host.spawn(cherrywood_net::peer::serve(host.clone(), peers, on_peer));
     loops::start(&node);
+    let n = node.clone();
     let on_user = Arc::new(move |request, _| {
-        let n = node.clone();
+        let n = n.clone();
         async move { api::answer(&n, request).await }
     });
-    cherrywood_net::server::serve(host, users, most.max(16), on_user).await;
-    Ok(())
+    let serve = cherrywood_net::server::serve(host, users, most.max(16), on_user);
+    Ok((node, serve))
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -79,6 +79,20 @@
     }
 }
 
+/// A controller at a moment.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct View {
+    pub healthy: bool,
+    /// Machines that it may answer now.
+    pub grants: usize,
+    /// The epoch in which it leads, if it does.
+    pub epoch: Option<u64>,
+    /// As leader: tasks waiting in each level.
+    pub waiting: Vec<u32>,
+    /// As leader: each team's name, CPUs used and most allowed.
+    pub teams: Vec<(String, f64, f64)>,
+}
+
 /// The token for a report's answer, and its commands.
 type Answer = Option<(u64, Vec<Command>)>;
 
@@ -168,6 +182,22 @@
         !(lost && others) && core.state_ok > 0.0 && !settling
     }
 
+    /// How it looks from inside, for those who watch.
+    pub fn view(&self) -> View {
+        let healthy = self.healthy();
+        let now = self.now();
+        let mut core = self.core();
+        let grants = core.holder.grants(now);
+        let leader = core.leading(now);
+        View {
+            healthy,
+            grants,
+            epoch: leader.as_ref().map(|l| l.epoch()),
+            waiting: leader.as_ref().map(|l| l.waiting()).unwrap_or_default(),
+            teams: leader.map(|l| l.teams()).unwrap_or_default(),
+        }
+    }
+
     // --- workers ---
 
     /// A worker's report: `Some` answers 200, `None` means that this node may
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -1,28 +1,28 @@
 //! The platform's TOML, and the operators' own YAML.
 
 use anyhow::{Context as _, bail};
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::path::Path;
 
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Member {
     pub label: String,
     pub endpoint: SocketAddr,
 }
 
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Services {
     pub cloud: SocketAddr,
     pub state: SocketAddr,
 }
 
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Limits {
     pub sockets: usize,
 }
 
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Deployment {
     pub nodes: usize,
     pub limits: Limits,
@@ -31,7 +31,7 @@
 }
 
 /// The file that the platform hands over; fields it doesn't know are ignored.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Platform {
     pub label: String,
     pub serve_on: SocketAddr,
--- /dev/null
+++ b/crates/rehearsal/src/play.rs
@@ -0,0 +1,170 @@
+//! One night from its beginning to its end.
+
+use crate::nodes::{InProcess, Shared};
+use cherrywood_emulator::{Cloud, StateHost, Troubles, Users, World};
+use cherrywood_judge::settle::{Settled, settle};
+use cherrywood_judge::{Aims, Breach, History, Judge, What, aims};
+use cherrywood_night::Night;
+use cherrywood_node::settings::Operator;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Virtual s between two looks at how the night goes.
+const LOOK_S: f64 = 0.25;
+/// s between two records of what waits.
+const WAITING_EVERY_S: f64 = 5.0;
+/// s after the last job settled, in which late answers are still heard.
+const AFTER_S: f64 = 3.0;
+
+#[derive(Debug, Clone, Default)]
+pub struct Options {
+    pub seed: u64,
+    pub operator: Operator,
+}
+
+/// What the watcher of a night may see, four times a virtual second.
+pub struct Scene<'a> {
+    pub world: &'a Arc<World>,
+    pub state: &'a Arc<StateHost>,
+    pub cloud: &'a Arc<Cloud>,
+    pub users: &'a Arc<Users>,
+    pub troubles: &'a Arc<Troubles>,
+    pub nodes: &'a Arc<InProcess>,
+}
+
+/// Goes on, or why it ends early.
+pub type Verdict = Result<(), String>;
+
+/// How a night ended.
+#[derive(Debug)]
+pub struct Outcome {
+    pub night: Night,
+    pub seed: u64,
+    pub history: History,
+    pub settled: BTreeMap<String, Settled>,
+    pub breaches: Vec<Breach>,
+    pub aims: Aims,
+    pub digest: String,
+    /// s that the night lasted, and that playing it took.
+    pub night_s: f64,
+    pub real_s: f64,
+    /// Why it ended early.
+    pub stopped: Option<String>,
+    /// Controllers that ended by themselves.
+    pub ended: Vec<String>,
+    /// Keys and bytes in the state service at the end, and requests over its
+    /// rates.
+    pub state: (usize, usize),
+    pub over_rate: u64,
+}
+
+impl Outcome {
+    pub fn unsettled(&self) -> usize {
+        let open = |s: &&Settled| s.end == cherrywood_judge::End::Unsettled;
+        self.settled.values().filter(open).count()
+    }
+
+    /// Everything settled and no rule broken?
+    pub fn good(&self) -> bool {
+        self.unsettled() == 0
+            && self.breaches.is_empty()
+            && self.ended.is_empty()
+            && self.stopped.is_none()
+    }
+}
+
+/// Plays a night in virtual time, on this thread.
+pub fn play(
+    night: Night,
+    options: &Options,
+    watch: &mut dyn FnMut(&Scene) -> Verdict,
+) -> anyhow::Result<Outcome> {
+    let rt = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()?;
+    let began = Instant::now();
+    let mut outcome = rt.block_on(run(night, options, watch))?;
+    outcome.real_s = began.elapsed().as_secs_f64();
+    Ok(outcome)
+}
+
+async fn run(
+    night: Night,
+    options: &Options,
+    watch: &mut dyn FnMut(&Scene) -> Verdict,
+) -> anyhow::Result<Outcome> {
+    let world = World::new(night.clone(), options.seed, None);
+    let state = StateHost::start(&world).await?;
+    let cloud = Cloud::start(&world).await?;
+    let users = Users::start(&world);
+    let nodes = InProcess::new(&world, options.operator.clone());
+    let troubles = Troubles::new(&world, &state, &cloud, Arc::new(Shared(nodes.clone())));
+    troubles.start();
+    let scene = Scene {
+        world: &world,
+        state: &state,
+        cloud: &cloud,
+        users: &users,
+        troubles: &troubles,
+        nodes: &nodes,
+    };
+    let mut quiet_since: Option<f64> = None;
+    let mut waiting_at = 0.0;
+    let mut ended = Vec::new();
+    loop {
+        tokio::time::sleep(Duration::from_secs_f64(LOOK_S)).await;
+        let now = world.now_s();
+        for (node, why) in nodes.ended() {
+            ended.push(format!("{}: {why}", world.node_name(node)));
+            troubles.ended(node, &why);
+        }
+        if now >= waiting_at {
+            waiting_at += WAITING_EVERY_S;
+            let views = (0..world.addresses.nodes.len()).filter_map(|n| nodes.view(n));
+            if let Some(leader) = views.filter(|v| v.epoch.is_some()).last() {
+                let levels = leader.waiting;
+                world.record(What::Waiting { levels });
+            }
+        }
+        if let Err(why) = watch(&scene) {
+            world.stop(&why);
+        }
+        if world.stopped().is_some() {
+            break;
+        }
+        let over = now >= night.play_s;
+        if over && world.open_jobs() == 0 {
+            let since = *quiet_since.get_or_insert(now);
+            if now - since >= AFTER_S {
+                break;
+            }
+        } else {
+            quiet_since = None;
+        }
+        if now >= night.play_s + night.settle_s {
+            break;
+        }
+    }
+    cloud.close();
+    let night_s = world.now_s();
+    let (sizes, over_rate) = (state.size(), state.over_rate());
+    let history = world.finish();
+    let judge = Judge::judge(&history.events);
+    Ok(Outcome {
+        seed: options.seed,
+        settled: settle(&history.events),
+        breaches: judge.breaches,
+        aims: aims::count(&history.events),
+        digest: history.digest(),
+        history,
+        night_s,
+        real_s: 0.0,
+        stopped: world.stopped(),
+        ended,
+        state: sizes,
+        over_rate,
+        night,
+    })
+}
--- /dev/null
+++ b/crates/rehearsal/src/summary.rs
@@ -0,0 +1,107 @@
+//! What a night came to, for the terminal.
+
+use crate::play::Outcome;
+use cherrywood_judge::settle::{End, tally};
+use cherrywood_night::Aim;
+use std::fmt::Write as _;
+
+/// Breaches and unsettled jobs that are written out; the rest is counted.
+const SHOWN: usize = 10;
+
+pub fn aim(a: &Aim) -> (String, f64) {
+    match a {
+        Aim::Wait {
+            class,
+            within_s,
+            share,
+        } => (format!("tasks of {class} started in {within_s} s"), *share),
+        Aim::Finished {
+            class,
+            within_s,
+            share,
+        } => (format!("{class} done in {within_s} s"), *share),
+        Aim::Guarantee { within_s, share } => {
+            (format!("guaranteed tasks started in {within_s} s"), *share)
+        }
+        Aim::Submit { within_s, share } => (format!("accepted in {within_s} s"), *share),
+        Aim::Useful { share } => ("money spent on useful work".into(), *share),
+        Aim::Price { most } => ("price of useful work, at most".into(), *most),
+    }
+}
+
+/// The last line of every rehearsal.
+pub fn verdict(o: &Outcome) -> String {
+    let all = o.settled.len();
+    let settled = all - o.unsettled();
+    format!(
+        "settled {settled}/{all}, rules broken {}, digest {}",
+        o.breaches.len(),
+        o.digest
+    )
+}
+
+pub fn text(o: &Outcome) -> String {
+    let mut out = String::new();
+    let mut line = |name: &str, text: String| {
+        let _ = writeln!(out, "{name:<10}{text}");
+    };
+    let speed = o.night_s / o.real_s.max(1e-9);
+    line(
+        "night",
+        format!(
+            "{}, seed {}: {:.0} s, played in {:.1} s ({speed:.0} times as fast)",
+            o.night.name, o.seed, o.night_s, o.real_s
+        ),
+    );
+    if let Some(why) = &o.stopped {
+        line("stopped", why.clone());
+    }
+    let ends = tally(&o.settled);
+    let n = |e| ends.get(&e).copied().unwrap_or(0);
+    line(
+        "jobs",
+        format!(
+            "{}: done {}, cancelled {}, refused {}, never accepted {}, unsettled {}",
+            o.settled.len(),
+            n(End::Done),
+            n(End::Cancelled),
+            n(End::Refused),
+            n(End::NeverAccepted),
+            n(End::Unsettled)
+        ),
+    );
+    for (class, c) in &o.aims.classes {
+        line(
+            "",
+            format!(
+                "{class}: {} of {} done, mean {:.1} s, 95% in {:.1} s; tasks wait {:.1} s, 95% {:.1} s",
+                c.done, c.jobs, c.done_mean_s, c.done_p95_s, c.wait_mean_s, c.wait_p95_s
+            ),
+        );
+    }
+    line(
+        "money",
+        format!(
+            "{:.2} spent, {:.0} CPU-hours of useful work, price {:.2}",
+            o.aims.cost,
+            o.aims.useful_cpu_s / 3600.0,
+            o.aims.price
+        ),
+    );
+    for r in &o.aims.reached {
+        let (what, wanted) = aim(&r.aim);
+        let met = if r.met { "met" } else { "missed" };
+        line("aim", format!("{what}: {:.3} of {wanted} {met}", r.got));
+    }
+    for why in &o.ended {
+        line("ended", why.clone());
+    }
+    for b in o.breaches.iter().take(SHOWN) {
+        line("broken", b.to_string());
+    }
+    let open = o.settled.iter().filter(|(_, s)| s.end == End::Unsettled);
+    for (id, s) in open.take(SHOWN) {
+        line("unsettled", format!("{id}: {}", s.evidence));
+    }
+    out
+}
