--- a/crates/cherrywood/src/cli.rs
+++ b/crates/cherrywood/src/cli.rs
@@ -3,6 +3,7 @@
 use anyhow::{Context as _, bail};
 use cherrywood_net::Host;
 use cherrywood_net::client::Client;
+use cherrywood_rehearsal::command::{RehearseArgs, Schema};
 use cherrywood_wire::user::{JobStatus, Submission};
 use clap::{Parser, Subcommand};
 use std::net::SocketAddr;
@@ -27,6 +28,18 @@
 
 #[derive(Debug, Subcommand)]
 pub enum Command {
+    Rehearse(RehearseArgs),
+    /// Print the JSON Schema of a file.
+    Schema {
+        of: Schema,
+    },
+    #[command(flatten)]
+    Client(Request),
+}
+
+/// What a user asks of a running service.
+#[derive(Debug, Subcommand)]
+pub enum Request {
     /// Submit the job described in a TOML file.
     Submit { node: SocketAddr, file: PathBuf },
     /// Show a job's state.
@@ -36,9 +49,9 @@
 }
 
 /// Runs a client command and prints the job's state.
-pub async fn client(command: Command) -> anyhow::Result<()> {
+pub async fn client(command: Request) -> anyhow::Result<()> {
     let (node, method, path, body) = match command {
-        Command::Submit { node, file } => {
+        Request::Submit { node, file } => {
             let text =
                 std::fs::read_to_string(&file).with_context(|| format!("{}", file.display()))?;
             let job: Submission = toml::from_str(&text).context("job file")?;
@@ -49,8 +62,8 @@
                 Some(cherrywood_wire::encode(&job)),
             )
         }
-        Command::Status { node, id } => (node, "GET", format!("/submissions/{id}"), None),
-        Command::Cancel { node, id } => (
+        Request::Status { node, id } => (node, "GET", format!("/submissions/{id}"), None),
+        Request::Cancel { node, id } => (
             node,
             "POST",
             format!("/submissions/{id}/cancel"),
--- a/crates/cherrywood/src/main.rs
+++ b/crates/cherrywood/src/main.rs
@@ -2,8 +2,9 @@
 
 use cherrywood_net::Host;
 use cherrywood_node::settings::Settings;
+use cherrywood_rehearsal::command::{rehearse, schema};
 use clap::Parser as _;
-use cli::{Args, client};
+use cli::{Args, Command, client};
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
@@ -19,6 +20,14 @@
         }
     };
     if let Some(command) = args.command {
+        let command = match command {
+            Command::Rehearse(args) => return ExitCode::from(rehearse(&args)),
+            Command::Schema { of } => {
+                println!("{}", schema(of));
+                return ExitCode::SUCCESS;
+            }
+            Command::Client(command) => command,
+        };
         return match runtime.block_on(client(command)) {
             Ok(()) => ExitCode::SUCCESS,
             Err(e) => {
@@ -42,11 +51,8 @@
         println!("settings are fine");
         return ExitCode::SUCCESS;
     }
-    let level = settings
-        .operator
-        .log_level
-        .clone()
-        .or_else(|| std::env::var("LOG_LEVEL").ok());
+    let level = settings.operator.log_level.map(|l| l.name().to_string());
+    let level = level.or_else(|| std::env::var("LOG_LEVEL").ok());
     let level = level
         .and_then(|l| l.parse().ok())
         .unwrap_or(tracing::Level::INFO);
--- a/crates/control/src/leader/ledger.rs
+++ b/crates/control/src/leader/ledger.rs
@@ -404,6 +404,12 @@
             for p in m.into_iter().flat_map(|m| &mut m.placed) {
                 let ours = p.stage == Stage::Writing || batch.drops.contains(&p.entry);
                 if ours && row.covers(p) {
+                    crate::life!(
+                        p.id,
+                        machine = row.machine,
+                        entry = batch.id,
+                        "in the ledger"
+                    );
                     p.stage = Stage::Durable;
                     p.entry = batch.id;
                     held.insert(p.task);
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -433,6 +433,13 @@
         self.next_job += 1;
         let key = spec.key();
         let level = self.predictor.level(&key, now);
+        crate::life!(
+            spec.id,
+            level,
+            done = done.count(),
+            on_machines = placed.map_or(0, HashSet::len),
+            "enters the queue"
+        );
         // Runs of tasks that are neither finished nor on a machine.
         let mut first = None;
         for n in 0..=spec.tasks {
@@ -521,6 +528,7 @@
         let Some(no) = self.ids.remove(id) else {
             return;
         };
+        crate::life!(id, "is over for this leader");
         self.jobs.remove(&no);
         self.queue.retain(|j| *j != no);
         self.delayed.retain(|(_, j, _)| *j != no);
--- a/crates/control/src/leader/placing.rs
+++ b/crates/control/src/leader/placing.rs
@@ -649,6 +649,7 @@
                 }
             }
         }
+        crate::life!(s.id, first, n, machine = site.name, attempt, "placed");
         m.idle_since = now;
         let team = self.waiters[&no].team;
         let placements: Vec<Placement> = (first..first + n)
--- a/crates/control/src/leader/progress.rs
+++ b/crates/control/src/leader/progress.rs
@@ -71,6 +71,7 @@
                         value: Value::Final(value),
                         lease: None,
                     });
+                    crate::life!(id, "final state on its way");
                     batch.finals.push(*no);
                 } else {
                     guards.push(Guard {
@@ -108,6 +109,7 @@
             Outcome::Applied(rev) => {
                 for no in &batch.finals {
                     if let Some(job) = self.jobs.get(no) {
+                        crate::life!(job.spec.id, "final state written");
                         ended.push(job.spec.id.clone());
                     }
                 }
--- a/crates/control/src/leader/reports.rs
+++ b/crates/control/src/leader/reports.rs
@@ -127,6 +127,7 @@
                     p.seen = true;
                     let running = t.state == TaskState::Running;
                     if running != p.running {
+                        crate::life!(p.id, machine = r.machine, running, "reported");
                         p.running = running;
                         p.run_since = now;
                         if let Some(job) = p.job.and_then(|no| self.jobs.get_mut(&no)) {
@@ -170,6 +171,7 @@
             }
             let Some(at) = at else { continue };
             let p = m.placed.remove(at);
+            crate::life!(p.id, machine = r.machine, why = ?t.why, "exited");
             let mut delay = 0.0;
             match t.why {
                 Some(Why::Done | Why::Stopped) => {}
@@ -415,6 +417,7 @@
                 let first = p.sent == 0 && !p.seen && !p.inherited;
                 if live && first && p.stage == Stage::Durable && p.session == m.session {
                     p.sent = 1;
+                    crate::life!(p.id, machine = name, holder = m.holder, "start sent");
                     m.open_orders.insert(p.attempt);
                     commands.push(Command::Start {
                         task: p.id.clone(),
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,6 +1,14 @@
 //! The controller as a pure state machine: events and the time go in,
 //! commands, transactions and cloud requests come out. No I/O, no clock.
 
+/// A step in the life of a job: off unless a rehearsal traces it.
+#[macro_export]
+macro_rules! life {
+    ($job:expr, $($rest:tt)*) => {
+        tracing::trace!(target: "life", job = %$job, $($rest)*)
+    };
+}
+
 pub mod bitmap;
 pub mod cluster;
 pub mod holder;
--- a/crates/emulator/src/users.rs
+++ b/crates/emulator/src/users.rs
@@ -35,6 +35,8 @@
 const LATER_SHARE: f64 = 0.3;
 /// s between two looks at how many jobs come.
 const ARRIVALS_S: f64 = 0.25;
+/// s after the beginning at which users come: when the controllers are up.
+const OPENS_S: f64 = 5.0;
 
 /// The load balancer and all users.
 pub struct Users {
@@ -233,6 +235,7 @@
 
     async fn arrivals(self: Arc<Self>, class: usize) {
         let c = self.world.night.workload.classes[class].clone();
+        self.host.sleep(OPENS_S).await;
         for _ in 0..c.at_start {
             self.arrive(class, 0.0);
         }
--- a/crates/node/src/api.rs
+++ b/crates/node/src/api.rs
@@ -3,7 +3,7 @@
 use crate::lookup::{Found, lookup};
 use crate::node::Node;
 use crate::polls::Told;
-use cherrywood_control::keys;
+use cherrywood_control::{keys, life};
 use cherrywood_limits as limits;
 use cherrywood_net::NetError;
 use cherrywood_net::budget::Class;
@@ -13,7 +13,7 @@
 use cherrywood_wire::state::{Change, FinalValue, Guard, JobValue, Txn, Value};
 use cherrywood_wire::user::{JobState, JobStatus, Kind, Refusal, Submission, valid_id};
 use cherrywood_wire::{decode, encode};
-use tracing::debug;
+use tracing::{Instrument as _, debug};
 
 pub async fn answer(node: &Node, request: Request) -> Response {
     let path = request.path.split('?').next().unwrap_or("");
@@ -93,6 +93,18 @@
         Ok(job) => job,
         Err(e) => return refuse(400, &e.to_string()),
     };
+    let id = job.id.clone();
+    let span = tracing::trace_span!(target: "life", "submission", job = %id);
+    async {
+        let answer = accept(node, job).await;
+        life!(id, status = answer.status, "answered");
+        answer
+    }
+    .instrument(span)
+    .await
+}
+
+async fn accept(node: &Node, job: Submission) -> Response {
     let id = job.id.clone();
     if let Some(v) = node.core().finals.get(&id) {
         return ended(200, &id, v);
@@ -199,6 +211,17 @@
 }
 
 async fn cancel(node: &Node, id: &str) -> Response {
+    let span = tracing::trace_span!(target: "life", "cancellation", job = %id);
+    async {
+        let answer = end(node, id).await;
+        life!(id, status = answer.status, "answered");
+        answer
+    }
+    .instrument(span)
+    .await
+}
+
+async fn end(node: &Node, id: &str) -> Response {
     if !valid_id(id) {
         return Response::empty(404);
     }
--- a/crates/node/src/loops/lead.rs
+++ b/crates/node/src/loops/lead.rs
@@ -12,7 +12,7 @@
     ProgressValue, Txn, Value,
 };
 use std::sync::Arc;
-use tracing::{info, warn};
+use tracing::{Instrument as _, info, warn};
 
 pub(super) async fn elect(node: Arc<Node>) {
     loop {
@@ -92,7 +92,8 @@
         core.known = Some(node.me().to_string());
     }
     node.state.set_leading(true);
-    if let Err(e) = take_over(node, lease, epoch, mark).await {
+    let span = tracing::trace_span!(target: "life", "takeover", epoch);
+    if let Err(e) = take_over(node, lease, epoch, mark).instrument(span).await {
         warn!(%e, "could not take over; giving the lease back");
         depose(node, "takeover failed");
         let _ = node.state.end_lease(lease).await;
--- a/crates/node/src/loops/write.rs
+++ b/crates/node/src/loops/write.rs
@@ -12,7 +12,7 @@
 use cherrywood_wire::peer::{Reply, Request};
 use cherrywood_wire::state::{Change, Txn, Value};
 use std::sync::Arc;
-use tracing::warn;
+use tracing::{Instrument as _, warn};
 
 /// Sends a transaction until it is known whether it was applied.
 async fn commit(node: &Node, epoch: u64, txn: &Txn, class: Class) -> Outcome {
@@ -68,18 +68,19 @@
                 Some((l.epoch(), l.ledger_batch()?))
             });
             let Some((epoch, batch)) = batch else { break };
-            let outcome = commit(&node, epoch, &batch.txn, Class::Place).await;
+            let span = tracing::trace_span!(target: "life", "placement", epoch);
+            let write = commit(&node, epoch, &batch.txn, Class::Place);
+            let outcome = write.instrument(span.clone()).await;
             let ok = matches!(outcome, Outcome::Applied(_));
-            if let Some(leader) = node.core().leader_of(epoch) {
-                leader.ledger_done(batch, &outcome);
-            }
-            let now = node.now();
-            let orders = node
-                .core()
-                .leading(now)
-                .filter(|l| l.epoch() == epoch)
-                .map(|l| l.orders(now))
-                .unwrap_or_default();
+            let orders = span.in_scope(|| {
+                if let Some(leader) = node.core().leader_of(epoch) {
+                    leader.ledger_done(batch, &outcome);
+                }
+                let now = node.now();
+                let mut core = node.core();
+                let leader = core.leading(now).filter(|l| l.epoch() == epoch);
+                leader.map(|l| l.orders(now)).unwrap_or_default()
+            });
             for (holder, orders) in orders {
                 node.host.spawn(order(node.clone(), epoch, holder, orders));
             }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -1,6 +1,9 @@
 //! The platform's TOML, and the operators' own YAML.
 
 use anyhow::{Context as _, bail};
+use cherrywood_night::file;
+use garde::Validate;
+use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::path::Path;
@@ -44,15 +47,37 @@
 
 /// The operators' own file. Every field has a default; unknown ones are
 /// errors, since here a typing mistake is the likelier cause.
-#[derive(Debug, Clone, Default, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize, JsonSchema, Validate)]
 #[serde(deny_unknown_fields, default)]
 pub struct Operator {
     /// Overrides `LOG_LEVEL`.
-    pub log_level: Option<String>,
+    #[garde(skip)]
+    pub log_level: Option<LogLevel>,
     /// Never rent machines at the full price.
+    #[garde(skip)]
     pub cheap_only: bool,
 }
 
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum LogLevel {
+    Error,
+    Warn,
+    Info,
+    Debug,
+}
+
+impl LogLevel {
+    pub fn name(self) -> &'static str {
+        match self {
+            LogLevel::Error => "error",
+            LogLevel::Warn => "warn",
+            LogLevel::Info => "info",
+            LogLevel::Debug => "debug",
+        }
+    }
+}
+
 #[derive(Debug, Clone)]
 pub struct Settings {
     pub platform: Platform,
@@ -65,11 +90,7 @@
             std::fs::read_to_string(platform).with_context(|| format!("{}", platform.display()))?;
         let platform = Self::platform(&text)?;
         let operator = match operator {
-            Some(path) => {
-                let text =
-                    std::fs::read_to_string(path).with_context(|| format!("{}", path.display()))?;
-                Self::operator(&text)?
-            }
+            Some(path) => Self::operator(&path.display().to_string(), &file::read(path)?)?,
             None => Operator::default(),
         };
         Ok(Settings { platform, operator })
@@ -103,11 +124,11 @@
         Ok(p)
     }
 
-    pub fn operator(text: &str) -> anyhow::Result<Operator> {
+    pub fn operator(name: &str, text: &str) -> anyhow::Result<Operator> {
         if text.trim().is_empty() {
             return Ok(Operator::default());
         }
-        serde_yaml_ng::from_str(text).map_err(|e| anyhow::anyhow!("operator settings: {e}"))
+        Ok(file::parse(name, text)?)
     }
 }
 
@@ -187,11 +208,18 @@
 
     #[test]
     fn operators_typing_mistakes_are_errors() {
-        assert!(Settings::operator("cheap_only: true").unwrap().cheap_only);
-        assert!(!Settings::operator("").unwrap().cheap_only);
-        let err = Settings::operator("cheap_onyl: true")
-            .unwrap_err()
-            .to_string();
-        assert!(err.contains("cheap_onyl"), "{err}");
+        let read = |text| Settings::operator("op.yaml", text);
+        assert!(read("cheap_only: true").unwrap().cheap_only);
+        assert!(!read("").unwrap().cheap_only);
+        for (text, parts) in [
+            ("cheap_onyl: true", ["line 1", "cheap_onyl"]),
+            (
+                "cheap_only: true\nlog_level: loud",
+                ["line 2, log_level", "found loud"],
+            ),
+        ] {
+            let err = read(text).unwrap_err().to_string();
+            assert!(parts.iter().all(|p| err.contains(p)), "{err}");
+        }
     }
 }
--- /dev/null
+++ b/crates/rehearsal/src/command.rs
@@ -0,0 +1,172 @@
+//! `cherrywood rehearse`, and `cherrywood schema`.
+
+use crate::log::Log;
+use crate::play::{Options, Scene, play};
+use crate::{report, summary};
+use cherrywood_night::Night;
+use cherrywood_night::file::read;
+use cherrywood_node::settings::Settings;
+use clap::{Args, ValueEnum};
+use indicatif::{ProgressBar, ProgressStyle};
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use tracing::Level;
+
+/// Exit codes: everything settled and no rule broken; not so; bad input.
+pub const GOOD: u8 = 0;
+pub const BROKEN: u8 = 1;
+pub const BAD_INPUT: u8 = 2;
+
+/// The night that is played if none is named.
+pub const QUIET: &str = include_str!("../../../nights/quiet.yaml");
+
+/// Play a night: the whole service on this machine, troubles included.
+#[derive(Debug, Args)]
+pub struct RehearseArgs {
+    /// The night (YAML); a quiet one if it isn't given.
+    pub night: Option<PathBuf>,
+    /// Draws everything; the same seed replays the same night.
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// Write report.html, report.json, history.jsonl and controllers.log here.
+    #[arg(long, value_name = "DIR")]
+    pub report: Option<PathBuf>,
+    /// Machines, teams and traffic times this.
+    #[arg(long, default_value_t = 1.0, value_name = "TIMES")]
+    pub scale: f64,
+    /// The operators' own settings (YAML).
+    #[arg(long, value_name = "FILE")]
+    pub operator: Option<PathBuf>,
+    /// Print the life of one job across all controllers.
+    #[arg(long, value_name = "ID")]
+    pub trace: Option<String>,
+    /// Print what the controllers log.
+    #[arg(long, value_name = "LEVEL")]
+    pub log: Option<LogLevel>,
+}
+
+#[derive(Debug, Clone, Copy, ValueEnum)]
+pub enum LogLevel {
+    Error,
+    Warn,
+    Info,
+    Debug,
+}
+
+impl LogLevel {
+    fn level(self) -> Level {
+        match self {
+            LogLevel::Error => Level::ERROR,
+            LogLevel::Warn => Level::WARN,
+            LogLevel::Info => Level::INFO,
+            LogLevel::Debug => Level::DEBUG,
+        }
+    }
+}
+
+/// Set by ctrl-C; a night then ends with the report of what was played.
+pub fn interrupted() -> Arc<AtomicBool> {
+    let flag = Arc::new(AtomicBool::new(false));
+    let set = flag.clone();
+    // A second handler in one process is refused: then the first one stays.
+    let _ = ctrlc::set_handler(move || set.store(true, Ordering::Relaxed));
+    flag
+}
+
+pub fn load(args: &RehearseArgs) -> anyhow::Result<(Night, Options)> {
+    let night = match &args.night {
+        Some(path) => Night::load(path)?,
+        None => Night::parse("the built-in night", QUIET)?,
+    };
+    if !(args.scale.is_finite() && (0.01..=1000.0).contains(&args.scale)) {
+        anyhow::bail!("--scale: 0.01 to 1000 is allowed, found {}", args.scale);
+    }
+    let operator = match &args.operator {
+        Some(path) => Settings::operator(&path.display().to_string(), &read(path)?)?,
+        None => cherrywood_node::settings::Operator::default(),
+    };
+    let options = Options {
+        seed: args.seed,
+        operator,
+    };
+    Ok((night.scaled(args.scale), options))
+}
+
+pub fn rehearse(args: &RehearseArgs) -> u8 {
+    let prepared = load(args).and_then(|loaded| {
+        if let Some(dir) = &args.report {
+            report::prepare(dir)?;
+        }
+        Ok(loaded)
+    });
+    let (night, options) = match prepared {
+        Ok(loaded) => loaded,
+        Err(e) => {
+            eprintln!("cherrywood: {e:#}");
+            return BAD_INPUT;
+        }
+    };
+    let stop = interrupted();
+    let bar = ProgressBar::new(night.play_s as u64);
+    if let Ok(style) = ProgressStyle::with_template("{bar:40} {pos}/{len} s of play  {msg}") {
+        bar.set_style(style);
+    }
+    let level = args.log.map_or(Level::INFO, LogLevel::level);
+    let log = Log::new(level, args.trace.clone(), args.log.is_some());
+    let play_s = night.play_s;
+    let mut watch = |scene: &Scene| {
+        let now = scene.world.now_s();
+        bar.set_position(now.min(play_s) as u64);
+        if now >= play_s {
+            bar.set_message(format!("{} jobs to settle", scene.world.open_jobs()));
+        }
+        if stop.load(Ordering::Relaxed) {
+            return Err(format!("interrupted at {now:.0} s of {play_s:.0} s"));
+        }
+        Ok(())
+    };
+    let played = log.around(|| play(night, &options, &log, &mut watch));
+    bar.finish_and_clear();
+    let outcome = match played {
+        Ok(outcome) => outcome,
+        Err(e) => {
+            eprintln!("cherrywood: {e:#}");
+            return BAD_INPUT;
+        }
+    };
+    for line in log.life(&outcome.history) {
+        println!("{line}");
+    }
+    if let Some(id) = &args.trace
+        && !outcome.settled.contains_key(id)
+    {
+        eprintln!("cherrywood: --trace: no job {id} on this night");
+    }
+    print!("{}", summary::text(&outcome));
+    if let Some(dir) = &args.report {
+        if let Err(e) = report::write(dir, &outcome, &log) {
+            eprintln!("cherrywood: {e:#}");
+            return BAD_INPUT;
+        }
+        println!("report    {}", dir.join("report.html").display());
+    }
+    println!("{}", summary::verdict(&outcome));
+    if outcome.good() { GOOD } else { BROKEN }
+}
+
+/// Files that a schema describes.
+#[derive(Debug, Clone, Copy, ValueEnum)]
+pub enum Schema {
+    Night,
+    Operator,
+}
+
+/// The JSON Schema of a file, for editors and checks.
+pub fn schema(which: Schema) -> String {
+    let schema = match which {
+        Schema::Night => schemars::schema_for!(Night),
+        Schema::Operator => schemars::schema_for!(cherrywood_node::settings::Operator),
+    };
+    serde_json::to_string_pretty(&schema).unwrap_or_default()
+}
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -1,8 +1,13 @@
 //! Plays a night: the controllers of `cherrywood-node` against the emulated
 //! systems, in virtual time on one thread or as real processes on loopback.
 
+pub mod command;
+pub mod log;
 pub mod nodes;
 pub mod play;
+pub mod plot;
+pub mod report;
 pub mod summary;
+pub mod timeline;
 
 pub use play::{Options, Outcome, play};
--- a/crates/rehearsal/src/play.rs
+++ b/crates/rehearsal/src/play.rs
@@ -1,5 +1,6 @@
 //! One night from its beginning to its end.
 
+use crate::log::Log;
 use crate::nodes::{InProcess, Shared};
 use cherrywood_emulator::{Cloud, StateHost, Troubles, Users, World};
 use cherrywood_judge::settle::{Settled, settle};
@@ -78,6 +79,7 @@
 pub fn play(
     night: Night,
     options: &Options,
+    log: &Log,
     watch: &mut dyn FnMut(&Scene) -> Verdict,
 ) -> anyhow::Result<Outcome> {
     let rt = tokio::runtime::Builder::new_current_thread()
@@ -85,7 +87,7 @@
         .start_paused(true)
         .build()?;
     let began = Instant::now();
-    let mut outcome = rt.block_on(run(night, options, watch))?;
+    let mut outcome = rt.block_on(run(night, options, log, watch))?;
     outcome.real_s = began.elapsed().as_secs_f64();
     Ok(outcome)
 }
@@ -93,9 +95,11 @@
 async fn run(
     night: Night,
     options: &Options,
+    log: &Log,
     watch: &mut dyn FnMut(&Scene) -> Verdict,
 ) -> anyhow::Result<Outcome> {
     let world = World::new(night.clone(), options.seed, None);
+    log.begin();
     let state = StateHost::start(&world).await?;
     let cloud = Cloud::start(&world).await?;
     let users = Users::start(&world);
--- /dev/null
+++ b/crates/rehearsal/src/plot.rs
@@ -0,0 +1,222 @@
+//! Plots as SVG text.
+
+use crate::timeline::{Band, Bar, Point, Timeline};
+use plotters::prelude::*;
+use plotters::style::text_anchor::{HPos, Pos, VPos};
+use std::collections::BTreeMap;
+
+const SIZE: (u32, u32) = (920, 240);
+/// Machines in a Gantt plot at most: a longer list can't be read.
+const GANTT_MOST: usize = 80;
+const ROW_PX: u32 = 9;
+
+/// Colours that are told apart in print and by most eyes (Okabe and Ito).
+const COLOURS: [RGBColor; 7] = [
+    RGBColor(0, 114, 178),
+    RGBColor(213, 94, 0),
+    RGBColor(0, 158, 115),
+    RGBColor(204, 121, 167),
+    RGBColor(86, 180, 233),
+    RGBColor(230, 159, 0),
+    RGBColor(90, 90, 90),
+];
+
+pub fn colour(i: usize) -> RGBColor {
+    COLOURS[i % COLOURS.len()]
+}
+
+type Series<'a> = (&'a str, Vec<(f64, f64)>);
+
+/// Lines over time, with troubles as shaded bands; an empty text if the plot
+/// can't be drawn.
+pub fn lines(series: &[Series], bands: &[Band]) -> String {
+    let mut svg = String::new();
+    match draw(&mut svg, series, bands) {
+        Ok(()) => svg,
+        Err(_) => String::new(),
+    }
+}
+
+fn draw(
+    svg: &mut String,
+    series: &[Series],
+    bands: &[Band],
+) -> Result<(), Box<dyn std::error::Error>> {
+    let all = || series.iter().flat_map(|s| &s.1);
+    let end = all().map(|p| p.0).fold(1.0, f64::max);
+    let top = all().map(|p| p.1).fold(1.0, f64::max) * 1.08;
+    let root = SVGBackend::with_string(svg, SIZE).into_drawing_area();
+    let mut chart = ChartBuilder::on(&root)
+        .margin(6)
+        .x_label_area_size(24)
+        .y_label_area_size(54)
+        .build_cartesian_2d(0.0..end, 0.0..top)?;
+    chart
+        .configure_mesh()
+        .light_line_style(TRANSPARENT)
+        .bold_line_style(BLACK.mix(0.08))
+        .x_labels(12)
+        .y_labels(5)
+        .x_label_formatter(&|s| format!("{s:.0} s"))
+        .y_label_formatter(&|v| format!("{v:.0}"))
+        .draw()?;
+    for b in bands {
+        // A moment is drawn as a thin line.
+        let to = b.to_s.max(b.from_s + end / 400.0);
+        let area = [(b.from_s, 0.0), (to, top)];
+        chart.draw_series([Rectangle::new(area, RED.mix(0.10).filled())])?;
+    }
+    for (i, (name, points)) in series.iter().enumerate() {
+        let line = LineSeries::new(points.iter().copied(), colour(i).stroke_width(2));
+        chart.draw_series(line)?.label(*name).legend(move |(x, y)| {
+            PathElement::new([(x, y), (x + 16, y)], colour(i).stroke_width(2))
+        });
+    }
+    chart
+        .configure_series_labels()
+        .position(SeriesLabelPosition::UpperLeft)
+        .background_style(WHITE.mix(0.8))
+        .draw()?;
+    root.present()?;
+    Ok(())
+}
+
+/// Machines over time: booting, and the tasks on them.
+fn gantt(t: &Timeline) -> Option<String> {
+    let mut machines: Vec<&str> = t.bars.iter().map(|b| b.machine.as_str()).collect();
+    machines.sort_unstable();
+    machines.dedup();
+    if machines.is_empty() || machines.len() > GANTT_MOST {
+        return None;
+    }
+    let mut classes: Vec<&str> = t.bars.iter().filter_map(|b| b.class.as_deref()).collect();
+    classes.sort_unstable();
+    classes.dedup();
+    let mut svg = String::new();
+    draw_gantt(&mut svg, t, &machines, &classes).ok()?;
+    Some(svg)
+}
+
+fn draw_gantt(
+    svg: &mut String,
+    t: &Timeline,
+    machines: &[&str],
+    classes: &[&str],
+) -> Result<(), Box<dyn std::error::Error>> {
+    let end = t.points.last().map_or(1.0, |p| p.at_s).max(1.0);
+    let height = machines.len() as u32 * ROW_PX + 60;
+    let root = SVGBackend::with_string(svg, (SIZE.0, height)).into_drawing_area();
+    let rows = machines.len() as f64;
+    let mut chart = ChartBuilder::on(&root)
+        .margin(6)
+        .x_label_area_size(24)
+        .y_label_area_size(66)
+        .build_cartesian_2d(0.0..end, 0.0..rows)?;
+    chart
+        .configure_mesh()
+        .disable_y_mesh()
+        .light_line_style(TRANSPARENT)
+        .bold_line_style(BLACK.mix(0.08))
+        .y_labels(0)
+        .x_labels(12)
+        .x_label_formatter(&|s| format!("{s:.0} s"))
+        .draw()?;
+    let row: BTreeMap<&str, usize> = machines.iter().enumerate().map(|(i, m)| (*m, i)).collect();
+    let style = ("sans-serif", 8).into_font();
+    let style = style.color(&BLACK).pos(Pos::new(HPos::Right, VPos::Center));
+    for (name, i) in &row {
+        let (x, y) = chart.backend_coord(&(0.0, *i as f64 + 0.5));
+        root.draw(&Text::new(name.to_string(), (x - 4, y), style.clone()))?;
+    }
+    let rectangle = |b: &Bar, top: f64, bottom: f64, fill: RGBAColor| {
+        Rectangle::new([(b.from_s, bottom), (b.to_s, top)], fill.filled())
+    };
+    for b in &t.bars {
+        let at = row.get(b.machine.as_str()).copied().unwrap_or(0) as f64;
+        let fill = match &b.class {
+            None => BLACK.mix(0.18),
+            // Tasks overlap: the darker, the fuller.
+            Some(c) => colour(classes.iter().position(|x| x == c).unwrap_or(0)).mix(0.28),
+        };
+        chart.draw_series([rectangle(b, at + 0.92, at + 0.08, fill)])?;
+    }
+    for b in &t.bands {
+        let to = b.to_s.max(b.from_s + end / 400.0);
+        let area = [(b.from_s, 0.0), (to, rows)];
+        chart.draw_series([Rectangle::new(area, RED.mix(0.06).filled())])?;
+    }
+    root.present()?;
+    Ok(())
+}
+
+/// All plots of a night with their titles.
+pub fn all(t: &Timeline) -> Vec<(String, String)> {
+    let of = |get: &dyn Fn(&Point) -> f64| -> Vec<(f64, f64)> {
+        t.points.iter().map(|p| (p.at_s, get(p))).collect()
+    };
+    let levels = t.points.iter().map(|p| p.waiting.len()).max().unwrap_or(0);
+    let names = ["short level", "middle level", "long level"];
+    let waiting: Vec<Series> = (0..levels)
+        .map(|l| {
+            let name = names.get(l).copied().unwrap_or("level");
+            (
+                name,
+                of(&|p| p.waiting.get(l).copied().map_or(0.0, f64::from)),
+            )
+        })
+        .collect();
+    let mut out = vec![
+        (
+            "Machines".to_string(),
+            lines(
+                &[
+                    ("up", of(&|p| f64::from(p.up))),
+                    ("booting", of(&|p| f64::from(p.booting))),
+                ],
+                &t.bands,
+            ),
+        ),
+        (
+            "CPUs".to_string(),
+            lines(
+                &[
+                    ("up", of(&|p| p.cpus_up)),
+                    ("running tasks", of(&|p| p.cpus_running)),
+                    ("waiting for images", of(&|p| p.cpus_fetching)),
+                ],
+                &t.bands,
+            ),
+        ),
+        (
+            "Money an hour, at nominal prices".to_string(),
+            lines(&[("money", of(&|p| p.hourly))], &t.bands),
+        ),
+        (
+            "Jobs".to_string(),
+            lines(
+                &[
+                    ("submitted", of(&|p| f64::from(p.submitted))),
+                    ("accepted", of(&|p| f64::from(p.accepted))),
+                    ("done", of(&|p| f64::from(p.done))),
+                ],
+                &t.bands,
+            ),
+        ),
+        (
+            "Tasks waiting in each level".to_string(),
+            lines(&waiting, &t.bands),
+        ),
+        (
+            "Controllers that are up".to_string(),
+            lines(&[("up", of(&|p| f64::from(p.nodes)))], &t.bands),
+        ),
+    ];
+    if let Some(svg) = gantt(t) {
+        out.push((
+            "Machines over time: booting grey, tasks in the colour of their class".into(),
+            svg,
+        ));
+    }
+    out.retain(|(_, svg)| !svg.is_empty());
+    out
+}
--- /dev/null
+++ b/crates/rehearsal/src/report.rs
@@ -0,0 +1,258 @@
+//! The report of a night: `report.json`, and a page with plots that needs
+//! nothing but itself.
+
+use crate::log::Log;
+use crate::play::Outcome;
+use crate::plot;
+use crate::summary::{self, aim};
+use crate::timeline::{Account, Timeline, timeline};
+use anyhow::Context as _;
+use cherrywood_judge::settle::{End, tally};
+use maud::{DOCTYPE, Markup, PreEscaped, html};
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::fs::{self, File};
+use std::io::BufWriter;
+use std::path::Path;
+
+#[derive(Debug, Serialize)]
+pub struct Report {
+    pub night: String,
+    pub about: String,
+    pub seed: u64,
+    pub digest: String,
+    /// s that the night lasted, and that playing it took.
+    pub night_s: f64,
+    pub real_s: f64,
+    pub stopped: Option<String>,
+    pub good: bool,
+    /// Jobs by their end.
+    pub jobs: BTreeMap<&'static str, usize>,
+    pub unsettled: Vec<String>,
+    pub broken: Vec<String>,
+    pub ended: Vec<String>,
+    pub classes: BTreeMap<String, Class>,
+    pub aims: Vec<Reached>,
+    pub cost: f64,
+    pub price: f64,
+    pub useful_cpu_s: f64,
+    pub state_keys: usize,
+    pub state_bytes: usize,
+    pub state_over_rate: u64,
+    pub timeline: Timeline,
+}
+
+#[derive(Debug, Serialize)]
+pub struct Class {
+    pub jobs: usize,
+    pub done: usize,
+    pub done_mean_s: f64,
+    pub done_p95_s: f64,
+    pub wait_mean_s: f64,
+    pub wait_p95_s: f64,
+}
+
+#[derive(Debug, Serialize)]
+pub struct Reached {
+    pub aim: String,
+    pub wanted: f64,
+    pub got: f64,
+    pub met: bool,
+}
+
+fn name(end: End) -> &'static str {
+    match end {
+        End::Done => "done",
+        End::Cancelled => "cancelled",
+        End::Refused => "refused",
+        End::NeverAccepted => "never accepted",
+        End::Unsettled => "unsettled",
+    }
+}
+
+pub fn report(o: &Outcome) -> Report {
+    let open = o.settled.iter().filter(|(_, s)| s.end == End::Unsettled);
+    Report {
+        night: o.night.name.clone(),
+        about: o.night.about.clone(),
+        seed: o.seed,
+        digest: o.digest.clone(),
+        night_s: o.night_s,
+        real_s: o.real_s,
+        stopped: o.stopped.clone(),
+        good: o.good(),
+        jobs: tally(&o.settled)
+            .into_iter()
+            .map(|(e, n)| (name(e), n))
+            .collect(),
+        unsettled: open
+            .map(|(id, s)| format!("{id}: {}", s.evidence))
+            .collect(),
+        broken: o.breaches.iter().map(ToString::to_string).collect(),
+        ended: o.ended.clone(),
+        classes: o
+            .aims
+            .classes
+            .iter()
+            .map(|(n, c)| {
+                let c = Class {
+                    jobs: c.jobs,
+                    done: c.done,
+                    done_mean_s: c.done_mean_s,
+                    done_p95_s: c.done_p95_s,
+                    wait_mean_s: c.wait_mean_s,
+                    wait_p95_s: c.wait_p95_s,
+                };
+                (n.clone(), c)
+            })
+            .collect(),
+        aims: o
+            .aims
+            .reached
+            .iter()
+            .map(|r| {
+                let (aim, wanted) = aim(&r.aim);
+                Reached {
+                    aim,
+                    wanted,
+                    got: r.got,
+                    met: r.met,
+                }
+            })
+            .collect(),
+        cost: o.aims.cost,
+        price: o.aims.price,
+        useful_cpu_s: o.aims.useful_cpu_s,
+        state_keys: o.state.0,
+        state_bytes: o.state.1,
+        state_over_rate: o.over_rate,
+        timeline: timeline(&o.history.events),
+    }
+}
+
+/// Can a report be written there? Asked before a night is played.
+pub fn prepare(dir: &Path) -> anyhow::Result<()> {
+    let probe = dir.join("history.jsonl");
+    let made = fs::create_dir_all(dir).and_then(|()| File::create(&probe));
+    made.map(|_| ())
+        .with_context(|| format!("report directory {}", dir.display()))
+}
+
+/// Writes report.json, report.html, history.jsonl and controllers.log.
+pub fn write(dir: &Path, o: &Outcome, log: &Log) -> anyhow::Result<()> {
+    let report = report(o);
+    let file = |name: &str| {
+        let path = dir.join(name);
+        let file = File::create(&path).with_context(|| path.display().to_string());
+        file.map(BufWriter::new)
+    };
+    serde_json::to_writer_pretty(file("report.json")?, &report).context("report.json")?;
+    o.history
+        .write(&mut file("history.jsonl")?)
+        .context("history.jsonl")?;
+    let lines: Vec<String> = log.lines().iter().map(ToString::to_string).collect();
+    let text = lines.join("\n") + "\n";
+    fs::write(dir.join("controllers.log"), text).context("controllers.log")?;
+    let page = page(&report, o).into_string();
+    fs::write(dir.join("report.html"), page).context("report.html")?;
+    Ok(())
+}
+
+const STYLE: &str = "body{font:15px/1.45 system-ui,sans-serif;margin:2em auto;max-width:960px;padding:0 1em;color:#222}\
+h1{font-size:1.5em}h2{font-size:1.1em;margin-top:2em}table{border-collapse:collapse}\
+td,th{padding:.2em .8em .2em 0;text-align:left;vertical-align:top}td.n,th.n{text-align:right}\
+.bad{color:#b00020;font-weight:600}.good{color:#1b6e3c;font-weight:600}pre{background:#f5f5f2;padding:.8em;overflow:auto}\
+svg{max-width:100%;height:auto}footer{margin:3em 0 1em;color:#777;font-size:.85em}";
+
+fn page(r: &Report, o: &Outcome) -> Markup {
+    let verdict = summary::verdict(o);
+    let plots = plot::all(&r.timeline);
+    html! {
+        (DOCTYPE)
+        html lang="en" {
+            head {
+                meta charset="utf-8";
+                meta name="viewport" content="width=device-width, initial-scale=1";
+                title { "Rehearsal " (r.night) ", seed " (r.seed) }
+                style { (PreEscaped(STYLE)) }
+            }
+            body {
+                h1 { "Rehearsal " (r.night) ", seed " (r.seed) }
+                @if !r.about.is_empty() { p { (r.about) } }
+                p class=(if r.good { "good" } else { "bad" }) { (verdict) }
+                @if let Some(why) = &r.stopped { p class="bad" { "Stopped: " (why) } }
+                h2 { "Jobs" }
+                table {
+                    @for (end, n) in &r.jobs { tr { td { (end) } td.n { (n) } } }
+                }
+                table {
+                    tr { th { "class" } th.n { "jobs" } th.n { "done" } th.n { "mean s" } th.n { "95% s" }
+                         th.n { "wait s" } th.n { "95% s" } }
+                    @for (class, c) in &r.classes {
+                        tr { td { (class) } td.n { (c.jobs) } td.n { (c.done) }
+                             td.n { (fixed(c.done_mean_s)) } td.n { (fixed(c.done_p95_s)) }
+                             td.n { (fixed(c.wait_mean_s)) } td.n { (fixed(c.wait_p95_s)) } }
+                    }
+                }
+                @if !r.broken.is_empty() {
+                    h2 { "Rules broken" }
+                    ul { @for b in &r.broken { li class="bad" { (b) } } }
+                }
+                @if !r.unsettled.is_empty() {
+                    h2 { "Unsettled" }
+                    ul { @for u in &r.unsettled { li { (u) } } }
+                }
+                @if !r.ended.is_empty() {
+                    h2 { "Controllers that ended by themselves" }
+                    ul { @for e in &r.ended { li class="bad" { (e) } } }
+                }
+                h2 { "Aims" }
+                table {
+                    tr { th { "aim" } th.n { "wanted" } th.n { "got" } th {} }
+                    @for a in &r.aims {
+                        tr { td { (a.aim) } td.n { (a.wanted) } td.n { (format!("{:.3}", a.got)) }
+                             td class=(if a.met { "good" } else { "bad" }) { (if a.met { "met" } else { "missed" }) } }
+                    }
+                }
+                h2 { "Over time" }
+                p { "Shaded: troubles." }
+                @for (title, svg) in &plots { h3 { (title) } (PreEscaped(svg)) }
+                h2 { "What every paid CPU-second bought" }
+                (account(&r.timeline.account))
+                h2 { "Money" }
+                p { (format!("{:.2} spent, {:.1} CPU-hours of useful work, price {:.2}.",
+                             r.cost, r.useful_cpu_s / 3600.0, r.price)) }
+                h2 { "State service" }
+                p { (r.state_keys) " keys, " (r.state_bytes) " bytes at the end; "
+                    (r.state_over_rate) " requests over its rates." }
+                footer { "digest " (r.digest) ": blake3 of history.jsonl, first 16 digits; "
+                         (fixed(r.night_s)) " s played in " (fixed(r.real_s)) " s" }
+            }
+        }
+    }
+}
+
+fn fixed(v: f64) -> String {
+    format!("{v:.1}")
+}
+
+fn account(all: &BTreeMap<String, Account>) -> Markup {
+    let share = |part: f64, a: &Account| {
+        let sum = a.booting + a.fetching + a.useful + a.lost + a.idle;
+        format!("{:.0}%", 100.0 * part / sum.max(1e-9))
+    };
+    html! {
+        table {
+            tr { th { "type, zone, kind" } th.n { "CPU-hours" } th.n { "booting" } th.n { "fetching" }
+                 th.n { "useful" } th.n { "lost" } th.n { "idle" } }
+            @for (place, a) in all {
+                tr {
+                    td { (place) }
+                    td.n { (fixed((a.booting + a.fetching + a.useful + a.lost + a.idle) / 3600.0)) }
+                    td.n { (share(a.booting, a)) } td.n { (share(a.fetching, a)) }
+                    td.n { (share(a.useful, a)) } td.n { (share(a.lost, a)) } td.n { (share(a.idle, a)) }
+                }
+            }
+        }
+    }
+}
--- a/crates/rehearsal/tests/nights.rs
+++ b/crates/rehearsal/tests/nights.rs
@@ -1,7 +1,9 @@
 //! Whole nights, played in virtual time.
 
 use cherrywood_night::Night;
+use cherrywood_rehearsal::log::Log;
 use cherrywood_rehearsal::{Options, Outcome, play, summary};
+use tracing::Level;
 
 fn rehearse(text: &str, seed: u64) -> Outcome {
     let night = Night::parse("test", text).unwrap();
@@ -9,7 +11,9 @@
         seed,
         ..Options::default()
     };
-    play(night, &options, &mut |_| Ok(())).unwrap()
+    let log = Log::new(Level::INFO, None, false);
+    log.around(|| play(night, &options, &log, &mut |_| Ok(())))
+        .unwrap()
 }
 
 #[test]
