--- a/crates/emulator/src/proc.rs
+++ b/crates/emulator/src/proc.rs
@@ -17,7 +17,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::AbortHandle;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, Sleep, sleep};
 
 thread_local! {
     static CURRENT: RefCell<Option<Arc<str>>> = const { RefCell::new(None) };
@@ -49,6 +49,8 @@
 struct Tasks {
     frozen: bool,
     dead: bool,
+    /// ms by which every step of its tasks is late.
+    lag_ms: f64,
     waiting: Vec<Waker>,
     handles: BTreeMap<u64, AbortHandle>,
     next: u64,
@@ -119,6 +121,11 @@
         }
     }
 
+    /// It computes slower: every step comes so many ms late, give or take half.
+    pub fn set_lag(&self, ms: f64) {
+        lock(&self.tasks).lag_ms = ms;
+    }
+
     pub fn is_frozen(&self) -> bool {
         lock(&self.tasks).frozen
     }
@@ -177,7 +184,12 @@
         }
         let id = tasks.next;
         tasks.next += 1;
-        let gate = Gate { proc, id, task };
+        let gate = Gate {
+            proc,
+            id,
+            task,
+            late: None,
+        };
         let handle = tokio::spawn(gate).abort_handle();
         tasks.handles.insert(id, handle);
     }
@@ -205,11 +217,13 @@
     }
 }
 
-/// A task of a process: not polled while the process stands still.
+/// A task of a process: not polled while the process stands still, and late
+/// while it is slow.
 struct Gate {
     proc: Arc<Proc>,
     id: u64,
     task: Boxed<()>,
+    late: Option<Pin<Box<Sleep>>>,
 }
 
 impl Future for Gate {
@@ -217,7 +231,7 @@
 
     fn poll(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
         let me = self.get_mut();
-        {
+        let lag_ms = {
             let mut tasks = lock(&me.proc.tasks);
             if tasks.dead {
                 return Poll::Ready(());
@@ -226,6 +240,17 @@
                 tasks.waiting.push(cx.waker().clone());
                 return Poll::Pending;
             }
+            tasks.lag_ms
+        };
+        if lag_ms > 0.0 || me.late.is_some() {
+            let late = me.late.get_or_insert_with(|| {
+                let ms = lag_ms * (0.5 + lock(&me.proc.rng).random::<f64>());
+                Box::pin(sleep(Duration::from_secs_f64(ms / 1000.0)))
+            });
+            if late.as_mut().poll(cx).is_pending() {
+                return Poll::Pending;
+            }
+            me.late = None;
         }
         let before = CURRENT.replace(Some(me.proc.name.clone()));
         let out = me.task.as_mut().poll(cx);
--- a/crates/emulator/src/troubles.rs
+++ b/crates/emulator/src/troubles.rs
@@ -19,6 +19,8 @@
     fn kill(&self, node: usize);
     fn freeze(&self, node: usize);
     fn thaw(&self, node: usize);
+    /// Each of its steps is so many ms late from now on.
+    fn slow(&self, node: usize, lag_ms: f64);
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -191,6 +193,16 @@
                     let _ = one.await;
                 }
             }
+            Trouble::NodeSlow(t) => {
+                let hit = self.who(t.who);
+                for n in &hit {
+                    self.nodes.slow(*n, t.lag_ms);
+                }
+                wait(for_s).await;
+                for n in &hit {
+                    self.nodes.slow(*n, 0.0);
+                }
+            }
             Trouble::NodeCut(t) => {
                 let ip = |n: usize| self.world.addresses.nodes[n].0.ip();
                 let hosts: Vec<_> = self.who(t.who).into_iter().map(ip).collect();
--- a/crates/night/src/draw.rs
+++ b/crates/night/src/draw.rs
@@ -24,6 +24,7 @@
     NodeCrash,
     NodeRoll,
     NodeFreeze,
+    NodeSlow,
     NodeCut,
     NodeRefused,
     PeersRefuse,
@@ -117,6 +118,12 @@
                 every_s: for_s,
             }),
             Kind::NodeFreeze => Trouble::NodeFreeze(NodeFreeze { at_s, for_s, who }),
+            Kind::NodeSlow => Trouble::NodeSlow(NodeSlow {
+                at_s,
+                for_s,
+                who,
+                lag_ms: (for_s * 10.0).round(),
+            }),
             Kind::NodeCut => Trouble::NodeCut(NodeCut {
                 at_s,
                 for_s,
--- a/crates/night/src/trouble.rs
+++ b/crates/night/src/trouble.rs
@@ -109,6 +109,17 @@
         #[garde(skip)]
         who: Who,
     }
+    /// Controllers compute slower: whatever they do comes this much later.
+    NodeSlow {
+        #[garde(range(min = 0.1, max = 3600.0))]
+        for_s: f64,
+        #[serde(default)]
+        #[garde(skip)]
+        who: Who,
+        /// ms that each step is late, give or take half.
+        #[garde(range(min = 1.0, max = 10_000.0))]
+        lag_ms: f64,
+    }
     /// Controllers lose the network, or a part of it.
     NodeCut {
         #[garde(range(min = 0.1, max = 3600.0))]
@@ -323,6 +334,7 @@
             T::NodeCrash(_) | T::NodeRoll(_) | T::MachineDie(_) => None,
             T::SpotWave(t) => Some(t.over_s),
             T::NodeFreeze(t) => Some(t.for_s),
+            T::NodeSlow(t) => Some(t.for_s),
             T::NodeCut(t) => Some(t.for_s),
             T::NodeRefused(t) => Some(t.for_s),
             T::PeersRefuse(t) => Some(t.for_s),
@@ -352,6 +364,7 @@
             T::NodeCrash(_) => "node_crash",
             T::NodeRoll(_) => "node_roll",
             T::NodeFreeze(_) => "node_freeze",
+            T::NodeSlow(_) => "node_slow",
             T::NodeCut(_) => "node_cut",
             T::NodeRefused(_) => "node_refused",
             T::PeersRefuse(_) => "peers_refuse",
@@ -377,12 +390,12 @@
     }
 
     /// Can it be made with real processes on loopback? Paths between them can't
-    /// be broken there.
+    /// be broken there, nor their processor be slowed.
     pub fn on_loopback(&self) -> bool {
         use Trouble as T;
         !matches!(
             self,
-            T::NodeCut(_) | T::PeersRefuse(_) | T::MachineCut(_) | T::ZoneCut(_)
+            T::NodeSlow(_) | T::NodeCut(_) | T::PeersRefuse(_) | T::MachineCut(_) | T::ZoneCut(_)
         )
     }
 }
--- a/crates/rehearsal/src/nodes.rs
+++ b/crates/rehearsal/src/nodes.rs
@@ -177,6 +177,12 @@
         }
     }
 
+    fn slow(&self, node: usize, lag_ms: f64) {
+        if let Some(proc) = &lock(&self.0.slots)[node].proc {
+            proc.set_lag(lag_ms);
+        }
+    }
+
     fn thaw(&self, node: usize) {
         let proc = lock(&self.0.slots)[node].proc.clone();
         if let Some(proc) = proc {
