--- a/crates/night/src/lib.rs
+++ b/crates/night/src/lib.rs
@@ -69,6 +69,18 @@
 }
 
 impl Night {
+    /// Only its first so many seconds.
+    #[must_use]
+    pub fn first(mut self, s: f64) -> Night {
+        self.play_s = self.play_s.min(s);
+        self.troubles.retain(|t| t.at_s() < s);
+        self.drawn.retain(|d| d.from_s < s);
+        for d in &mut self.drawn {
+            d.to_s = d.to_s.min(s);
+        }
+        self
+    }
+
     /// The same night at another size: machines, teams and traffic times `by`.
     #[must_use]
     pub fn scaled(mut self, by: f64) -> Night {
--- a/crates/rehearsal/src/command.rs
+++ b/crates/rehearsal/src/command.rs
@@ -1,5 +1,6 @@
 //! `cherrywood rehearse`, and `cherrywood schema`.
 
+use crate::live::Live;
 use crate::log::Log;
 use crate::play::{Options, Scene, play};
 use crate::{report, summary};
@@ -7,7 +8,7 @@
 use cherrywood_night::file::read;
 use cherrywood_node::settings::Settings;
 use clap::{Args, ValueEnum};
-use indicatif::{ProgressBar, ProgressStyle};
+use indicatif::{ProgressBar, ProgressDrawTarget, ProgressStyle};
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -35,6 +36,23 @@
     /// Machines, teams and traffic times this.
     #[arg(long, default_value_t = 1.0, value_name = "TIMES")]
     pub scale: f64,
+    /// Play only so many seconds of it, with the troubles in them.
+    #[arg(long, value_name = "S")]
+    pub play: Option<f64>,
+    /// Run the controllers as processes on loopback, in real time.
+    #[arg(long, conflicts_with = "live")]
+    pub processes: bool,
+    /// First port on loopback of a night with processes.
+    #[arg(
+        long,
+        default_value_t = 21_000,
+        value_name = "PORT",
+        requires = "processes"
+    )]
+    pub port: u16,
+    /// Watch it on the terminal: pause, single steps, speed.
+    #[arg(long, conflicts_with_all = ["log"])]
+    pub live: bool,
     /// The operators' own settings (YAML).
     #[arg(long, value_name = "FILE")]
     pub operator: Option<PathBuf>,
@@ -89,8 +107,23 @@
     let options = Options {
         seed: args.seed,
         operator,
+        processes: args.processes.then_some(args.port),
     };
-    Ok((night.scaled(args.scale), options))
+    let mut night = night.scaled(args.scale);
+    if let Some(s) = args.play {
+        if !(10.0..=night.play_s).contains(&s) {
+            anyhow::bail!("--play: 10 to {} s is allowed, found {s}", night.play_s);
+        }
+        night = night.first(s);
+    }
+    if options.processes.is_some() {
+        let out = night.all_troubles(options.seed);
+        let out = out.iter().filter(|t| !t.on_loopback()).map(|t| t.name());
+        for name in out.collect::<std::collections::BTreeSet<_>>() {
+            eprintln!("cherrywood: {name} can't be made with processes, and is left out");
+        }
+    }
+    Ok((night, options))
 }
 
 pub fn rehearse(args: &RehearseArgs) -> u8 {
@@ -115,7 +148,20 @@
     let level = args.log.map_or(Level::INFO, LogLevel::level);
     let log = Log::new(level, args.trace.clone(), args.log.is_some());
     let play_s = night.play_s;
+    let mut live = match args.live.then(Live::new).transpose() {
+        Ok(live) => live,
+        Err(e) => {
+            eprintln!("cherrywood: --live needs a terminal: {e}");
+            return BAD_INPUT;
+        }
+    };
+    if live.is_some() {
+        bar.set_draw_target(ProgressDrawTarget::hidden());
+    }
     let mut watch = |scene: &Scene| {
+        if let Some(live) = &mut live {
+            live.look(scene)?;
+        }
         let now = scene.world.now_s();
         bar.set_position(now.min(play_s) as u64);
         if now >= play_s {
@@ -128,6 +174,7 @@
     };
     let played = log.around(|| play(night, &options, &log, &mut watch));
     bar.finish_and_clear();
+    drop(live);
     let outcome = match played {
         Ok(outcome) => outcome,
         Err(e) => {
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -2,10 +2,12 @@
 //! systems, in virtual time on one thread or as real processes on loopback.
 
 pub mod command;
+pub mod live;
 pub mod log;
 pub mod nodes;
 pub mod play;
 pub mod plot;
+pub mod processes;
 pub mod report;
 pub mod summary;
 pub mod timeline;
--- a/crates/rehearsal/src/log.rs
+++ b/crates/rehearsal/src/log.rs
@@ -121,8 +121,19 @@
         tracing::subscriber::with_default(subscriber, work)
     }
 
+    /// A line that a controller printed which is a process of its own.
+    pub fn printed(&self, node: &str, text: &str) {
+        let (level, text) = text.trim_start().split_once(' ').unwrap_or(("INFO", text));
+        let level = level.parse().unwrap_or(Level::INFO);
+        self.keep_of(node, level, text.trim().to_string(), false);
+    }
+
     fn keep(&self, level: Level, text: String, life: bool) {
         let node = proc::current().unwrap_or_else(|| "tool".into());
+        self.keep_of(&node, level, text, life);
+    }
+
+    fn keep_of(&self, node: &str, level: Level, text: String, life: bool) {
         let mut kept = self.lock();
         let Some(start) = kept.start else { return };
         let line = Line {
--- a/crates/rehearsal/src/play.rs
+++ b/crates/rehearsal/src/play.rs
@@ -2,10 +2,12 @@
 
 use crate::log::Log;
 use crate::nodes::{InProcess, Shared};
-use cherrywood_emulator::{Cloud, StateHost, Troubles, Users, World};
+use crate::processes::Processes;
+use cherrywood_emulator::{Cloud, Nodes, StateHost, Troubles, Users, World};
 use cherrywood_judge::settle::{Settled, settle};
 use cherrywood_judge::{Aims, Breach, History, Judge, What, aims};
 use cherrywood_night::Night;
+use cherrywood_node::node::View;
 use cherrywood_node::settings::Operator;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -22,6 +24,8 @@
 pub struct Options {
     pub seed: u64,
     pub operator: Operator,
+    /// Play with real processes on loopback, from this port on, in real time.
+    pub processes: Option<u16>,
 }
 
 /// What the watcher of a night may see, four times a virtual second.
@@ -31,7 +35,31 @@
     pub cloud: &'a Arc<Cloud>,
     pub users: &'a Arc<Users>,
     pub troubles: &'a Arc<Troubles>,
-    pub nodes: &'a Arc<InProcess>,
+    pub controllers: &'a Controllers,
+}
+
+/// Controllers as tasks of this process, or as processes of their own.
+pub enum Controllers {
+    Inside(Arc<InProcess>),
+    Processes(Arc<Processes>),
+}
+
+impl Controllers {
+    /// How one looks from inside, where that can be seen.
+    pub fn view(&self, node: usize) -> Option<View> {
+        match self {
+            Controllers::Inside(all) => all.view(node),
+            Controllers::Processes(_) => None,
+        }
+    }
+
+    /// Those that ended by themselves since the last look, and why.
+    fn ended(&self) -> Vec<(usize, String)> {
+        match self {
+            Controllers::Inside(all) => all.ended(),
+            Controllers::Processes(all) => all.ended(),
+        }
+    }
 }
 
 /// Goes on, or why it ends early.
@@ -75,17 +103,19 @@
     }
 }
 
-/// Plays a night in virtual time, on this thread.
+/// Plays a night on this thread: in virtual time, or with real processes.
 pub fn play(
     night: Night,
     options: &Options,
     log: &Log,
     watch: &mut dyn FnMut(&Scene) -> Verdict,
 ) -> anyhow::Result<Outcome> {
-    let rt = tokio::runtime::Builder::new_current_thread()
-        .enable_time()
-        .start_paused(true)
-        .build()?;
+    let mut rt = tokio::runtime::Builder::new_current_thread();
+    let rt = match options.processes {
+        // Nothing outside this thread: virtual time needs no other events.
+        None => rt.enable_time().start_paused(true).build()?,
+        Some(_) => rt.enable_all().build()?,
+    };
     let began = Instant::now();
     let mut outcome = rt.block_on(run(night, options, log, watch))?;
     outcome.real_s = began.elapsed().as_secs_f64();
@@ -98,13 +128,22 @@
     log: &Log,
     watch: &mut dyn FnMut(&Scene) -> Verdict,
 ) -> anyhow::Result<Outcome> {
-    let world = World::new(night.clone(), options.seed, None);
+    let world = World::new(night.clone(), options.seed, options.processes);
     log.begin();
     let state = StateHost::start(&world).await?;
     let cloud = Cloud::start(&world).await?;
     let users = Users::start(&world);
-    let nodes = InProcess::new(&world, options.operator.clone());
-    let troubles = Troubles::new(&world, &state, &cloud, Arc::new(Shared(nodes.clone())));
+    let (controllers, nodes): (_, Arc<dyn Nodes>) = match options.processes {
+        None => {
+            let all = InProcess::new(&world, options.operator.clone());
+            (Controllers::Inside(all.clone()), Arc::new(Shared(all)))
+        }
+        Some(_) => {
+            let all = Processes::new(&world, &options.operator, log)?;
+            (Controllers::Processes(all.clone()), all)
+        }
+    };
+    let troubles = Troubles::new(&world, &state, &cloud, nodes);
     troubles.start();
     let scene = Scene {
         world: &world,
@@ -112,7 +151,7 @@
         cloud: &cloud,
         users: &users,
         troubles: &troubles,
-        nodes: &nodes,
+        controllers: &controllers,
     };
     let mut quiet_since: Option<f64> = None;
     let mut waiting_at = 0.0;
@@ -120,13 +159,13 @@
     loop {
         tokio::time::sleep(Duration::from_secs_f64(LOOK_S)).await;
         let now = world.now_s();
-        for (node, why) in nodes.ended() {
+        for (node, why) in controllers.ended() {
             ended.push(format!("{}: {why}", world.node_name(node)));
             troubles.ended(node, &why);
         }
         if now >= waiting_at {
             waiting_at += WAITING_EVERY_S;
-            let views = (0..world.addresses.nodes.len()).filter_map(|n| nodes.view(n));
+            let views = (0..world.addresses.nodes.len()).filter_map(|n| controllers.view(n));
             if let Some(leader) = views.filter(|v| v.epoch.is_some()).last() {
                 let levels = leader.waiting;
                 world.record(What::Waiting { levels });
@@ -151,6 +190,9 @@
             break;
         }
     }
+    if let Controllers::Processes(all) = &controllers {
+        all.stop();
+    }
     cloud.close();
     let night_s = world.now_s();
     let (sizes, over_rate) = (state.size(), state.over_rate());
--- /dev/null
+++ b/crates/rehearsal/src/processes.rs
@@ -0,0 +1,144 @@
+//! Controllers as real processes on loopback, started and killed by the tool.
+//! None of them outlives it.
+
+use crate::log::Log;
+use crate::nodes::platform;
+use anyhow::Context as _;
+use cherrywood_emulator::{Nodes, World};
+use cherrywood_node::settings::Operator;
+use rustix::process::{Pid, Signal, kill_process};
+use std::io::{BufRead as _, BufReader};
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tempfile::TempDir;
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+pub struct Processes {
+    names: Vec<String>,
+    program: PathBuf,
+    /// Settings files; gone with this.
+    dir: TempDir,
+    children: Mutex<Vec<Option<Child>>>,
+    failed: Mutex<Vec<(usize, String)>>,
+    log: Log,
+}
+
+impl Processes {
+    pub fn new(world: &World, operator: &Operator, log: &Log) -> anyhow::Result<Arc<Processes>> {
+        let dir = tempfile::tempdir().context("a directory for settings")?;
+        let count = world.addresses.nodes.len();
+        for node in 0..count {
+            // A port that is taken is told now, not by a controller that ends.
+            let (users, peers) = world.addresses.nodes[node];
+            for at in [users, peers] {
+                TcpListener::bind(at).with_context(|| at.to_string())?;
+            }
+            let text = toml::to_string(&platform(world, node)).context("settings")?;
+            std::fs::write(dir.path().join(format!("{node}.toml")), text)?;
+        }
+        let yaml = serde_json::to_string(operator).context("operator settings")?;
+        std::fs::write(dir.path().join("operator.yaml"), yaml)?;
+        Ok(Arc::new(Processes {
+            names: (0..count).map(|n| world.node_name(n)).collect(),
+            program: std::env::current_exe().context("this program")?,
+            dir,
+            children: Mutex::new((0..count).map(|_| None).collect()),
+            failed: Mutex::default(),
+            log: log.clone(),
+        }))
+    }
+
+    /// Those that ended by themselves since the last look.
+    pub fn ended(&self) -> Vec<(usize, String)> {
+        let mut ended = std::mem::take(&mut *lock(&self.failed));
+        for (node, slot) in lock(&self.children).iter_mut().enumerate() {
+            if let Some(child) = slot
+                && let Ok(Some(status)) = child.try_wait()
+            {
+                ended.push((node, status.to_string()));
+                *slot = None;
+            }
+        }
+        ended
+    }
+
+    /// Ends all of them.
+    pub fn stop(&self) {
+        for slot in lock(&self.children).iter_mut() {
+            end(slot.take());
+        }
+    }
+
+    fn signal(&self, node: usize, signal: Signal) {
+        let children = lock(&self.children);
+        if let Some(child) = &children[node]
+            && let Some(pid) = Pid::from_raw(child.id().cast_signed())
+        {
+            // One that has ended needs no signal.
+            let _ = kill_process(pid, signal);
+        }
+    }
+}
+
+fn end(child: Option<Child>) {
+    if let Some(mut child) = child {
+        let _ = child.kill();
+        let _ = child.wait();
+    }
+}
+
+impl Drop for Processes {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+impl Nodes for Processes {
+    fn start(&self, node: usize) {
+        let spawned = Command::new(&self.program)
+            .arg("--operator")
+            .arg(self.dir.path().join("operator.yaml"))
+            .arg("--config")
+            .arg(self.dir.path().join(format!("{node}.toml")))
+            .env("LOG_LEVEL", "info")
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(Stdio::piped())
+            .spawn();
+        match spawned {
+            Ok(mut child) => {
+                if let Some(out) = child.stderr.take() {
+                    let (log, name) = (self.log.clone(), self.names[node].clone());
+                    std::thread::spawn(move || {
+                        for line in BufReader::new(out).lines().map_while(Result::ok) {
+                            log.printed(&name, &line);
+                        }
+                    });
+                }
+                lock(&self.children)[node] = Some(child);
+            }
+            Err(e) => lock(&self.failed).push((node, e.to_string())),
+        }
+    }
+
+    fn kill(&self, node: usize) {
+        let child = lock(&self.children)[node].take();
+        end(child);
+    }
+
+    fn freeze(&self, node: usize) {
+        self.signal(node, Signal::STOP);
+    }
+
+    fn thaw(&self, node: usize) {
+        self.signal(node, Signal::CONT);
+    }
+
+    /// A processor can't be slowed from outside.
+    fn slow(&self, _: usize, _: f64) {}
+}
