--- a/crates/cherrywood/src/cli.rs
+++ b/crates/cherrywood/src/cli.rs
@@ -22,6 +22,9 @@
     /// Check the settings and exit.
     #[arg(long, requires = "config")]
     pub check: bool,
+    /// End when standard input does: whoever started this is gone then.
+    #[arg(long, requires = "config", hide = true)]
+    pub until_stdin_ends: bool,
     #[command(subcommand)]
     pub command: Option<Command>,
 }
--- a/crates/cherrywood/src/main.rs
+++ b/crates/cherrywood/src/main.rs
@@ -63,6 +63,12 @@
         .without_time()
         .with_target(false)
         .init();
+    if args.until_stdin_ends {
+        std::thread::spawn(|| {
+            let _ = std::io::copy(&mut std::io::stdin(), &mut std::io::sink());
+            std::process::exit(0);
+        });
+    }
     match runtime.block_on(cherrywood_node::run(Host::machine(), settings)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
--- a/crates/control/src/cluster.rs
+++ b/crates/control/src/cluster.rs
@@ -1,5 +1,6 @@
 //! What the platform's settings say about the deployment.
 
+pub use cherrywood_sched::Aging;
 use serde::{Deserialize, Deserializer, Serialize};
 
 /// Guarantees and limits. A guest team has neither: a limit of 0, or none at
@@ -57,8 +58,30 @@
     pub within_s: f64,
 }
 
+/// What operators may choose; the defaults are the design.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Policy {
+    /// Never rent machines at the full price.
+    pub cheap_only: bool,
+    /// Three levels by median estimate; else one, first come first served.
+    pub levels: bool,
+    pub aging: Aging,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Policy {
+            cheap_only: false,
+            levels: true,
+            aging: Aging::default(),
+        }
+    }
+}
+
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Settings {
+    #[serde(skip)]
+    pub policy: Policy,
     #[serde(default)]
     pub objectives: Vec<Objective>,
     #[serde(default)]
--- a/crates/control/src/leader/fleet.rs
+++ b/crates/control/src/leader/fleet.rs
@@ -377,7 +377,7 @@
             }
             for zone in &t.zones {
                 for spot in [true, false] {
-                    if self.cheap_only && !spot {
+                    if self.settings.policy.cheap_only && !spot {
                         continue;
                     }
                     let price = if spot { t.spot_price } else { Some(t.price) };
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -261,8 +261,6 @@
     /// Keys whose marks must be read again.
     pub reread: BTreeSet<String>,
     pub deposed: bool,
-    /// Operators' wish: no machine at the full price.
-    pub cheap_only: bool,
 }
 
 /// What a new leader reads before it acts.
@@ -297,6 +295,7 @@
             mark,
             counter: 0,
             rent_counter: 0,
+            queue: Queue::new(settings.policy.aging),
             settings,
             timing,
             since: now,
@@ -312,7 +311,6 @@
             freed: Vec::new(),
             doubt: None,
             usage: HashMap::new(),
-            queue: Queue::new(),
             delayed: Vec::new(),
             planned: BTreeSet::new(),
             hints: HashMap::new(),
@@ -323,7 +321,6 @@
             bad_boots: BTreeSet::new(),
             reread: BTreeSet::new(),
             deposed: false,
-            cheap_only: false,
         };
         leader.inherit(from, now);
         leader
@@ -432,7 +429,7 @@
         let no = self.next_job;
         self.next_job += 1;
         let key = spec.key();
-        let level = self.predictor.level(&key, now);
+        let level = self.level(&key, now);
         crate::life!(
             spec.id,
             level,
@@ -637,6 +634,15 @@
         count(&mut self.usage, &mut self.jobs, p, zone, sign);
     }
 
+    /// The level in which tasks of this key wait.
+    fn level(&mut self, key: &str, now: f64) -> usize {
+        if self.settings.policy.levels {
+            self.predictor.level(key, now)
+        } else {
+            limits::MIDDLE
+        }
+    }
+
     /// A placement is off its machine for certain; its task waits again
     /// unless it is finished or its job is over.
     fn free(&mut self, p: &Placement, zone: &str, now: f64, delay_s: f64) {
@@ -654,7 +660,8 @@
         if delay_s > 0.0 {
             self.delayed.push((now + delay_s, no, p.task));
         } else {
-            let level = self.predictor.level(&job.key, now);
+            let key = job.key.clone();
+            let level = self.level(&key, now);
             self.queue.push_front(level, no, p.task, now);
         }
     }
--- a/crates/control/src/leader/placing.rs
+++ b/crates/control/src/leader/placing.rs
@@ -157,7 +157,8 @@
         self.delayed = later;
         for (_, no, task) in due {
             if let Some(job) = self.jobs.get(&no) {
-                let level = self.predictor.level(&job.key, now);
+                let key = job.key.clone();
+                let level = self.level(&key, now);
                 self.queue.push_front(level, no, task, now);
             }
         }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -15,7 +15,7 @@
 pub mod leader;
 pub mod timing;
 
-pub use cluster::{Settings, Team};
+pub use cluster::{Policy, Settings, Team};
 pub use holder::Holder;
 pub use leader::Leader;
 pub use timing::Timing;
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -99,6 +99,7 @@
 
 pub fn settings() -> Settings {
     Settings {
+        policy: cherrywood_control::Policy::default(),
         objectives: vec![Objective {
             kind: "finished".into(),
             class: "aimed".into(),
--- a/crates/node/src/loops/lead.rs
+++ b/crates/node/src/loops/lead.rs
@@ -161,10 +161,10 @@
     from.jobs = rows.into_iter().map(|i| (i.value, i.version)).collect();
     from.wall_ms = node.host.wall_ms();
     let types = node.core().types.clone();
-    let cluster = node.settings.platform.deployment.cluster.clone();
+    let mut cluster = node.settings.platform.deployment.cluster.clone();
+    cluster.policy = node.settings.operator.policy();
     let now = node.now();
-    let mut leader = Leader::new(epoch, mark, cluster, types, from, now);
-    leader.cheap_only = node.settings.operator.cheap_only;
+    let leader = Leader::new(epoch, mark, cluster, types, from, now);
     info!(epoch, "took over: {}", leader.summary());
     let mut core = node.core();
     if core.lease != lease {
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -56,6 +56,56 @@
     /// Never rent machines at the full price.
     #[garde(skip)]
     pub cheap_only: bool,
+    #[garde(dive)]
+    pub scheduler: Scheduler,
+}
+
+/// Parts of the order of service that experiments switch off.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema, Validate)]
+#[serde(deny_unknown_fields, default)]
+pub struct Scheduler {
+    /// Three levels by median estimate; else one, first come first served.
+    #[garde(skip)]
+    pub levels: bool,
+    #[garde(skip)]
+    pub aging: Aging,
+}
+
+impl Default for Scheduler {
+    fn default() -> Self {
+        Scheduler {
+            levels: true,
+            aging: Aging::default(),
+        }
+    }
+}
+
+/// How waiting tasks rise to the next level.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum Aging {
+    /// The design's: not while the level above is behind.
+    #[default]
+    Pausing,
+    /// Whatever the level above does.
+    Plain,
+    #[serde(rename = "none")]
+    Off,
+}
+
+impl Operator {
+    pub fn policy(&self) -> cherrywood_control::Policy {
+        use cherrywood_control::cluster::Aging as Rise;
+        cherrywood_control::Policy {
+            cheap_only: self.cheap_only,
+            levels: self.scheduler.levels,
+            aging: match self.scheduler.aging {
+                Aging::Pausing => Rise::Pausing,
+                Aging::Plain => Rise::Plain,
+                Aging::Off => Rise::Off,
+            },
+        }
+    }
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
--- a/crates/rehearsal/src/nodes.rs
+++ b/crates/rehearsal/src/nodes.rs
@@ -57,6 +57,7 @@
                 sockets: d.node.sockets as usize,
             },
             cluster: Cluster {
+                policy: cherrywood_control::Policy::default(),
                 objectives: d.aims.iter().filter_map(objective).collect(),
                 teams: d
                     .teams
--- a/crates/rehearsal/src/processes.rs
+++ b/crates/rehearsal/src/processes.rs
@@ -9,6 +9,7 @@
 use rustix::process::{Pid, Signal, kill_process};
 use std::io::{BufRead as _, BufReader};
 use std::net::TcpListener;
+use std::os::unix::process::CommandExt as _;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -105,8 +106,12 @@
             .arg(self.dir.path().join("operator.yaml"))
             .arg("--config")
             .arg(self.dir.path().join(format!("{node}.toml")))
+            .arg("--until-stdin-ends")
             .env("LOG_LEVEL", "info")
-            .stdin(Stdio::null())
+            // Ctrl-C is for the tool; and a pipe that ends with it, however it
+            // ends, so that no controller stays behind.
+            .process_group(0)
+            .stdin(Stdio::piped())
             .stdout(Stdio::null())
             .stderr(Stdio::piped())
             .spawn();
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -8,4 +8,4 @@
 pub mod queue;
 
 pub use predictor::Predictor;
-pub use queue::Queue;
+pub use queue::{Aging, Queue};
--- a/crates/sched/src/queue.rs
+++ b/crates/sched/src/queue.rs
@@ -23,11 +23,23 @@
     }
 }
 
+/// How waiting tasks rise.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Aging {
+    /// The design's: not while the level above is behind.
+    #[default]
+    Pausing,
+    /// Whatever the level above does.
+    Plain,
+    Off,
+}
+
 #[derive(Debug)]
 pub struct Queue<J> {
     levels: [VecDeque<Run<J>>; limits::LEVELS],
     clocks: [f64; limits::LEVELS],
     aged: f64,
+    aging: Aging,
 }
 
 /// A run that could be served, and where it stands until the queue changes.
@@ -43,13 +55,14 @@
 
 impl<J: Clone + PartialEq> Default for Queue<J> {
     fn default() -> Self {
-        Self::new()
+        Self::new(Aging::default())
     }
 }
 
 impl<J: Clone + PartialEq> Queue<J> {
-    pub fn new() -> Self {
+    pub fn new(aging: Aging) -> Self {
         Queue {
+            aging,
             levels: Default::default(),
             clocks: [0.0; limits::LEVELS],
             aged: f64::NEG_INFINITY,
@@ -175,7 +188,7 @@
     /// long enough moves to the back of the next level, unless that level is
     /// behind (holds promoted tasks, and its oldest has waited as long).
     pub fn age(&mut self, now: f64) {
-        if now - self.aged < limits::AGING_EVERY_S {
+        if self.aging == Aging::Off || now - self.aged < limits::AGING_EVERY_S {
             return;
         }
         self.aged = now;
@@ -187,7 +200,8 @@
                 continue;
             }
             let above = l - 1;
-            let behind = self.levels[above].iter().any(|r| r.promoted)
+            let behind = self.aging == Aging::Pausing
+                && self.levels[above].iter().any(|r| r.promoted)
                 && self
                     .oldest(above)
                     .is_some_and(|(_, s)| now - s >= limits::AGING_S);
@@ -238,7 +252,7 @@
 
     #[test]
     fn shares_are_8_3_1_while_all_levels_have_work() {
-        let mut q = Queue::new();
+        let mut q = Queue::default();
         for l in 0..3 {
             q.push(l, l, 0, 1000, 0.0);
         }
@@ -255,7 +269,7 @@
     /// A group of tasks costs its level what its tasks would one by one.
     #[test]
     fn a_group_is_charged_for_each_task() {
-        let mut q = Queue::new();
+        let mut q = Queue::default();
         for l in 0..3 {
             q.push(l, l, 0, 1000, 0.0);
         }
@@ -273,7 +287,7 @@
 
     #[test]
     fn an_emptied_level_saves_no_credit() {
-        let mut q = Queue::new();
+        let mut q = Queue::default();
         q.push(2, 2, 0, 100, 0.0);
         for _ in 0..50 {
             one(&mut q, |_, _| true);
@@ -288,7 +302,7 @@
 
     #[test]
     fn aging_lifts_one_task_and_pauses_while_the_level_above_is_behind() {
-        let mut q = Queue::new();
+        let mut q = Queue::default();
         q.push(2, 'x', 0, 10, 0.0);
         q.age(4.9);
         assert_eq!(q.level_len(2), 10);
@@ -310,9 +324,25 @@
         assert_eq!(lens(&q), [7, 1, 2]);
     }
 
+    #[test]
+    fn plain_aging_never_pauses_and_none_never_starts() {
+        let risen = |aging| {
+            let mut q = Queue::new(aging);
+            q.push(2, 'x', 0, 40, 0.0);
+            q.push(1, 'y', 0, 40, 0.0);
+            for tick in 10..40 {
+                q.age(f64::from(tick) * 0.5);
+            }
+            q.level_len(2)
+        };
+        let (pausing, plain) = (risen(Aging::Pausing), risen(Aging::Plain));
+        assert!(plain < pausing && pausing < 40, "{plain} {pausing}");
+        assert_eq!(risen(Aging::Off), 40);
+    }
+
     #[test]
     fn a_returning_task_goes_first_and_ineligible_jobs_are_passed_over() {
-        let mut q = Queue::new();
+        let mut q = Queue::default();
         q.push(1, 'a', 0, 2, 0.0);
         q.push(1, 'b', 0, 1, 0.0);
         q.push_front(1, 'b', 7, 0.0);
