--- a/crates/cherrywood/src/cli.rs
+++ b/crates/cherrywood/src/cli.rs
@@ -3,7 +3,7 @@
 use anyhow::{Context as _, bail};
 use cherrywood_net::Host;
 use cherrywood_net::client::Client;
-use cherrywood_rehearsal::command::{RehearseArgs, Schema};
+use cherrywood_rehearsal::command::{ExperimentArgs, RehearseArgs, Schema};
 use cherrywood_wire::user::{JobStatus, Submission};
 use clap::{Parser, Subcommand};
 use std::net::SocketAddr;
@@ -32,6 +32,7 @@
 #[derive(Debug, Subcommand)]
 pub enum Command {
     Rehearse(RehearseArgs),
+    Experiment(ExperimentArgs),
     /// Print the JSON Schema of a file.
     Schema {
         of: Schema,
--- a/crates/emulator/src/jobs.rs
+++ b/crates/emulator/src/jobs.rs
@@ -8,7 +8,6 @@
 use rand::Rng;
 use rand_distr::StandardNormal;
 use rand_pcg::Pcg64;
-use std::collections::HashSet;
 
 /// Standard deviations that 95 of 100 values lie below.
 const SD_95: f64 = 1.645;
@@ -24,18 +23,29 @@
     pub submission: Submission,
     pub upload: Upload,
     pub job: Job,
-    pub cancels: bool,
-    pub mistaken: bool,
+    /// s after acceptance at which its user cancels it.
+    pub cancel_after_s: Option<f64>,
+    /// Runs until then, or until the end of play.
+    pub job_stands: bool,
     pub repeats: bool,
-    pub stands_s: Option<f64>,
 }
 
+/// s after acceptance in which a user who cancels does so.
+const CANCEL_AFTER_S: (f64, f64) = (5.0, 60.0);
+/// s after which the user of a job with a mistake gives it up.
+const MISTAKE_AFTER_S: (f64, f64) = (60.0, 120.0);
+
+/// Where the jobs of one class come from.
 #[derive(Debug)]
 pub struct Shop {
     rng: Pcg64,
-    /// Of each class: name, GB, and how often each image is used, summed up.
-    images: Vec<Vec<(String, f64, f64)>>,
-    taken: HashSet<u32>,
+    class: usize,
+    /// Name, GB, and how often each image is used, summed up.
+    images: Vec<(String, f64, f64)>,
+    /// Numbers of its jobs, in no order; classes share them out.
+    next: u32,
+    step: u32,
+    classes: u32,
 }
 
 fn draw(rng: &mut Pcg64, s: &Spread) -> f64 {
@@ -49,35 +59,40 @@
     (v * 100.0).round() / 100.0
 }
 
+/// Job numbers, and steps that visit all of them: primes, which have no divisor in common
+/// with their count.
+const NUMBERS: u32 = 1_000_000;
+const STEPS: [u32; 4] = [104_729, 224_737, 350_377, 479_909];
+
 impl Shop {
-    pub fn new(world: &World) -> Shop {
-        let mut rng = world.rng("jobs");
-        let classes = world.night.workload.classes.iter();
-        let images = classes.map(|c| {
+    pub fn all(world: &World) -> Vec<Shop> {
+        let classes = &world.night.workload.classes;
+        let one = |(class, c): (usize, &Class)| {
+            let mut rng = world.rng(&format!("jobs of {}", c.name));
             let mut sum = 0.0;
-            (0..c.images.count)
-                .map(|i| {
-                    sum += libm::pow(f64::from(i + 1), -c.images.zipf);
-                    let gb = round(draw(&mut rng, &c.images.gb)).max(0.01);
-                    (format!("img-{}-{i}", c.name), gb, sum)
-                })
-                .collect()
-        });
-        let images = images.collect();
-        Shop {
-            rng,
-            images,
-            taken: HashSet::new(),
-        }
+            let images = (0..c.images.count).map(|i| {
+                sum += libm::pow(f64::from(i + 1), -c.images.zipf);
+                let gb = round(draw(&mut rng, &c.images.gb)).max(0.01);
+                (format!("img-{}-{i}", c.name), gb, sum)
+            });
+            let images = images.collect();
+            Shop {
+                class,
+                images,
+                next: rng.random_range(0..NUMBERS / classes.len() as u32),
+                step: STEPS[rng.random_range(0..STEPS.len())],
+                classes: classes.len() as u32,
+                rng,
+            }
+        };
+        classes.iter().enumerate().map(one).collect()
     }
 
+    /// Ids are unique, and come in no order.
     fn id(&mut self) -> String {
-        loop {
-            let n = self.rng.random_range(0..1_000_000);
-            if self.taken.insert(n) {
-                return format!("wk-{n:06}");
-            }
-        }
+        let own = NUMBERS / self.classes;
+        self.next = (self.next + self.step) % own;
+        format!("wk-{:06}", self.next * self.classes + self.class as u32)
     }
 
     fn team(&mut self, world: &World, class: &Class) -> String {
@@ -96,12 +111,12 @@
         teams[teams.len() - 1].name.clone()
     }
 
-    pub fn order(&mut self, world: &World, class: usize) -> Order {
-        let c = &world.night.workload.classes[class];
+    pub fn order(&mut self, world: &World) -> Order {
+        let c = &world.night.workload.classes[self.class];
         let w = &world.night.workload;
         let id = self.id();
         let team = self.team(world, c);
-        let images = &self.images[class];
+        let images = &self.images;
         let most = images.last().map_or(1.0, |i| i.2);
         let at = self.rng.random::<f64>() * most;
         let image = images.iter().find(|i| i.2 >= at).unwrap_or(&images[0]);
@@ -126,6 +141,16 @@
         let chance = |rng: &mut Pcg64, share: f64| rng.random::<f64>() < share;
         let mistaken = !standing && chance(rng, c.mistaken);
         let cancels = chance(rng, c.cancelled);
+        let drawn = |rng: &mut Pcg64, (least, most): (f64, f64)| {
+            least + rng.random::<f64>() * (most - least)
+        };
+        let (soon, later) = (drawn(rng, CANCEL_AFTER_S), drawn(rng, MISTAKE_AFTER_S));
+        let cancel_after_s = match (standing, mistaken, cancels) {
+            (true, ..) => Some(c.stands_s),
+            (_, true, _) => Some(later),
+            (_, _, true) => Some(soon),
+            _ => None,
+        };
         let repeats = chance(rng, w.repeats);
         let impossible = chance(rng, w.impossible);
         let kind: f64 = rng.random();
@@ -195,10 +220,9 @@
             submission,
             upload: Upload { sheet, runs },
             job,
-            cancels,
-            mistaken,
+            cancel_after_s,
+            job_stands: standing,
             repeats,
-            stands_s: standing.then_some(c.stands_s),
         }
     }
 }
--- a/crates/emulator/src/users.rs
+++ b/crates/emulator/src/users.rs
@@ -25,10 +25,6 @@
 const RETRY_S: f64 = 1.0;
 const RETRY_AFTER_MOST_S: f64 = 30.0;
 const RETRY_ALL_S: f64 = 60.0;
-/// s after acceptance in which a user who cancels does so.
-const CANCEL_AFTER_S: (f64, f64) = (5.0, 60.0);
-/// s after which the user of a job with a mistake gives it up.
-const MISTAKE_AFTER_S: (f64, f64) = (60.0, 120.0);
 /// s after the end of a job at which its user may ask again.
 const LATER_S: (f64, f64) = (5.0, 40.0);
 /// Share of users who ask again after the end.
@@ -46,7 +42,8 @@
     balancer: Mutex<Balancer>,
     /// Of each node: how often its connections were reset.
     resets: Mutex<Vec<u64>>,
-    shop: Mutex<Shop>,
+    /// Of each class.
+    shop: Vec<Mutex<Shop>>,
 }
 
 /// A user's connection through the load balancer.
@@ -89,7 +86,7 @@
             proc,
             balancer: Mutex::new(Balancer::new(nodes)),
             resets: Mutex::new(vec![0; nodes]),
-            shop: Mutex::new(Shop::new(world)),
+            shop: Shop::all(world).into_iter().map(Mutex::new).collect(),
         });
         for node in 0..nodes {
             let own = me.clone();
@@ -233,8 +230,11 @@
 
     // --- users ---
 
+    /// What comes and when is drawn apart from all else: the same seed brings
+    /// the same jobs, whatever the controllers do.
     async fn arrivals(self: Arc<Self>, class: usize) {
         let c = self.world.night.workload.classes[class].clone();
+        let mut rng = self.world.rng(&format!("arrivals of {}", c.name));
         self.host.sleep(OPENS_S).await;
         for _ in 0..c.at_start {
             self.arrive(class, 0.0);
@@ -249,14 +249,14 @@
             // Poisson, by Knuth: few come in so short a time.
             let (least, mut chance, mut n) = (libm::exp(-expected), 1.0, 0);
             loop {
-                chance *= self.host.between(0.0, 1.0);
+                chance *= rng.random::<f64>();
                 if chance <= least {
                     break;
                 }
                 n += 1;
             }
             for _ in 0..n {
-                let after = self.host.between(0.0, ARRIVALS_S);
+                let after = rng.random::<f64>() * ARRIVALS_S;
                 self.arrive(class, after);
             }
             self.host.sleep(ARRIVALS_S).await;
@@ -264,7 +264,7 @@
     }
 
     fn arrive(self: &Arc<Self>, class: usize, after_s: f64) {
-        let order = lock(&self.shop).order(&self.world, class);
+        let order = lock(&self.shop[class]).order(&self.world);
         let own = self.clone();
         self.host.spawn(async move {
             own.host.sleep(after_s).await;
@@ -284,16 +284,11 @@
         }
         let now = self.host.now();
         let between = |(least, most)| self.host.between(least, most);
-        let cancel_at = if order.mistaken {
-            Some(now + between(MISTAKE_AFTER_S))
-        } else if let Some(s) = order.stands_s {
-            let left = (self.world.night.play_s - self.world.now_s()).max(0.0);
-            Some(now + s.min(left))
-        } else if order.cancels {
-            Some(now + between(CANCEL_AFTER_S))
-        } else {
-            None
-        };
+        let left = (self.world.night.play_s - self.world.now_s()).max(0.0);
+        let cancel_at = order.cancel_after_s.map(|s| match order.job_stands {
+            true => now + s.min(left),
+            false => now + s,
+        });
         self.watch(&mut line, &id, cancel_at).await;
         self.world.close();
         if self.host.between(0.0, 1.0) < LATER_SHARE {
--- a/crates/judge/src/aims.rs
+++ b/crates/judge/src/aims.rs
@@ -33,6 +33,8 @@
 pub struct Aims {
     pub reached: Vec<Reached>,
     pub classes: BTreeMap<String, ClassFigures>,
+    /// Of all classes together.
+    pub all: ClassFigures,
     /// Money, in the price lists' unit.
     pub cost: f64,
     pub useful_cost: f64,
@@ -218,6 +220,7 @@
     let worth = aims.useful_cpu_s * cheapest / 3600.0;
     aims.price = if worth > 0.0 { aims.cost / worth } else { 0.0 };
     aims.classes = classes(&jobs);
+    aims.all = figures(jobs.values().filter(|t| !t.unwanted && !t.refused));
     aims.reached = facts
         .aims
         .iter()
@@ -266,30 +269,32 @@
     let mut names: Vec<&str> = jobs.values().map(|t| t.job.class.as_str()).collect();
     names.sort_unstable();
     names.dedup();
-    let of = |class: &str| {
-        let (mut done, mut waits, mut all) = (Vec::new(), Vec::new(), 0);
-        for t in counted(jobs, class) {
-            all += 1;
-            if let Some(at) = t.last_done() {
-                done.push((at - t.at) as f64 / 1000.0);
-            }
-            let wait = t.started.values().map(|at| (at - t.at) as f64 / 1000.0);
-            waits.extend(wait);
-        }
-        done.sort_by(f64::total_cmp);
-        waits.sort_by(f64::total_cmp);
-        ClassFigures {
-            jobs: all,
-            done: done.len(),
-            done_mean_s: mean(&done),
-            done_p95_s: quantile(&done, 0.95),
-            wait_mean_s: mean(&waits),
-            wait_p95_s: quantile(&waits, 0.95),
-        }
-    };
+    let of = |class: &str| figures(counted(jobs, class));
     names.into_iter().map(|n| (n.to_string(), of(n))).collect()
 }
 
+fn figures<'a>(jobs: impl Iterator<Item = &'a Tracked>) -> ClassFigures {
+    let (mut done, mut waits, mut all) = (Vec::new(), Vec::new(), 0);
+    for t in jobs {
+        all += 1;
+        if let Some(at) = t.last_done() {
+            done.push((at - t.at) as f64 / 1000.0);
+        }
+        let wait = t.started.values().map(|at| (at - t.at) as f64 / 1000.0);
+        waits.extend(wait);
+    }
+    done.sort_by(f64::total_cmp);
+    waits.sort_by(f64::total_cmp);
+    ClassFigures {
+        jobs: all,
+        done: done.len(),
+        done_mean_s: mean(&done),
+        done_p95_s: quantile(&done, 0.95),
+        wait_mean_s: mean(&waits),
+        wait_p95_s: quantile(&waits, 0.95),
+    }
+}
+
 fn reach(aim: &Aim, jobs: &BTreeMap<String, Tracked>, facts: &Facts, sums: &Aims) -> Reached {
     let ms = |s: f64| (s * 1000.0) as u64;
     // Of an array, only as many tasks as its team's limit allows at once.
--- a/crates/night/src/lib.rs
+++ b/crates/night/src/lib.rs
@@ -81,6 +81,16 @@
         self
     }
 
+    /// The same night with so many times the traffic, and jobs at its beginning.
+    #[must_use]
+    pub fn with_traffic(mut self, traffic: f64, at_start: f64) -> Night {
+        for c in &mut self.workload.classes {
+            c.per_minute *= traffic;
+            c.at_start = (f64::from(c.at_start) * at_start).round() as u32;
+        }
+        self
+    }
+
     /// The same night at another size: machines, teams and traffic times `by`.
     #[must_use]
     pub fn scaled(mut self, by: f64) -> Night {
--- a/crates/rehearsal/src/command.rs
+++ b/crates/rehearsal/src/command.rs
@@ -1,5 +1,6 @@
 //! `cherrywood rehearse`, and `cherrywood schema`.
 
+use crate::experiment::{self, Experiment, compare};
 use crate::live::Live;
 use crate::log::Log;
 use crate::play::{Options, Scene, play};
@@ -202,10 +203,73 @@
     if outcome.good() { GOOD } else { BROKEN }
 }
 
+/// Play the same nights under different settings, and compare them in pairs.
+#[derive(Debug, Args)]
+pub struct ExperimentArgs {
+    /// The experiment (YAML).
+    pub file: PathBuf,
+    /// Where cells, comparisons and the report go; finished cells are kept.
+    #[arg(long, value_name = "DIR")]
+    pub out: Option<PathBuf>,
+    /// Seeds 1 to this, whatever the file says.
+    #[arg(long, value_name = "N")]
+    pub seeds: Option<u64>,
+}
+
+pub fn experiment(args: &ExperimentArgs) -> u8 {
+    let mut e = match Experiment::load(&args.file) {
+        Ok(e) => e,
+        Err(e) => {
+            eprintln!("cherrywood: {e:#}");
+            return BAD_INPUT;
+        }
+    };
+    e.seeds = args.seeds.unwrap_or(e.seeds).max(1);
+    let dir = args.out.clone();
+    let dir = dir.unwrap_or_else(|| PathBuf::from(format!("{}-experiment", e.name)));
+    let stop = interrupted();
+    let bar = ProgressBar::new(0);
+    if let Ok(style) = ProgressStyle::with_template("{bar:40} {pos}/{len} nights  {eta} left") {
+        bar.set_style(style);
+    }
+    let played = e.run(&dir, &stop, &|n, all| {
+        bar.set_length(all as u64);
+        bar.set_position(n as u64);
+    });
+    bar.finish_and_clear();
+    let rows = match played {
+        Ok(rows) => rows,
+        Err(e) => {
+            eprintln!("cherrywood: {e:#}");
+            return BAD_INPUT;
+        }
+    };
+    let all = compare(&e, &rows);
+    if let Err(e) = experiment::write(&dir, &e, &rows, &all) {
+        eprintln!("cherrywood: {e:#}");
+        return BAD_INPUT;
+    }
+    print!("{}", experiment::table(&e, &all));
+    println!("report    {}", dir.join("report.html").display());
+    let (want, got) = (e.cells().len(), rows.len());
+    let broken: usize = rows.iter().map(|r| r.broken).sum();
+    let unsettled: usize = rows.iter().map(|r| r.unsettled).sum();
+    if stop.load(Ordering::Relaxed) {
+        println!("interrupted; the same command goes on where it was");
+    }
+    println!("nights {got}/{want}, rules broken {broken}, unsettled {unsettled}");
+    if got == want && broken == 0 && unsettled == 0 {
+        GOOD
+    } else {
+        BROKEN
+    }
+}
+
 /// Files that a schema describes.
 #[derive(Debug, Clone, Copy, ValueEnum)]
 pub enum Schema {
     Night,
+    Experiment,
     Operator,
 }
 
@@ -213,6 +277,7 @@
 pub fn schema(which: Schema) -> String {
     let schema = match which {
         Schema::Night => schemars::schema_for!(Night),
+        Schema::Experiment => schemars::schema_for!(Experiment),
         Schema::Operator => schemars::schema_for!(cherrywood_node::settings::Operator),
     };
     serde_json::to_string_pretty(&schema).unwrap_or_default()
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -2,6 +2,7 @@
 //! systems, in virtual time on one thread or as real processes on loopback.
 
 pub mod command;
+pub mod experiment;
 pub mod live;
 pub mod log;
 pub mod nodes;
--- a/crates/rehearsal/src/plot.rs
+++ b/crates/rehearsal/src/plot.rs
@@ -81,6 +81,64 @@
     Ok(())
 }
 
+/// Of each arm: load, change, and the ends of its interval.
+pub fn intervals(series: &BTreeMap<&str, Vec<[f64; 4]>>) -> String {
+    let mut svg = String::new();
+    match draw_intervals(&mut svg, series) {
+        Ok(()) => svg,
+        Err(_) => String::new(),
+    }
+}
+
+fn draw_intervals(
+    svg: &mut String,
+    series: &BTreeMap<&str, Vec<[f64; 4]>>,
+) -> Result<(), Box<dyn std::error::Error>> {
+    let all = || series.values().flatten();
+    let least = all().map(|p| p[2]).fold(-1.0, f64::min) * 1.1;
+    let most = all().map(|p| p[3]).fold(1.0, f64::max) * 1.1;
+    let left = all().map(|p| p[0]).fold(f64::INFINITY, f64::min) - 0.05;
+    let right = all().map(|p| p[0]).fold(0.0, f64::max) + 0.05;
+    let root = SVGBackend::with_string(svg, SIZE).into_drawing_area();
+    let mut chart = ChartBuilder::on(&root)
+        .margin(6)
+        .x_label_area_size(24)
+        .y_label_area_size(54)
+        .build_cartesian_2d(left..right, least..most)?;
+    chart
+        .configure_mesh()
+        .light_line_style(TRANSPARENT)
+        .bold_line_style(BLACK.mix(0.08))
+        .y_label_formatter(&|v| format!("{v:.0}%"))
+        .draw()?;
+    chart.draw_series([PathElement::new(
+        [(left, 0.0), (right, 0.0)],
+        BLACK.mix(0.5),
+    )])?;
+    for (i, (name, points)) in series.iter().enumerate() {
+        // Side by side, so that intervals don't hide each other.
+        let beside = (i as f64 - series.len() as f64 / 2.0) * 0.008;
+        let line = points.iter().map(|p| (p[0] + beside, p[1]));
+        chart
+            .draw_series(LineSeries::new(line, colour(i).stroke_width(2)))?
+            .label(*name)
+            .legend(move |(x, y)| {
+                PathElement::new([(x, y), (x + 16, y)], colour(i).stroke_width(2))
+            });
+        chart.draw_series(points.iter().map(|p| {
+            let at = p[0] + beside;
+            PathElement::new([(at, p[2]), (at, p[3])], colour(i).stroke_width(1))
+        }))?;
+    }
+    chart
+        .configure_series_labels()
+        .position(SeriesLabelPosition::LowerLeft)
+        .background_style(WHITE.mix(0.8))
+        .draw()?;
+    root.present()?;
+    Ok(())
+}
+
 /// Machines over time: booting, and the tasks on them.
 fn gantt(t: &Timeline) -> Option<String> {
     let mut machines: Vec<&str> = t.bars.iter().map(|b| b.machine.as_str()).collect();
--- a/crates/rehearsal/src/report.rs
+++ b/crates/rehearsal/src/report.rs
@@ -158,7 +158,7 @@
     Ok(())
 }
 
-const STYLE: &str = "body{font:15px/1.45 system-ui,sans-serif;margin:2em auto;max-width:960px;padding:0 1em;color:#222}\
+pub const STYLE: &str = "body{font:15px/1.45 system-ui,sans-serif;margin:2em auto;max-width:960px;padding:0 1em;color:#222}\
 h1{font-size:1.5em}h2{font-size:1.1em;margin-top:2em}table{border-collapse:collapse}\
 td,th{padding:.2em .8em .2em 0;text-align:left;vertical-align:top}td.n,th.n{text-align:right}\
 .bad{color:#b00020;font-weight:600}.good{color:#1b6e3c;font-weight:600}pre{background:#f5f5f2;padding:.8em;overflow:auto}\
