Nights as tests; a job that no machine there could take has one rented

Writing the night down found another: a small job waits for good where only dear machines can be had. Change: a job keeps away from a machine for 20 s; a waiting job that no machine there could take has one rented after 10 s, at any price.

--- a/crates/control/src/leader/fleet.rs
+++ b/crates/control/src/leader/fleet.rs
@@ -352,7 +352,50 @@
         }
     }
 
+    /// A waiting job that no machine which is there could take. What is wanted is
+    /// counted in CPUs, of which there may be enough of the wrong kind, or too few
+    /// to be worth a dear machine: it would wait for good.
+    fn stranded(&self, now: f64) -> Option<&Submission> {
+        let waiting = self.queue.runs().filter_map(|r| self.jobs.get(&r.job));
+        let mut stuck = waiting.filter(|j| {
+            let patience = if j.fill {
+                limits::STRANDED_FILL_S
+            } else {
+                limits::STRANDED_S
+            };
+            now - j.born > patience && j.on.is_empty() && j.retry_at <= now && !j.suspect()
+        });
+        let could = |job: &Job, (name, m): (&String, &Machine)| {
+            !m.draining
+                && !m.deleting
+                && allowed(&job.spec, &m.kind, &m.zone, m.spot)
+                && !job.failed_on.contains_key(name)
+        };
+        let job = stuck.find(|j| !self.machines.iter().any(|m| could(j, m)))?;
+        Some(&job.spec)
+    }
+
     pub(super) fn rentals(&mut self, now: f64) -> Vec<CloudCall> {
+        let calls = self.rentals_for_demand(now);
+        if !calls.is_empty() {
+            return calls;
+        }
+        let Some(spec) = self.stranded(now).cloned() else {
+            return calls;
+        };
+        let mut offers = self.offers(&spec, now);
+        let one = shop(spec.cpus, &mut offers);
+        if let Some((i, _)) = one.first() {
+            info!(
+                job = spec.id,
+                "no machine there could take it: one is rented"
+            );
+            return vec![self.order_of(&offers[*i], 1)];
+        }
+        calls
+    }
+
+    fn rentals_for_demand(&mut self, now: f64) -> Vec<CloudCall> {
         let (demand, ranked, first) = self.demand();
         let Some(spec) = first.cloned() else {
             return Vec::new();
@@ -368,6 +411,49 @@
         if short <= 0.0 {
             return Vec::new();
         }
+        let offers = self.offers(spec, now);
+        // Dear machines only for what cheap ones can't be had for, and only
+        // if it would wait for long.
+        let dear = |o: &Offer| spec.spot && !o.spot;
+        let (mut dear, mut cheap): (Vec<_>, Vec<_>) = offers.into_iter().partition(dear);
+        let mut buy = shop(short, &mut cheap);
+        let bought: f64 = buy
+            .iter()
+            .map(|(i, n)| cheap[*i].cpus * f64::from(*n))
+            .sum();
+        let wanted = ranked.wanted(limits::DRAIN_DEAR_S);
+        let lasting = self.wanted.map_or(wanted, |w| w.0.min(wanted));
+        let short = lasting - have - bought;
+        let least = dear.iter().map(|o| o.cpus).fold(f64::INFINITY, f64::min);
+        if short >= least / 2.0 {
+            buy.extend(
+                shop(short, &mut dear)
+                    .into_iter()
+                    .map(|(i, n)| (i + cheap.len(), n)),
+            );
+        }
+        cheap.append(&mut dear);
+        let offers = cheap;
+        let calls = buy
+            .into_iter()
+            .map(|(i, count)| self.order_of(&offers[i], count));
+        calls.collect()
+    }
+
+    fn order_of(&mut self, o: &Offer, count: u32) -> CloudCall {
+        self.rent_counter += 1;
+        CloudCall::Rent(Rent {
+            // The epoch never repeats, so neither does the name.
+            request: format!("r-{}-{}", self.epoch, self.rent_counter),
+            kind: o.kind.clone(),
+            zone: o.zone.clone(),
+            spot: o.spot,
+            count,
+        })
+    }
+
+    /// Where a machine for this job can be rented, as far as is known.
+    fn offers(&mut self, spec: &Submission, now: f64) -> Vec<Offer> {
         self.refused.retain(|_, until| *until > now);
         let mut offers = Vec::new();
         for t in &self.types {
@@ -407,42 +493,7 @@
                 }
             }
         }
-        // Dear machines only for what cheap ones can't be had for, and only
-        // if it would wait for long.
-        let dear = |o: &Offer| spec.spot && !o.spot;
-        let (mut dear, mut cheap): (Vec<_>, Vec<_>) = offers.into_iter().partition(dear);
-        let mut buy = shop(short, &mut cheap);
-        let bought: f64 = buy
-            .iter()
-            .map(|(i, n)| cheap[*i].cpus * f64::from(*n))
-            .sum();
-        let wanted = ranked.wanted(limits::DRAIN_DEAR_S);
-        let lasting = self.wanted.map_or(wanted, |w| w.0.min(wanted));
-        let short = lasting - have - bought;
-        let least = dear.iter().map(|o| o.cpus).fold(f64::INFINITY, f64::min);
-        if short >= least / 2.0 {
-            buy.extend(
-                shop(short, &mut dear)
-                    .into_iter()
-                    .map(|(i, n)| (i + cheap.len(), n)),
-            );
-        }
-        cheap.append(&mut dear);
-        let offers = cheap;
-        let mut calls = Vec::new();
-        for (i, count) in buy {
-            self.rent_counter += 1;
-            let o = &offers[i];
-            calls.push(CloudCall::Rent(Rent {
-                // The epoch never repeats, so neither does the name.
-                request: format!("r-{}-{}", self.epoch, self.rent_counter),
-                kind: o.kind.clone(),
-                zone: o.zone.clone(),
-                spot: o.spot,
-                count,
-            }));
-        }
-        calls
+        offers
     }
 
     /// A rental was answered: the names, or None for "no capacity".
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -55,9 +55,9 @@
     on: HashMap<u32, u32>,
     running: u32,
     zones: HashMap<String, u32>,
-    /// Machines on which it failed since a task of it last succeeded, how often,
-    /// and the pause that followed.
-    failed_on: BTreeSet<String>,
+    /// Machines on which it failed since a task of it last succeeded, and when it
+    /// last did; how often, and the pause that followed.
+    failed_on: BTreeMap<String, f64>,
     failures: u32,
     pauses: u32,
     retry_at: f64,
@@ -168,8 +168,9 @@
     /// Being emptied because the others have room; undone when work waits.
     retiring: bool,
     deleting: bool,
-    /// Jobs whose tasks failed here since one last succeeded here, and how many.
-    failing: HashMap<String, u32>,
+    /// Jobs whose tasks failed here since one last succeeded here, how many, and
+    /// when the last did.
+    failing: HashMap<String, (u32, f64)>,
 }
 
 impl Machine {
@@ -472,7 +473,7 @@
                 on: HashMap::new(),
                 running: 0,
                 zones: HashMap::new(),
-                failed_on: BTreeSet::new(),
+                failed_on: BTreeMap::new(),
                 failures: 0,
                 pauses: 0,
                 retry_at: 0.0,
--- a/crates/control/src/leader/placing.rs
+++ b/crates/control/src/leader/placing.rs
@@ -562,6 +562,7 @@
             return best;
         }
         let s = &job.spec;
+        let fresh = |failed: &f64| self.now - failed < limits::AVOID_S;
         let mut best: Option<(f64, usize, f64)> = None;
         for (at, site) in self.sites.iter().enumerate() {
             *self.looks += 1;
@@ -570,8 +571,8 @@
                 || site.fits(s) == 0
                 || !allowed(s, &m.kind, &m.zone, m.spot)
                 || zone_room(job, &m.zone) == 0
-                || !job.suspect() && job.failed_on.contains(site.name)
-                || job.proven() && m.failing.contains_key(&job.spec.id)
+                || !job.suspect() && job.failed_on.get(site.name).is_some_and(fresh)
+                || job.proven() && m.failing.get(&s.id).is_some_and(|f| fresh(&f.1))
             {
                 continue;
             }
--- a/crates/control/src/leader/reports.rs
+++ b/crates/control/src/leader/reports.rs
@@ -224,7 +224,7 @@
         for _ in 0..failures {
             self.predictor.lose(&key, now);
         }
-        for name in machines {
+        for name in machines.into_keys() {
             let Some(mut m) = self.machines.remove(&name) else {
                 continue;
             };
@@ -240,9 +240,10 @@
         let Some(job) = p.job.and_then(|no| self.jobs.get_mut(&no)) else {
             return 0.0;
         };
-        let new = job.failed_on.insert(name.to_string());
+        let new = job.failed_on.insert(name.to_string(), now).is_none();
         job.failures += 1;
-        *m.failing.entry(job.spec.id.clone()).or_default() += 1;
+        let failing = m.failing.entry(job.spec.id.clone()).or_default();
+        *failing = (failing.0 + 1, now);
         let mut delay = 0.0;
         if job.suspect() {
             let machines = job.failed_on.len();
@@ -273,7 +274,7 @@
     fn judge(&self, m: &mut Machine, name: &str) {
         let jobs = || {
             let failing = m.failing.iter();
-            failing.filter_map(|(id, n)| Some((self.jobs.get(self.ids.get(id)?)?, *n)))
+            failing.filter_map(|(id, f)| Some((self.jobs.get(self.ids.get(id)?)?, f.0)))
         };
         let proven: u32 = jobs().filter(|j| j.0.proven()).map(|j| j.1).sum();
         let only_here = jobs().filter(|j| !j.0.suspect()).count();
--- a/crates/control/tests/faults.rs
+++ b/crates/control/tests/faults.rs
@@ -131,3 +131,51 @@
     assert_eq!(l.live_jobs(), ["wk-000004"]);
     l.audit().unwrap();
 }
+
+/// A storm (seed 82) left a job waiting for good: it had failed on the only
+/// machine there was, and kept away from it after the fault had passed.
+#[test]
+fn a_job_comes_back_to_a_machine_on_which_it_failed_a_while_ago() {
+    let mut s = Store::default();
+    let mut l = s.elect(1, 0.0);
+    let mut w = Worker::new("vm-1");
+    submit(&mut l, &mut s, &wide("wk-000001", 1), 0.0);
+    beat(&mut l, &mut s, &mut w, "n1", 1.0);
+    assert_eq!(w.running(), 1);
+    end(&mut w, |_| true);
+    beat(&mut l, &mut s, &mut w, "n1", 2.0);
+    for now in [3.0, 12.0, 21.0] {
+        beat(&mut l, &mut s, &mut w, "n1", now);
+        assert_eq!(w.running(), 0, "others would be tried first, at {now}");
+    }
+    beat(&mut l, &mut s, &mut w, "n1", 23.0);
+    assert_eq!(w.running(), 1);
+}
+
+fn rented(l: &mut Leader, now: f64) -> Vec<(bool, u32)> {
+    let calls = l.fleet(now).into_iter().filter_map(|c| match c {
+        CloudCall::Rent(r) => Some((r.spot, r.count)),
+        CloudCall::Delete(_) => None,
+    });
+    calls.collect()
+}
+
+/// A small job waited for good where no cheap machine could be had: its few CPUs
+/// were not worth a dear one.
+#[test]
+fn a_job_that_no_machine_could_take_has_one_rented_at_any_price() {
+    let mut s = Store::default();
+    let mut l = s.elect(1, 0.0);
+    let mut dear = types();
+    dear[0].spot_price = None;
+    l.set_types(dear);
+    submit(&mut l, &mut s, &wide("wk-000001", 1), 0.0);
+    assert_eq!(rented(&mut l, 5.0), []);
+    assert_eq!(rented(&mut l, 11.0), [(false, 1)]);
+    // While one that could take it is on its way, no other is rented.
+    let mut w = Worker::new("vm-1");
+    submit(&mut l, &mut s, &wide("wk-000002", 1), 11.0);
+    beat(&mut l, &mut s, &mut w, "n1", 12.0);
+    assert_eq!(w.running(), 2);
+    assert_eq!(rented(&mut l, 30.0), []);
+}
--- a/crates/judge/src/rules.rs
+++ b/crates/judge/src/rules.rs
@@ -463,7 +463,7 @@
         counts
     }
 
-    pub fn judge(events: &[Event]) -> Judge {
+    pub fn of(events: &[Event]) -> Judge {
         let mut judge = Judge::new();
         for e in events {
             judge.feed(e);
--- a/crates/judge/tests/judge.rs
+++ b/crates/judge/tests/judge.rs
@@ -137,7 +137,7 @@
     /// The only breach, as its message.
     fn only(&mut self, rule: Rule) -> String {
         self.add(What::Ends);
-        let judge = Judge::judge(&self.0.events);
+        let judge = Judge::of(&self.0.events);
         let rules: Vec<Rule> = judge.breaches.iter().map(|b| b.rule).collect();
         assert_eq!(rules, [rule], "{:#?}", judge.breaches);
         judge.breaches[0].to_string()
@@ -151,7 +151,7 @@
     n.at(2).on("vm-1", "wk-000001/0");
     n.at(9).off("vm-1", "wk-000001/0", Off::Done, 7.0);
     n.at(10).poll("wk-000001", State::Done).add(What::Ends);
-    assert!(Judge::judge(&n.0.events).breaches.is_empty());
+    assert!(Judge::of(&n.0.events).breaches.is_empty());
     let ends = settle::settle(&n.0.events);
     assert_eq!(ends["wk-000001"].end, End::Done);
 }
@@ -172,7 +172,7 @@
     n.at(5).on("vm-1", "wk-000001/0");
     n.at(6).off("vm-1", "wk-000001/0", Off::Lease, 0.0);
     n.at(8).on("vm-2", "wk-000001/0").add(What::Ends);
-    assert!(Judge::judge(&n.0.events).breaches.is_empty());
+    assert!(Judge::of(&n.0.events).breaches.is_empty());
 }
 
 #[test]
@@ -200,7 +200,7 @@
         n.at(2).on("vm-1", &format!("wk-000001/{i}"));
     }
     n.add(What::Ends);
-    assert!(Judge::judge(&n.0.events).breaches.is_empty());
+    assert!(Judge::of(&n.0.events).breaches.is_empty());
 }
 
 #[test]
@@ -247,7 +247,7 @@
         .off("vm-1", "wk-000001/0", Off::Stopped, 0.0)
         .add(What::Ends);
     assert!(
-        Judge::judge(&n.0.events).breaches.is_empty(),
+        Judge::of(&n.0.events).breaches.is_empty(),
         "at 40 s it is gone"
     );
     let mut n = cancelled();
@@ -307,7 +307,7 @@
             n.only(Rule::Forgotten);
         } else {
             n.add(What::Ends);
-            assert!(Judge::judge(&n.0.events).breaches.is_empty());
+            assert!(Judge::of(&n.0.events).breaches.is_empty());
         }
     }
 }
@@ -357,7 +357,7 @@
         node: "n2".into(),
     });
     n.add(What::Ends);
-    assert!(Judge::judge(&n.0.events).breaches.is_empty());
+    assert!(Judge::of(&n.0.events).breaches.is_empty());
     let mut n = Night::new();
     n.at(1).accepted(job("wk-000001", 1));
     n.at(2).on("vm-1", "wk-000001/0");
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -137,6 +137,13 @@
 /// Machines on which a job fails, with no success meanwhile, before the mistake
 /// is taken to be its own.
 pub const SUSPECT_MACHINES: usize = 2;
+/// s for which a job keeps away from a machine on which it failed: long enough for
+/// others to be tried, and not for ever, since it may be the only one there is.
+pub const AVOID_S: f64 = 20.0;
+/// s after which a job that no machine there could take has one rented, at any
+/// price; for work that only fills idle room, which should not rent dear ones.
+pub const STRANDED_S: f64 = 10.0;
+pub const STRANDED_FILL_S: f64 = 120.0;
 /// s; first pause of a job that failed on several machines, doubled each time.
 pub const RETRY_FIRST_S: f64 = 1.0;
 pub const RETRY_MAX_S: f64 = 60.0;
--- a/crates/rehearsal/src/live.rs
+++ b/crates/rehearsal/src/live.rs
@@ -92,7 +92,8 @@
                 grants: view.as_ref().map_or(0, |v| v.grants),
             }
         });
-        let leader = views.iter().flatten().filter(|v| v.epoch.is_some()).last();
+        let leads = views.iter().flatten().filter(|v| v.epoch.is_some());
+        let leader = leads.max_by_key(|v| v.epoch);
         let fleet = scene.cloud.fleet();
         let fleet = fleet.into_iter().map(|((zone, kind, spot), n)| FleetRow {
             place: format!("{zone} {kind}{}", if spot { " spot" } else { "" }),
--- a/crates/rehearsal/src/play.rs
+++ b/crates/rehearsal/src/play.rs
@@ -166,7 +166,8 @@
         if now >= waiting_at {
             waiting_at += WAITING_EVERY_S;
             let views = (0..world.addresses.nodes.len()).filter_map(|n| controllers.view(n));
-            if let Some(leader) = views.filter(|v| v.epoch.is_some()).last() {
+            let leads = views.filter(|v| v.epoch.is_some());
+            if let Some(leader) = leads.max_by_key(|v| v.epoch) {
                 let levels = leader.waiting;
                 world.record(What::Waiting { levels });
             }
@@ -197,7 +198,7 @@
     let night_s = world.now_s();
     let (sizes, over_rate) = (state.size(), state.over_rate());
     let history = world.finish();
-    let judge = Judge::judge(&history.events);
+    let judge = Judge::of(&history.events);
     Ok(Outcome {
         seed: options.seed,
         settled: settle(&history.events),
--- a/crates/rehearsal/tests/nights.rs
+++ b/crates/rehearsal/tests/nights.rs
@@ -1,12 +1,13 @@
 //! Whole nights, played in virtual time.
 
+use cherrywood_judge::What;
 use cherrywood_night::Night;
 use cherrywood_rehearsal::log::Log;
 use cherrywood_rehearsal::{Options, Outcome, play, summary};
+use std::path::{Path, PathBuf};
 use tracing::Level;
 
-fn rehearse(text: &str, seed: u64) -> Outcome {
-    let night = Night::parse("test", text).unwrap();
+fn rehearse(night: Night, seed: u64) -> Outcome {
     let options = Options {
         seed,
         ..Options::default()
@@ -16,15 +17,73 @@
         .unwrap()
 }
 
+fn dir(sub: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR"))
+        .join("../../nights")
+        .join(sub)
+}
+
+fn night(name: &str) -> Night {
+    Night::load(&dir("").join(name)).unwrap()
+}
+
+/// All nights of a directory, each on a thread of its own.
+fn all_good(sub: &str, seeds: u64) -> usize {
+    let files = std::fs::read_dir(dir(sub)).unwrap();
+    let mut files: Vec<PathBuf> = files.map(|f| f.unwrap().path()).collect();
+    files.retain(|f| f.extension().is_some_and(|e| e == "yaml"));
+    let played: Vec<Outcome> = std::thread::scope(|scope| {
+        let play = |f: &PathBuf, seed| {
+            let night = Night::load(f).unwrap();
+            scope.spawn(move || rehearse(night, seed))
+        };
+        let nights = files.iter().flat_map(|f| (1..=seeds).map(move |s| (f, s)));
+        let all: Vec<_> = nights.map(|(f, s)| play(f, s)).collect();
+        all.into_iter().map(|t| t.join().unwrap()).collect()
+    });
+    for o in &played {
+        assert!(o.good(), "{}", summary::text(o));
+    }
+    played.len()
+}
+
+#[test]
+fn every_shipped_night_settles_and_breaks_no_rule() {
+    assert!(all_good("", 1) >= 8);
+}
+
+/// Each is a fault that a rehearsal found, and that was mended.
+#[test]
+fn what_rehearsals_found_stays_mended() {
+    assert!(all_good("found", 4) >= 8);
+}
+
+/// Outage, late grants, lost and late answers, a crash of all, a zone cut.
 #[test]
-fn a_quiet_night_settles_every_job_and_replays_to_the_byte() {
-    let quiet = "name: quiet\nplay_s: 120\n";
-    let first = rehearse(quiet, 7);
-    println!("{}", summary::text(&first));
+fn the_bad_night_replays_to_the_byte_and_another_seed_differs() {
+    let first = rehearse(night("bad-night.yaml"), 7);
     assert!(first.good(), "{}", summary::text(&first));
-    assert!(first.settled.len() > 10);
-    let again = rehearse(quiet, 7);
+    let again = rehearse(night("bad-night.yaml"), 7);
     assert_eq!(first.digest, again.digest);
-    let other = rehearse(quiet, 8);
-    assert_ne!(first.digest, other.digest);
+    assert_eq!(first.history.events, again.history.events);
+    assert_ne!(first.digest, rehearse(night("bad-night.yaml"), 8).digest);
+    // It was bad: every trouble happened, and users and workers noticed.
+    let count =
+        |is: &dyn Fn(&What) -> bool| first.history.events.iter().filter(|e| is(&e.what)).count();
+    assert_eq!(count(&|w| matches!(w, What::Trouble { on: true, .. })), 8);
+    assert!(count(&|w| matches!(w, What::Told { status: 503, .. })) > 5);
+    assert!(count(&|w| matches!(w, What::Node { now, .. } if now == "killed")) >= 4);
+    assert!(count(&|w| matches!(w, What::LeaseEnds { .. })) > 0);
+}
+
+/// A night that ends before its jobs do says so, and is not good.
+#[test]
+fn what_is_not_settled_is_counted_as_such() {
+    let short = Night {
+        settle_s: 0.0,
+        ..night("quiet.yaml").first(60.0)
+    };
+    let o = rehearse(short, 1);
+    assert!(!o.good() && o.unsettled() > 0);
+    assert!(summary::verdict(&o).contains("rules broken 0"));
 }
