--- a/crates/cherrywood/src/main.rs
+++ b/crates/cherrywood/src/main.rs
@@ -2,8 +2,9 @@
 
 use cherrywood_net::Host;
 use cherrywood_node::settings::Settings;
+use cherrywood_rehearsal::command::{experiment, rehearse, schema};
 use clap::Parser as _;
-use cli::{Args, client};
+use cli::{Args, Command, client};
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
@@ -19,6 +20,15 @@
         }
     };
     if let Some(command) = args.command {
+        let command = match command {
+            Command::Rehearse(args) => return ExitCode::from(rehearse(&args)),
+            Command::Experiment(args) => return ExitCode::from(experiment(&args)),
+            Command::Schema { of } => {
+                println!("{}", schema(of));
+                return ExitCode::SUCCESS;
+            }
+            Command::Client(command) => command,
+        };
         return match runtime.block_on(client(command)) {
             Ok(()) => ExitCode::SUCCESS,
             Err(e) => {
@@ -42,11 +52,8 @@
         println!("settings are fine");
         return ExitCode::SUCCESS;
     }
-    let level = settings
-        .operator
-        .log_level
-        .clone()
-        .or_else(|| std::env::var("LOG_LEVEL").ok());
+    let level = settings.operator.log_level.map(|l| l.name().to_string());
+    let level = level.or_else(|| std::env::var("LOG_LEVEL").ok());
     let level = level
         .and_then(|l| l.parse().ok())
         .unwrap_or(tracing::Level::INFO);
@@ -57,6 +64,12 @@
         .without_time()
         .with_target(false)
         .init();
+    if args.until_stdin_ends {
+        std::thread::spawn(|| {
+            let _ = std::io::copy(&mut std::io::stdin(), &mut std::io::sink());
+            std::process::exit(0);
+        });
+    }
     match runtime.block_on(cherrywood_node::run(Host::machine(), settings)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -55,9 +55,9 @@
     on: HashMap<u32, u32>,
     running: u32,
     zones: HashMap<String, u32>,
-    /// Machines on which it failed since a task of it last succeeded, how often,
-    /// and the pause that followed.
-    failed_on: BTreeSet<String>,
+    /// Machines on which it failed since a task of it last succeeded, and when it
+    /// last did; how often, and the pause that followed.
+    failed_on: BTreeMap<String, f64>,
     failures: u32,
     pauses: u32,
     retry_at: f64,
@@ -168,8 +168,9 @@
     /// Being emptied because the others have room; undone when work waits.
     retiring: bool,
     deleting: bool,
-    /// Jobs whose tasks failed here since one last succeeded here, and how many.
-    failing: HashMap<String, u32>,
+    /// Jobs whose tasks failed here since one last succeeded here, how many, and
+    /// when the last did.
+    failing: HashMap<String, (u32, f64)>,
 }
 
 impl Machine {
@@ -261,8 +262,6 @@
     /// Keys whose marks must be read again.
     pub reread: BTreeSet<String>,
     pub deposed: bool,
-    /// Operators' wish: no machine at the full price.
-    pub cheap_only: bool,
 }
 
 /// What a new leader reads before it acts.
@@ -297,6 +296,7 @@
             mark,
             counter: 0,
             rent_counter: 0,
+            queue: Queue::new(settings.policy.aging),
             settings,
             timing,
             since: now,
@@ -312,7 +312,6 @@
             freed: Vec::new(),
             doubt: None,
             usage: HashMap::new(),
-            queue: Queue::new(),
             delayed: Vec::new(),
             planned: BTreeSet::new(),
             hints: HashMap::new(),
@@ -323,7 +322,6 @@
             bad_boots: BTreeSet::new(),
             reread: BTreeSet::new(),
             deposed: false,
-            cheap_only: false,
         };
         leader.inherit(from, now);
         leader
@@ -432,7 +430,14 @@
         let no = self.next_job;
         self.next_job += 1;
         let key = spec.key();
-        let level = self.predictor.level(&key, now);
+        let level = self.level(&key, now);
+        crate::life!(
+            spec.id,
+            level,
+            done = done.count(),
+            on_machines = placed.map_or(0, HashSet::len),
+            "enters the queue"
+        );
         // Runs of tasks that are neither finished nor on a machine.
         let mut first = None;
         for n in 0..=spec.tasks {
@@ -468,7 +473,7 @@
                 on: HashMap::new(),
                 running: 0,
                 zones: HashMap::new(),
-                failed_on: BTreeSet::new(),
+                failed_on: BTreeMap::new(),
                 failures: 0,
                 pauses: 0,
                 retry_at: 0.0,
@@ -521,6 +526,7 @@
         let Some(no) = self.ids.remove(id) else {
             return;
         };
+        crate::life!(id, "is over for this leader");
         self.jobs.remove(&no);
         self.queue.retain(|j| *j != no);
         self.delayed.retain(|(_, j, _)| *j != no);
@@ -629,6 +635,15 @@
         count(&mut self.usage, &mut self.jobs, p, zone, sign);
     }
 
+    /// The level in which tasks of this key wait.
+    fn level(&mut self, key: &str, now: f64) -> usize {
+        if self.settings.policy.levels {
+            self.predictor.level(key, now)
+        } else {
+            limits::MIDDLE
+        }
+    }
+
     /// A placement is off its machine for certain; its task waits again
     /// unless it is finished or its job is over.
     fn free(&mut self, p: &Placement, zone: &str, now: f64, delay_s: f64) {
@@ -646,7 +661,8 @@
         if delay_s > 0.0 {
             self.delayed.push((now + delay_s, no, p.task));
         } else {
-            let level = self.predictor.level(&job.key, now);
+            let key = job.key.clone();
+            let level = self.level(&key, now);
             self.queue.push_front(level, no, p.task, now);
         }
     }
--- a/crates/control/src/leader/placing.rs
+++ b/crates/control/src/leader/placing.rs
@@ -157,7 +157,8 @@
         self.delayed = later;
         for (_, no, task) in due {
             if let Some(job) = self.jobs.get(&no) {
-                let level = self.predictor.level(&job.key, now);
+                let key = job.key.clone();
+                let level = self.level(&key, now);
                 self.queue.push_front(level, no, task, now);
             }
         }
@@ -561,6 +562,7 @@
             return best;
         }
         let s = &job.spec;
+        let fresh = |failed: &f64| self.now - failed < limits::AVOID_S;
         let mut best: Option<(f64, usize, f64)> = None;
         for (at, site) in self.sites.iter().enumerate() {
             *self.looks += 1;
@@ -569,8 +571,8 @@
                 || site.fits(s) == 0
                 || !allowed(s, &m.kind, &m.zone, m.spot)
                 || zone_room(job, &m.zone) == 0
-                || !job.suspect() && job.failed_on.contains(site.name)
-                || job.proven() && m.failing.contains_key(&job.spec.id)
+                || !job.suspect() && job.failed_on.get(site.name).is_some_and(fresh)
+                || job.proven() && m.failing.get(&s.id).is_some_and(|f| fresh(&f.1))
             {
                 continue;
             }
@@ -649,6 +651,7 @@
                 }
             }
         }
+        crate::life!(s.id, first, n, machine = site.name, attempt, "placed");
         m.idle_since = now;
         let team = self.waiters[&no].team;
         let placements: Vec<Placement> = (first..first + n)
--- a/crates/control/src/leader/progress.rs
+++ b/crates/control/src/leader/progress.rs
@@ -6,7 +6,10 @@
     /// The next job transaction: final states first, then progress.
     pub fn job_batch(&mut self, progress_too: bool) -> Option<JobBatch> {
         let mut batch = JobBatch {
-            txn: Txn::default(),
+            txn: Txn {
+                guards: Vec::new(),
+                changes: Vec::new(),
+            },
             progress: Vec::new(),
             finals: Vec::new(),
         };
@@ -68,6 +71,7 @@
                         value: Value::Final(value),
                         lease: None,
                     });
+                    crate::life!(id, "final state on its way");
                     batch.finals.push(*no);
                 } else {
                     guards.push(Guard {
@@ -105,6 +109,7 @@
             Outcome::Applied(rev) => {
                 for no in &batch.finals {
                     if let Some(job) = self.jobs.get(no) {
+                        crate::life!(job.spec.id, "final state written");
                         ended.push(job.spec.id.clone());
                     }
                 }
--- /dev/null
+++ b/crates/emulator/src/jobs.rs
@@ -0,0 +1,228 @@
+//! What users order: jobs drawn from the night's classes.
+
+use crate::machine::Sheet;
+use crate::world::{Upload, World};
+use cherrywood_judge::history::Job;
+use cherrywood_night::workload::{Class, JobKind, Rank, Spread};
+use cherrywood_wire::user::{Kind, MAX_TASKS, Priority, Submission};
+use rand::Rng;
+use rand_distr::StandardNormal;
+use rand_pcg::Pcg64;
+
+/// Standard deviations that 95 of 100 values lie below.
+const SD_95: f64 = 1.645;
+/// Spread of the run times of one job's tasks around the job's own.
+const TASKS_VARY: f64 = 0.25;
+/// Share of the jobs that can't run which ask for each impossible thing.
+const UNKNOWN_TEAM: f64 = 0.4;
+const TOO_LARGE: f64 = 0.7;
+
+/// A job to be submitted, and what its user will do.
+#[derive(Debug, Clone)]
+pub struct Order {
+    pub submission: Submission,
+    pub upload: Upload,
+    pub job: Job,
+    /// s after acceptance at which its user cancels it.
+    pub cancel_after_s: Option<f64>,
+    /// Runs until then, or until the end of play.
+    pub job_stands: bool,
+    pub repeats: bool,
+}
+
+/// s after acceptance in which a user who cancels does so.
+const CANCEL_AFTER_S: (f64, f64) = (5.0, 60.0);
+/// s after which the user of a job with a mistake gives it up.
+const MISTAKE_AFTER_S: (f64, f64) = (60.0, 120.0);
+
+/// Where the jobs of one class come from.
+#[derive(Debug)]
+pub struct Shop {
+    rng: Pcg64,
+    class: usize,
+    /// Name, GB, and how often each image is used, summed up.
+    images: Vec<(String, f64, f64)>,
+    /// Numbers of its jobs, in no order; classes share them out.
+    next: u32,
+    step: u32,
+    classes: u32,
+}
+
+fn draw(rng: &mut Pcg64, s: &Spread) -> f64 {
+    let sigma = s.p95.map_or(0.0, |p| libm::log(p / s.median) / SD_95);
+    let value = s.median * libm::exp(sigma * rng.sample::<f64, _>(StandardNormal));
+    value.min(s.most.unwrap_or(f64::INFINITY))
+}
+
+/// Like a measured amount: no more digits than anybody would write.
+fn round(v: f64) -> f64 {
+    (v * 100.0).round() / 100.0
+}
+
+/// Job numbers, and steps that visit all of them: primes, which have no divisor in common
+/// with their count.
+const NUMBERS: u32 = 1_000_000;
+const STEPS: [u32; 4] = [104_729, 224_737, 350_377, 479_909];
+
+impl Shop {
+    pub fn all(world: &World) -> Vec<Shop> {
+        let classes = &world.night.workload.classes;
+        let one = |(class, c): (usize, &Class)| {
+            let mut rng = world.rng(&format!("jobs of {}", c.name));
+            let mut sum = 0.0;
+            let images = (0..c.images.count).map(|i| {
+                sum += libm::pow(f64::from(i + 1), -c.images.zipf);
+                let gb = round(draw(&mut rng, &c.images.gb)).max(0.01);
+                (format!("img-{}-{i}", c.name), gb, sum)
+            });
+            let images = images.collect();
+            Shop {
+                class,
+                images,
+                next: rng.random_range(0..NUMBERS / classes.len() as u32),
+                step: STEPS[rng.random_range(0..STEPS.len())],
+                classes: classes.len() as u32,
+                rng,
+            }
+        };
+        classes.iter().enumerate().map(one).collect()
+    }
+
+    /// Ids are unique, and come in no order.
+    fn id(&mut self) -> String {
+        let own = NUMBERS / self.classes;
+        self.next = (self.next + self.step) % own;
+        format!("wk-{:06}", self.next * self.classes + self.class as u32)
+    }
+
+    fn team(&mut self, world: &World, class: &Class) -> String {
+        let teams = &world.night.deployment.teams;
+        if let Some(team) = &class.team {
+            return team.clone();
+        }
+        let all: f64 = teams.iter().map(|t| t.weight).sum();
+        let mut left = self.rng.random::<f64>() * all;
+        for t in teams {
+            left -= t.weight;
+            if left < 0.0 {
+                return t.name.clone();
+            }
+        }
+        teams[teams.len() - 1].name.clone()
+    }
+
+    pub fn order(&mut self, world: &World) -> Order {
+        let c = &world.night.workload.classes[self.class];
+        let w = &world.night.workload;
+        let id = self.id();
+        let team = self.team(world, c);
+        let images = &self.images;
+        let most = images.last().map_or(1.0, |i| i.2);
+        let at = self.rng.random::<f64>() * most;
+        let image = images.iter().find(|i| i.2 >= at).unwrap_or(&images[0]);
+        let (image, image_gb) = (image.0.clone(), image.1);
+        let rng = &mut self.rng;
+        let standing = c.kind == JobKind::Standing;
+        let tasks = (draw(rng, &c.tasks).round().max(1.0) as u32).min(MAX_TASKS);
+        let run = draw(rng, &c.run_s);
+        let limit = c.run_s.most.unwrap_or(f64::INFINITY);
+        let runs: Vec<f64> = (0..if standing { 0 } else { tasks })
+            .map(|_| {
+                let by = libm::exp(TASKS_VARY * rng.sample::<f64, _>(StandardNormal));
+                (run * by).clamp(0.1, limit)
+            })
+            .collect();
+        let error = libm::exp(c.estimate_error * rng.sample::<f64, _>(StandardNormal));
+        let estimate_s = if standing {
+            0.0
+        } else {
+            round(run * c.estimate_bias * error).max(0.1)
+        };
+        let chance = |rng: &mut Pcg64, share: f64| rng.random::<f64>() < share;
+        let mistaken = !standing && chance(rng, c.mistaken);
+        let cancels = chance(rng, c.cancelled);
+        let drawn = |rng: &mut Pcg64, (least, most): (f64, f64)| {
+            least + rng.random::<f64>() * (most - least)
+        };
+        let (soon, later) = (drawn(rng, CANCEL_AFTER_S), drawn(rng, MISTAKE_AFTER_S));
+        let cancel_after_s = match (standing, mistaken, cancels) {
+            (true, ..) => Some(c.stands_s),
+            (_, true, _) => Some(later),
+            (_, _, true) => Some(soon),
+            _ => None,
+        };
+        let repeats = chance(rng, w.repeats);
+        let impossible = chance(rng, w.impossible);
+        let kind: f64 = rng.random();
+        let mut submission = Submission {
+            id: id.clone(),
+            class: c.name.clone(),
+            team: team.clone(),
+            kind: if standing { Kind::Service } else { Kind::Array },
+            priority: match c.rank {
+                Rank::Critical => Priority::Production,
+                Rank::Urgent => Priority::High,
+                Rank::Normal => Priority::Normal,
+                Rank::Low => Priority::Low,
+            },
+            tasks,
+            cpus: c.cpus,
+            gpus: c.gpus,
+            memory_gb: c.ram_gb,
+            image: image.clone(),
+            image_gb,
+            types: c.types.clone(),
+            zone: c.zone.clone(),
+            one_zone: c.one_zone,
+            spread: c.spread,
+            spot: c.spot,
+            estimate_s,
+            checkpoint_s: c.checkpoint_s,
+            save_s: c.save_s,
+            deadline_s: None,
+        };
+        if impossible && kind < UNKNOWN_TEAM {
+            submission.team = "nobody".into();
+        } else if impossible && kind < TOO_LARGE {
+            submission.cpus = 1.0e6;
+        } else if impossible {
+            submission.types = Some(vec!["no-such-type".into()]);
+        }
+        let job = Job {
+            id: id.clone(),
+            class: submission.class.clone(),
+            team: submission.team.clone(),
+            standing,
+            tasks,
+            cpus: submission.cpus,
+            kinds: submission.types.clone(),
+            zone: submission.zone.clone(),
+            one_zone: c.one_zone,
+            spread: c.spread,
+            spot: c.spot,
+        };
+        let sheet = Sheet {
+            job: id,
+            tasks,
+            cpus: submission.cpus,
+            gpus: submission.gpus,
+            ram_gb: submission.memory_gb,
+            image,
+            image_gb,
+            run_s: None,
+            checkpoint_s: c.checkpoint_s,
+            save_s: c.save_s,
+            mistaken,
+            saved_s: 0.0,
+            finished: false,
+        };
+        Order {
+            submission,
+            upload: Upload { sheet, runs },
+            job,
+            cancel_after_s,
+            job_stands: standing,
+            repeats,
+        }
+    }
+}
--- a/crates/node/src/loops/lead.rs
+++ b/crates/node/src/loops/lead.rs
@@ -12,7 +12,7 @@
     ProgressValue, Txn, Value,
 };
 use std::sync::Arc;
-use tracing::{info, warn};
+use tracing::{Instrument as _, info, warn};
 
 pub(super) async fn elect(node: Arc<Node>) {
     loop {
@@ -92,7 +92,8 @@
         core.known = Some(node.me().to_string());
     }
     node.state.set_leading(true);
-    if let Err(e) = take_over(node, lease, epoch, mark).await {
+    let span = tracing::trace_span!(target: "life", "takeover", epoch);
+    if let Err(e) = take_over(node, lease, epoch, mark).instrument(span).await {
         warn!(%e, "could not take over; giving the lease back");
         depose(node, "takeover failed");
         let _ = node.state.end_lease(lease).await;
@@ -160,10 +161,10 @@
     from.jobs = rows.into_iter().map(|i| (i.value, i.version)).collect();
     from.wall_ms = node.host.wall_ms();
     let types = node.core().types.clone();
-    let cluster = node.settings.platform.deployment.cluster.clone();
+    let mut cluster = node.settings.platform.deployment.cluster.clone();
+    cluster.policy = node.settings.operator.policy();
     let now = node.now();
-    let mut leader = Leader::new(epoch, mark, cluster, types, from, now);
-    leader.cheap_only = node.settings.operator.cheap_only;
+    let leader = Leader::new(epoch, mark, cluster, types, from, now);
     info!(epoch, "took over: {}", leader.summary());
     let mut core = node.core();
     if core.lease != lease {
--- /dev/null
+++ b/crates/rehearsal/src/lib.rs
@@ -0,0 +1,16 @@
+//! Plays a night: the controllers of `cherrywood-node` against the emulated
+//! systems, in virtual time on one thread or as real processes on loopback.
+
+pub mod command;
+pub mod experiment;
+pub mod live;
+pub mod log;
+pub mod nodes;
+pub mod play;
+pub mod plot;
+pub mod processes;
+pub mod report;
+pub mod summary;
+pub mod timeline;
+
+pub use play::{Options, Outcome, play};
