crates/admission: accounts, max-min table, verdict, floors, without I/O or clock

Need: under overload rank alone decided who was served, and everything was accepted. Change: per cell (class of a team) accounts of jobs offered, admitted and done; the fleet's pace, measured while work waits; a table by progressive filling over served shares (floor, guarantees, rest); a verdict that is a pure function of table, job and waiting time; memory of refusals that travels as ages; who is behind what was promised.

--- /dev/null
+++ b/crates/admission/src/lib.rs
@@ -0,0 +1,34 @@
+//! Which jobs are admitted when not all can be served: accounts, the table that one
+//! leader makes of them, and the verdict that every controller takes from it. No I/O
+//! and no clock. docs/admission.md has the reasons and the bounds.
+//!
+//! A cell is one class of jobs of one team. Work is counted in CPU seconds.
+
+pub mod behind;
+pub mod book;
+pub mod fill;
+pub mod memory;
+pub mod verdict;
+
+pub use book::{Book, View};
+pub use cherrywood_wire::admission::{AdmissionValue, Gate, Refused, Short, Table};
+pub use memory::Memory;
+pub use verdict::{Ask, Verdict, verdict};
+
+use xxhash_rust::xxh3::xxh3_64;
+
+/// The number of a class of a team. Controllers compare it, and the state service
+/// keeps it: it must be the same in every build.
+pub fn cell(team: &str, class: &str) -> u64 {
+    xxh3_64(format!("{team}\u{1f}{class}").as_bytes())
+}
+
+/// The number of a job's id, or of a key whose run times are learned.
+pub fn number(name: &str) -> u64 {
+    xxh3_64(name.as_bytes())
+}
+
+/// A number as a portion of all numbers, in [0, 1).
+pub(crate) fn portion(number: u64) -> f64 {
+    (number >> 11) as f64 / (1u64 << 53) as f64
+}
--- /dev/null
+++ b/crates/limits/src/admission.rs
@@ -0,0 +1,93 @@
+//! Admission under overload.
+
+/// s of offers that a table looks back on, taken for what comes next.
+pub const WINDOW_S: f64 = 30.0;
+/// s that a leader's first window counts for, at least.
+pub const WINDOW_MIN_S: f64 = 3.0;
+/// s that a job may take if no aim speaks of its class.
+pub const HORIZON_S: f64 = 300.0;
+/// Times that over, the fleet may have waiting what it does in it. At 1, all that is
+/// accepted could be done in time; but what is refused is late for sure, while most
+/// bursts pass and what waits then is done soon after (docs/admission.md: at 1, 20% of
+/// the users of an overload day gave up, and nobody was served sooner).
+pub const BACKLOG: f64 = 3.0;
+/// s over which a backlog is brought to that.
+pub const SETTLE_S: f64 = 15.0;
+/// Share of the fleet's pace that is admitted however much waits: enough small jobs
+/// that nobody is shut out while an old backlog is worked off.
+pub const INFLOW_MIN: f64 = 0.25;
+/// Load to which refused work must wait for room.
+pub const OPEN_LOAD: f64 = 0.9;
+
+/// Expected work that a CPU does in a second, before anything was measured.
+pub const PACE_FIRST: f64 = 0.7;
+pub const PACE_MIN: f64 = 0.2;
+pub const PACE_MAX: f64 = 1.5;
+/// s that this first guess weighs, of all CPUs: machines that have just come up fetch
+/// images, and say little of their pace.
+pub const PACE_PRIOR_S: f64 = 60.0;
+pub const PACE_HALF_LIFE_S: f64 = 60.0;
+/// s after which counts of jobs weigh half: long against a burst, short against a day.
+pub const COUNT_HALF_LIFE_S: f64 = 300.0;
+
+/// s that users go on trying (protocol).
+pub const GIVE_UP_S: f64 = 60.0;
+/// s after the last attempt until which another is likely: the longest `Retry-After`,
+/// and the user's own second.
+pub const TRYING_S: f64 = 33.0;
+/// s of trying after which a job counts for half its work.
+pub const PATIENCE_S: f64 = 60.0;
+/// `Retry-After`, s: at least, at most, and what the refused of one moment are spread
+/// over. Short enough for several tries in the time that users take.
+pub const RETRY_MIN_S: f64 = 6.0;
+pub const RETRY_MAX_S: f64 = 25.0;
+pub const RETRY_SPREAD_S: f64 = 8.0;
+/// Relative difference up to which two jobs have the same work.
+pub const SAME_WORK: f64 = 1e-3;
+/// Relative change of a gate below which the table stays as it is.
+pub const SUBSTANCE: f64 = 0.15;
+
+/// Refused jobs remembered, and for how many s; those kept for telling others, and
+/// those in one frame (some 30 bytes each).
+pub const REFUSED_KEPT: usize = 10_000;
+pub const REFUSED_KEPT_S: f64 = 90.0;
+pub const REFUSED_TOLD: usize = 4000;
+pub const REFUSED_FRAME: usize = 500;
+/// Cells whose counts go to the next leader: some 60 bytes each, in one value.
+pub const CELLS_KEPT: usize = 250;
+
+/// Served share up to which every cell comes before any team's guarantee: a class that
+/// is served by less than half starves.
+pub const FLOOR: f64 = 0.6;
+/// Share of what a cell was promised below which it is behind, and the share of the
+/// CPUs that come free that all such cells get before others.
+pub const HALF: f64 = 0.5;
+pub const FLOOR_CPUS: f64 = 0.25;
+/// Share of all CPUs up to which that part is saved up while nothing of theirs fits.
+pub const FLOOR_SAVED: f64 = 0.05;
+/// Share of a class's time after which a waiting job counts as late for that.
+pub const LATE_AFTER: f64 = 0.3;
+/// Run times of a task that are added to that time where no aim speaks of the class.
+pub const PATIENT_RUNS: f64 = 3.0;
+/// s of work that a standing job's task counts for.
+pub const STANDING_S: f64 = 600.0;
+/// Changes in the state service that a job costs: its key, final state, progress.
+pub const CHANGES_A_JOB: f64 = 5.0;
+/// Share of the state service's changes that jobs may take.
+pub const CHANGES_SHARE: f64 = 0.7;
+/// s between two tables, and s without news of the leader's after which a controller
+/// reads the table that the state service holds.
+pub const TABLE_EVERY_S: f64 = 1.0;
+pub const TABLE_STALE_S: f64 = 3.0;
+/// s at least between two writes of the table.
+pub const TABLE_WRITE_S: f64 = 2.0;
+/// Share of the CPUs that are up which must be placed for the pace to be clocked.
+pub const BUSY: f64 = 0.8;
+/// s after a growth for which the fleet isn't full.
+pub const GREW_S: f64 = 5.0;
+/// Machines in one answer, at least, by which the fleet counts as growing: single ones
+/// come back to the cloud all the time.
+pub const GROWS_BY: u32 = 4;
+/// s without a new machine, while more are wanted, after which the cloud is taken to
+/// have no more.
+pub const FULL_AFTER_S: f64 = 15.0;
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -1,6 +1,7 @@
 //! Every constant of cherrywood, with its unit and the reason for its value.
 //! What the platform's settings file says is never repeated here.
 
+pub mod admission;
 pub mod store;
 
 // --- predictor and queue (DESIGN-cherrywood, paper Table 1) ---
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -2,6 +2,7 @@
 //! service and other controllers exchange. The platform's own field names
 //! live only here; everywhere else the field's usual terms are used.
 
+pub mod admission;
 pub mod agent;
 pub mod cloud;
 pub mod peer;
