Floors of service under overload, and gates that all controllers share

Cause: order by rank serves the highest alone for as long as it has work. Change: cells behind half of what they were promised get a quarter of the CPUs that come free; the leader's table goes with the hellos, and through the state service when it changes in substance; refused submissions get 429 with Retry-After, known jobs always 200. Operators' settings under admission.

--- a/crates/control/src/cluster.rs
+++ b/crates/control/src/cluster.rs
@@ -59,13 +59,14 @@
 }
 
 /// What operators may choose; the defaults are the design.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Policy {
     /// Never rent machines at the full price.
     pub cheap_only: bool,
     /// Three levels by median estimate; else one, first come first served.
     pub levels: bool,
     pub aging: Aging,
+    pub admission: Admission,
 }
 
 impl Default for Policy {
@@ -74,6 +75,31 @@
             cheap_only: false,
             levels: true,
             aging: Aging::default(),
+            admission: Admission::default(),
+        }
+    }
+}
+
+/// How much is admitted under overload, and what is served first of it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Admission {
+    /// Jobs for which there is no room are refused.
+    pub gates: bool,
+    /// Cells behind what they were promised get a part of what comes free first.
+    pub floors: bool,
+    /// Served share up to which every cell comes before guarantees.
+    pub floor: f64,
+    /// Of teams that don't weigh 1.
+    pub weights: std::collections::BTreeMap<String, f64>,
+}
+
+impl Default for Admission {
+    fn default() -> Self {
+        Admission {
+            gates: true,
+            floors: true,
+            floor: cherrywood_limits::admission::FLOOR,
+            weights: std::collections::BTreeMap::new(),
         }
     }
 }
--- /dev/null
+++ b/crates/control/src/leader/admitting.rs
@@ -0,0 +1,183 @@
+//! What the leader knows that admission needs: work, backlog, the fleet's pace; and
+//! the classes of teams that are behind what they were promised.
+
+use super::placing::run_estimate;
+use super::*;
+use cherrywood_admission::behind::{Standing, behind};
+use cherrywood_admission::book::Team;
+use cherrywood_admission::{Refused, Table, View, number};
+use limits::admission as bounds;
+
+impl Leader {
+    /// Expected CPU seconds of a whole job.
+    pub(super) fn work_of(&self, spec: &Submission) -> f64 {
+        work(spec, self.predictor.estimate(&spec.key()))
+    }
+
+    /// Makes the admission table anew; Some if it changed in substance.
+    pub fn admit(&mut self, refused: Vec<Refused>, now: f64) -> Option<&Table> {
+        let view = self.view(refused, now);
+        self.book.publish(&view, now).then(|| self.book.table())
+    }
+
+    pub fn table(&self) -> &Table {
+        self.book.table()
+    }
+
+    pub fn admission_value(&self) -> AdmissionValue {
+        self.book.value()
+    }
+
+    fn view(&mut self, refused: Vec<Refused>, now: f64) -> View {
+        let (mut up, mut coming, mut standing, mut placed) = (0.0, 0.0, 0.0, 0.0);
+        for m in self
+            .machines
+            .values()
+            .filter(|m| !m.draining && !m.deleting)
+        {
+            let cpus = self.cpus_of(&m.kind);
+            let n = if m.up { &mut up } else { &mut coming };
+            *n += cpus;
+            for p in &m.placed {
+                placed += p.cpus;
+                let job = p.job.and_then(|no| self.jobs.get(&no));
+                if job.is_some_and(|j| j.spec.kind == Kind::Service) {
+                    standing += p.cpus;
+                }
+            }
+        }
+        let waits = self.queue.runs().any(|r| self.jobs.contains_key(&r.job));
+        let busy = waits && placed > up * bounds::BUSY;
+        self.book.clocked(up, now - self.clocked, busy);
+        self.clocked = now;
+        let mut backlog: BTreeMap<u64, f64> = BTreeMap::new();
+        for job in self.jobs.values().filter(|j| j.spec.kind != Kind::Service) {
+            let est = run_estimate(&self.predictor, job);
+            // Of those on machines, half is still to come.
+            let tasks = f64::from(job.left()) + f64::from(job.placed) / 2.0;
+            *backlog.entry(job.cell).or_default() += tasks * job.spec.cpus * est;
+        }
+        let (demand, _, first) = self.demand();
+        let short = first.is_some() && demand.wanted(limits::DRAIN_S) > up + coming;
+        let full = short && (self.book.full() || now - self.grew > bounds::FULL_AFTER_S);
+        let policy = &self.settings.policy.admission;
+        let teams = self.settings.teams.iter();
+        let mut medians: Vec<(u64, f32)> = self.predictor.medians();
+        medians.sort_by_key(|m| m.0);
+        View {
+            cpus: (up + coming - standing).max(1.0),
+            full: full && now - self.grew > bounds::GREW_S,
+            teams: teams
+                .map(|t| Team {
+                    name: t.name.clone(),
+                    guarantee: t.cpus,
+                    most: t.cpus_max,
+                    weight: policy.weights.get(&t.name).copied().unwrap_or(1.0),
+                })
+                .collect(),
+            backlog,
+            horizons: self.book.classes(|class| self.time_of(class)),
+            jobs_per_s: self.settings.state.write_rps * bounds::CHANGES_SHARE
+                / bounds::CHANGES_A_JOB,
+            refused,
+            medians,
+            floor: policy.floor,
+        }
+    }
+
+    /// Cells behind what they were promised, the least served first.
+    pub(super) fn behind(&self, now: f64) -> Vec<u64> {
+        if !self.settings.policy.admission.floors {
+            return Vec::new();
+        }
+        let mut late: BTreeMap<u64, f64> = BTreeMap::new();
+        for job in self.jobs.values().filter(|j| j.left() > 0) {
+            if now - job.born > self.patience(job) && !job.suspect() {
+                *late.entry(job.cell).or_default() += 1.0;
+            }
+        }
+        let standing = self.book.accounts().map(|(cell, a)| Standing {
+            cell,
+            done: a.done,
+            late: late.get(&cell).copied().unwrap_or(0.0),
+        });
+        behind(standing.collect(), bounds::HALF)
+    }
+
+    /// s for which a job may wait before it counts as late. What runs for long can wait
+    /// for long, unless an aim says otherwise: guests' tasks of 300 s were placed before
+    /// urgent ones because none of their jobs was done after 90 s.
+    fn patience(&self, job: &Job) -> f64 {
+        let aimed = self.settings.objectives.iter();
+        let aimed = aimed
+            .filter(|o| o.kind == "finished")
+            .any(|o| o.class == job.spec.class);
+        let runs = match aimed {
+            true => 0.0,
+            false => bounds::PATIENT_RUNS * run_estimate(&self.predictor, job),
+        };
+        (self.time_of(&job.spec.class) + runs) * bounds::LATE_AFTER
+    }
+
+    /// s in which a job of the class should be done.
+    fn time_of(&self, class: &str) -> f64 {
+        let aims = self.settings.objectives.iter();
+        let own = aims.filter(|o| o.class == class && o.kind == "finished");
+        let most = own.map(|o| o.within_s).fold(0.0, f64::max);
+        if most > 0.0 { most } else { bounds::HORIZON_S }
+    }
+
+    /// For the log: what is short, and each cell's jobs offered, admitted, waiting
+    /// and done.
+    pub(super) fn admission_summary(&self) -> String {
+        let mut waiting: BTreeMap<u64, usize> = BTreeMap::new();
+        for job in self.jobs.values() {
+            *waiting.entry(job.cell).or_default() += 1;
+        }
+        let table = self.book.table();
+        let cells: Vec<String> = self
+            .book
+            .accounts()
+            .map(|(id, a)| {
+                let gate = table.gates.iter().find(|g| g.cell == id);
+                let gate = gate.map_or(String::new(), |g| format!(" up to {:.0}", g.up_to));
+                let refused = a.total_offered.saturating_sub(a.total_admitted);
+                format!(
+                    "{}/{} {} of {} ({refused} refused, {} wait, {} done){gate}",
+                    a.team,
+                    a.class,
+                    a.total_admitted,
+                    a.total_offered,
+                    waiting.get(&id).copied().unwrap_or(0),
+                    a.total_done,
+                )
+            })
+            .collect();
+        format!(
+            "admission {}.{}, short of {:?}, load {:.2}, pace {:.2}, {}",
+            table.epoch,
+            table.generation,
+            table.short,
+            self.book.load,
+            self.book.pace(),
+            cells.join(", ")
+        )
+    }
+}
+
+/// Expected CPU seconds of a whole job, from the learned median of its key or, without
+/// one, its owner's estimate.
+pub fn work(spec: &Submission, median: Option<f64>) -> f64 {
+    let run_s = match spec.kind {
+        Kind::Service => bounds::STANDING_S,
+        _ => median.unwrap_or(spec.estimate_s).max(1.0),
+    };
+    spec.cpus * f64::from(spec.tasks) * run_s
+}
+
+/// The same as other controllers see it, from the table.
+pub fn work_by(table: &Table, spec: &Submission) -> f64 {
+    let key = number(&spec.key());
+    let at = table.medians.binary_search_by_key(&key, |m| m.0);
+    work(spec, at.ok().map(|at| f64::from(table.medians[at].1)))
+}
--- a/crates/control/src/leader/fleet.rs
+++ b/crates/control/src/leader/fleet.rs
@@ -499,6 +499,9 @@
     /// A rental was answered: the names, or None for "no capacity".
     pub fn rented(&mut self, rent: &Rent, names: Option<&[String]>, now: f64) {
         let got = names.map_or(0, <[String]>::len);
+        if got as u32 >= (rent.count / 2).max(limits::admission::GROWS_BY) {
+            self.grew = now;
+        }
         if got < rent.count as usize {
             let key = (rent.kind.clone(), rent.zone.clone(), rent.spot);
             self.refused.insert(key, now + limits::REFUSAL_S);
@@ -582,7 +585,7 @@
             .collect();
         format!(
             "{} jobs ({} suspect), {} machines ({} up, {dear} dear), {placed} placed, waiting {waiting:?}, \
-             delayed {}, cpus {cpus} up, {used} placed, {running} running, {:.0} wanted, {}",
+             delayed {}, cpus {cpus} up, {used} placed, {running} running, {:.0} wanted, {}; {}",
             self.jobs.len(),
             self.jobs.values().filter(|j| j.suspect()).count(),
             self.machines.len(),
@@ -590,6 +593,7 @@
             self.delayed.len(),
             self.demand().1.wanted(limits::DRAIN_DEAR_S),
             teams.join(", "),
+            self.admission_summary(),
         )
     }
 }
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -8,6 +8,7 @@
 use crate::bitmap::Bitmap;
 use crate::keys;
 use crate::{Settings, Timing};
+use cherrywood_admission::{AdmissionValue, Book};
 use cherrywood_limits as limits;
 use cherrywood_sched::fleet::{Demand, Offer, Waiting, shop};
 use cherrywood_sched::place::{View, cost};
@@ -22,6 +23,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use tracing::{info, warn};
 
+mod admitting;
 mod fleet;
 mod ledger;
 mod placing;
@@ -29,6 +31,7 @@
 mod reports;
 mod yielding;
 
+pub use admitting::work_by;
 pub use ledger::LedgerBatch;
 
 type JobNo = u32;
@@ -49,6 +52,8 @@
     durable: Bitmap,
     progress_mark: u64,
     writing: bool,
+    /// Class and team, for admission.
+    cell: u64,
     placed: u32,
     /// Placements not yet freed, by task. Rows of the ledger that an earlier
     /// leader freed in memory only are among them, so there may be several.
@@ -69,6 +74,12 @@
         self.done.count() > 0
     }
 
+    /// Tasks neither done nor on a machine.
+    fn left(&self) -> u32 {
+        let gone = self.done.count() + self.on.len() as u32;
+        self.spec.tasks.saturating_sub(gone)
+    }
+
     /// Failed on several machines and succeeded nowhere meanwhile: it is tried
     /// one task at a time, and neither rents nor blames anything.
     fn suspect(&self) -> bool {
@@ -253,6 +264,12 @@
     /// Machines looked at while placing, in all: what placing costs.
     pub looks: u64,
     predictor: Predictor,
+    book: Book,
+    /// When the fleet's pace was last clocked, and when a machine was last rented.
+    clocked: f64,
+    grew: f64,
+    /// CPUs that cells which are behind may still take before others.
+    floor_due: f64,
     refused: HashMap<(String, String, bool), f64>,
     /// CPUs wanted, averaged over a longer, a shorter and the longest time, and
     /// when.
@@ -275,6 +292,7 @@
     pub ledger: Vec<(u64, LogValue)>,
     pub histograms: Option<HistogramsValue>,
     pub images: Option<ImagesValue>,
+    pub admission: Option<AdmissionValue>,
 }
 
 impl Leader {
@@ -291,6 +309,8 @@
             Some(h) => Predictor::restore(&h.pooled, &h.keys, now),
             None => Predictor::new(),
         };
+        let book = Book::new(epoch, from.admission.clone().unwrap_or_default(), now);
+        let book_full = book.full();
         let mut leader = Leader {
             epoch,
             mark,
@@ -317,6 +337,11 @@
             hints: HashMap::new(),
             looks: 0,
             predictor,
+            book,
+            clocked: now,
+            // What the last leader knew to be full is taken for full.
+            grew: if book_full { f64::NEG_INFINITY } else { now },
+            floor_due: 0.0,
             refused: HashMap::new(),
             wanted: None,
             bad_boots: BTreeSet::new(),
@@ -375,7 +400,7 @@
         for (value, mark) in jobs {
             let id = value.job.id.clone();
             let saved = progress.remove(&id);
-            self.enter(value, mark, saved, placed.get(&id), now);
+            self.enter(value, mark, saved, placed.get(&id), now, false);
         }
         self.inherit_images(from.images.unwrap_or_default());
         self.inherit_ledger(from.ledger, now);
@@ -421,6 +446,7 @@
         saved: Option<(ProgressValue, u64)>,
         placed: Option<&HashSet<u32>>,
         now: f64,
+        fresh: bool,
     ) {
         let spec = value.job;
         let (done, progress_mark) = match saved {
@@ -451,6 +477,10 @@
                 _ => {}
             }
         }
+        let work = self.work_of(&spec);
+        let id = cherrywood_admission::number(&spec.id);
+        self.book
+            .admitted(&spec.team, &spec.class, id, work, fresh, now);
         self.ids.insert(spec.id.clone(), no);
         self.jobs.insert(
             no,
@@ -469,6 +499,7 @@
                 done,
                 progress_mark,
                 writing: false,
+                cell: cherrywood_admission::cell(&spec.team, &spec.class),
                 placed: 0,
                 on: HashMap::new(),
                 running: 0,
@@ -502,7 +533,7 @@
                     .filter(|p| own(p))
                     .map(|p| p.task)
                     .collect();
-                self.enter(value, mark, None, Some(&there), now);
+                self.enter(value, mark, None, Some(&there), now, true);
                 let no = self.next_job - 1;
                 let Some(job) = self.jobs.get_mut(&no) else {
                     return;
@@ -527,7 +558,10 @@
             return;
         };
         crate::life!(id, "is over for this leader");
-        self.jobs.remove(&no);
+        if let Some(job) = self.jobs.remove(&no) {
+            let done = job.done.count() >= job.spec.tasks;
+            self.book.ended(&job.spec.team, &job.spec.class, done);
+        }
         self.queue.retain(|j| *j != no);
         self.delayed.retain(|(_, j, _)| *j != no);
         let mut freed = Vec::new();
--- a/crates/control/src/leader/placing.rs
+++ b/crates/control/src/leader/placing.rs
@@ -90,6 +90,8 @@
     /// Free CPUs that this pass must leave; is it for more than filling?
     keep: f64,
     no_fill: bool,
+    /// For a cell that is behind: what it places doesn't give way to others.
+    floor: bool,
     looks: &'a mut u64,
 }
 
@@ -207,6 +209,8 @@
         }
         ranks.sort_unstable();
         let spare = self.ranked_cpus() * limits::FILL_SPARE;
+        let behind = self.behind(now);
+        let all: f64 = self.machines.values().map(|m| self.cpus_of(&m.kind)).sum();
         let fetching = self.fetching(&team_no);
         let fresh = limits::MISSED_REPORTS * self.settings.workers.report_s;
         let mut sites = Vec::new();
@@ -252,8 +256,12 @@
             groups: 0,
             keep: 0.0,
             no_fill: false,
+            floor: false,
             looks: &mut self.looks,
         };
+        let before = plan.placed();
+        plan.serve_behind(&mut queue, &behind, self.floor_due);
+        let floored = plan.placed() - before;
         // Guaranteed work goes before borrowed work, higher ranks before
         // lower ones; among equals the level clocks decide. Before a machine
         // fetches an image, tasks of the same standing whose image is there
@@ -271,7 +279,15 @@
                 }
             }
         }
+        let others = plan.placed() - before - floored;
         self.queue = queue;
+        let share = limits::admission::FLOOR_CPUS;
+        self.floor_due = if behind.is_empty() {
+            0.0
+        } else {
+            let due = self.floor_due - floored + others * share / (1.0 - share);
+            due.min(all * limits::admission::FLOOR_SAVED)
+        };
         self.give_way(now);
     }
 
@@ -295,7 +311,7 @@
     }
 }
 
-fn run_estimate(predictor: &Predictor, job: &Job) -> f64 {
+pub(super) fn run_estimate(predictor: &Predictor, job: &Job) -> f64 {
     predictor
         .estimate(&job.key)
         .unwrap_or(job.spec.estimate_s)
@@ -347,6 +363,41 @@
         }
     }
 
+    /// CPUs that teams use, with what this pass has placed.
+    fn placed(&self) -> f64 {
+        self.used.iter().map(|u| u.0).sum()
+    }
+
+    /// The floor of service: a part of the CPUs that come free goes to the cells that
+    /// are behind what they were promised, whatever their rank, the least served
+    /// first and within each the job with the least work left. Without it jobs of
+    /// lower ranks waited as long as higher ones kept coming (1 of 129 done).
+    fn serve_behind(&mut self, queue: &mut Queue<JobNo>, behind: &[u64], due: f64) {
+        let most = self.placed() + due;
+        self.floor = true;
+        for cell in behind {
+            let mut jobs: Vec<(f64, JobNo)> = Vec::new();
+            for (no, w) in self.waiters.iter().filter(|(_, w)| !w.blocked) {
+                if let Some(job) = self.jobs.get(no).filter(|j| j.cell == *cell) {
+                    let left = f64::from(job.left()) * job.spec.cpus * w.est;
+                    jobs.push((left, *no));
+                }
+            }
+            jobs.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+            for (_, no) in jobs {
+                let of = self.jobs.get(&no).map(|j| j.spec.priority);
+                while self.placed() < most
+                    && !self.sites.is_empty()
+                    && of.is_some_and(|rank| self.ready(&no, false, rank))
+                    && let Some(pick) = queue.find(&no)
+                {
+                    self.place_group(queue, &pick, false, Order::Any);
+                }
+            }
+        }
+        self.floor = false;
+    }
+
     fn serve_rank(&mut self, queue: &mut Queue<JobNo>, guaranteed: bool, rank: Priority) {
         self.serve_due(queue, guaranteed, rank);
         self.serve(queue, guaranteed, rank, Order::Hot);
@@ -397,9 +448,7 @@
                 && self.ready(no, guaranteed, rank)
                 && let Some(job) = self.jobs.get(no)
             {
-                let gone = job.done.count() as usize + job.on.len();
-                let left = (job.spec.tasks as usize).saturating_sub(gone);
-                due.push((left as f64 * job.spec.cpus * w.est, *no));
+                due.push((f64::from(job.left()) * job.spec.cpus * w.est, *no));
             }
         }
         due.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
@@ -674,7 +723,7 @@
                 cpus: s.cpus,
                 gpus: s.gpus,
                 mem: s.memory_gb,
-                fill: job.fill,
+                fill: job.fill && !self.floor,
                 stop: Stop::No,
             })
             .collect();
--- a/crates/control/src/leader/reports.rs
+++ b/crates/control/src/leader/reports.rs
@@ -167,6 +167,8 @@
                 && !job.done.get(n)
             {
                 job.done.set(n);
+                self.book
+                    .worked(job.spec.cpus * placing::run_estimate(&self.predictor, job));
                 succeeded.push(no);
             }
             let Some(at) = at else { continue };
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -15,7 +15,7 @@
 pub mod leader;
 pub mod timing;
 
-pub use cluster::{Policy, Settings, Team};
+pub use cluster::{Admission, Policy, Settings, Team};
 pub use holder::Holder;
 pub use leader::Leader;
 pub use timing::Timing;
@@ -29,6 +29,7 @@
     pub const PROGRESS: &str = "p/";
     pub const HISTOGRAMS: &str = "h/all";
     pub const IMAGES: &str = "h/images";
+    pub const ADMISSION: &str = "h/admission";
     pub fn job(id: &str) -> String {
         format!("j/{id}")
     }
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -56,6 +56,10 @@
 
     /// A new leader in `epoch`, which reads everything.
     pub fn elect(&mut self, epoch: u64, now: f64) -> Leader {
+        self.elect_with(settings(), epoch, now)
+    }
+
+    pub fn elect_with(&mut self, settings: Settings, epoch: u64, now: f64) -> Leader {
         let mark = self.put(
             keys::LEADER,
             Value::Leader(cherrywood_wire::state::LeaderValue {
@@ -72,12 +76,13 @@
                     let entry = keys::ledger_entry(key).expect("a number");
                     from.ledger.push((entry, l.clone()));
                 }
+                Value::Admission(a) => from.admission = Some((**a).clone()),
                 Value::Images(i) => from.images = Some(i.clone()),
                 Value::Progress(p) => from.progress.push((key[2..].to_string(), p.clone(), *mark)),
                 _ => {}
             }
         }
-        Leader::new(epoch, mark, settings(), types(), from, now)
+        Leader::new(epoch, mark, settings, types(), from, now)
     }
 
     /// A user's submission that some node accepted.
--- a/crates/node/src/api.rs
+++ b/crates/node/src/api.rs
@@ -3,6 +3,7 @@
 use crate::lookup::{Found, lookup};
 use crate::node::Node;
 use crate::polls::Told;
+use cherrywood_admission::Verdict;
 use cherrywood_control::{keys, life};
 use cherrywood_limits as limits;
 use cherrywood_net::NetError;
@@ -117,7 +118,18 @@
     if let Err(why) = possible(&job, &cluster.teams, &types) {
         return refuse(422, why);
     }
+    let now = node.now();
+    if let Verdict::Refuse { retry_s } = node.gate.judge(&job, now) {
+        return match known(node, &id).await {
+            Some(answer) => answer,
+            None => {
+                node.gate.refused(&job, node.now());
+                full(retry_s)
+            }
+        };
+    }
     let at_ms = node.host.wall_ms();
+    let number = cherrywood_admission::number(&id);
     let txn = Txn {
         guards: vec![
             Guard {
@@ -138,6 +150,7 @@
     match node.state.txn(&txn, Class::First).await {
         Ok(TxnResult::Applied(_)) => {
             node.state_answered();
+            node.gate.admitted(number);
             status(201, &id, JobState::Queued, None)
         }
         Ok(TxnResult::Failed(_)) => {
@@ -155,6 +168,26 @@
     }
 }
 
+/// What a job is told that is known already, whatever there is room for; None if it
+/// isn't. It asks as a poll does, with all others that wait: under overload every
+/// refused submission comes this way.
+async fn known(node: &Node, id: &str) -> Option<Response> {
+    match node.polls.ask(id).await {
+        Told::Live(done, running) => Some(live(id, (done, running))),
+        Told::Ended(v) => Some(ended(200, id, &v)),
+        Told::Nothing => None,
+        Told::Later => Some(Response::busy()),
+    }
+}
+
+/// Possible, but not now: there is no room for it.
+fn full(retry_s: u64) -> Response {
+    Response {
+        retry_after_s: Some(retry_s),
+        ..refuse(429, "no room now")
+    }
+}
+
 /// Why a job can never run, if so.
 pub fn possible(
     job: &Submission,
@@ -280,7 +313,7 @@
 }
 
 #[cfg(test)]
-mod tests {
+pub(crate) mod tests {
     use super::*;
     use crate::settings::{EXAMPLE, Operator, Settings};
     use cherrywood_control::Leader;
@@ -309,7 +342,7 @@
         rt.block_on(answer(node, request))
     }
 
-    fn job() -> Submission {
+    pub(crate) fn job() -> Submission {
         Submission {
             id: "wk-000001".into(),
             class: "c".into(),
@@ -334,7 +367,7 @@
         }
     }
 
-    fn types() -> Vec<MachineType> {
+    pub(crate) fn types() -> Vec<MachineType> {
         vec![MachineType {
             name: "m8".into(),
             cpus: 8.0,
@@ -508,6 +541,8 @@
         let hello = || Ask::Hello {
             from: "n1".into(),
             state_ok: true,
+            table: (0, 0),
+            refused: Vec::new(),
         };
         let leads = |reply| match reply {
             Reply::Hello { leads, block, .. } => (leads.is_some(), block.len()),
--- /dev/null
+++ b/crates/node/src/gate.rs
@@ -0,0 +1,200 @@
+//! The admission table as this controller has it, and the jobs refused of late.
+
+use crate::lock;
+use cherrywood_admission::{Ask, Memory, Refused, Table, Verdict, cell, number, verdict};
+use cherrywood_control::leader::work_by;
+use cherrywood_limits::admission as limits;
+use cherrywood_wire::user::Submission;
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+
+#[derive(Debug, Default)]
+struct Inside {
+    table: Table,
+    /// When the leader last had no newer one.
+    confirmed: f64,
+    memory: Memory,
+    /// What each peer was told of the refusals made here.
+    told: BTreeMap<String, u64>,
+}
+
+#[derive(Debug)]
+pub struct Gate {
+    on: bool,
+    inside: Mutex<Inside>,
+}
+
+impl Gate {
+    pub fn new(on: bool) -> Gate {
+        Gate {
+            on,
+            inside: Mutex::default(),
+        }
+    }
+
+    pub fn judge(&self, job: &Submission, now: f64) -> Verdict {
+        let inside = lock(&self.inside);
+        if !self.on || inside.table.gates.is_empty() {
+            return Verdict::Admit;
+        }
+        let id = number(&job.id);
+        let ask = Ask {
+            id,
+            cell: cell(&job.team, &job.class),
+            work: work_by(&inside.table, job),
+            waited_s: inside.memory.waited_s(id, now),
+        };
+        verdict(&inside.table, &ask)
+    }
+
+    pub fn refused(&self, job: &Submission, now: f64) {
+        let mut inside = lock(&self.inside);
+        let work = work_by(&inside.table, job);
+        let of = cell(&job.team, &job.class);
+        inside.memory.refused(number(&job.id), of, work, now);
+    }
+
+    pub fn admitted(&self, id: u64) {
+        lock(&self.inside).memory.admitted(id);
+    }
+
+    /// Takes a table that is newer than its own, whoever has it.
+    pub fn adopt(&self, table: &Table) {
+        let mut inside = lock(&self.inside);
+        if table.version() > inside.table.version() {
+            inside.table = table.clone();
+        }
+    }
+
+    pub fn version(&self) -> (u64, u64) {
+        lock(&self.inside).table.version()
+    }
+
+    pub fn newer_than(&self, version: (u64, u64)) -> Option<Table> {
+        let inside = lock(&self.inside);
+        (inside.table.version() > version).then(|| inside.table.clone())
+    }
+
+    /// The leader or the state service has none that is newer.
+    pub fn confirmed(&self, now: f64) {
+        let mut inside = lock(&self.inside);
+        inside.confirmed = inside.confirmed.max(now);
+    }
+
+    pub fn stale(&self, now: f64) -> bool {
+        now - lock(&self.inside).confirmed > limits::TABLE_STALE_S
+    }
+
+    // --- refusals ---
+
+    /// What this peer hasn't been told yet, and the number to note when it has.
+    pub fn untold(&self, peer: &str, now: f64) -> (Vec<Refused>, u64) {
+        let inside = lock(&self.inside);
+        let from = inside.told.get(peer).copied().unwrap_or(0);
+        inside.memory.since(from, now)
+    }
+
+    pub fn told(&self, peer: &str, upto: u64) {
+        lock(&self.inside).told.insert(peer.to_string(), upto);
+    }
+
+    pub fn heard(&self, refused: &[Refused], now: f64) {
+        let mut inside = lock(&self.inside);
+        for r in refused {
+            inside.memory.heard(r, now);
+        }
+    }
+
+    /// Refused jobs that are likely to try again.
+    pub fn waiting(&self, now: f64) -> Vec<Refused> {
+        lock(&self.inside).memory.waiting(now)
+    }
+
+    pub fn forget_old(&self, now: f64) {
+        lock(&self.inside).memory.forget_old(now);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use cherrywood_admission::Gate as Bar;
+
+    fn job(id: &str, tasks: u32) -> Submission {
+        Submission {
+            id: id.into(),
+            tasks,
+            cpus: 1.0,
+            estimate_s: 10.0,
+            ..crate::api::tests::job()
+        }
+    }
+
+    fn table(epoch: u64, generation: u64, up_to: f64) -> Table {
+        let bar = Bar {
+            cell: cell("t", "c"),
+            up_to,
+            share: 0.0,
+        };
+        Table {
+            epoch,
+            generation,
+            gates: vec![bar],
+            relief_s: 10.0,
+            ..Table::default()
+        }
+    }
+
+    /// A leader that stood still makes tables of its old term, also after the next
+    /// leader's first: nobody goes back to them, in whatever order they come.
+    #[test]
+    fn the_newest_table_wins_in_any_order_and_from_anybody() {
+        let tables = [table(1, 90, 5.0), table(2, 1, 70.0), table(1, 91, 5.0)];
+        for order in [[0, 1, 2], [2, 1, 0], [1, 2, 0], [0, 2, 1]] {
+            let gate = Gate::new(true);
+            order.iter().for_each(|i| gate.adopt(&tables[*i]));
+            assert_eq!(gate.version(), (2, 1));
+            assert_eq!(gate.judge(&job("wk-000001", 6), 0.0), Verdict::Admit);
+            // It passes on what it has to whoever has an older one.
+            assert_eq!(gate.newer_than((1, 91)).map(|t| t.version()), Some((2, 1)));
+            assert_eq!(gate.newer_than((2, 1)), None);
+        }
+    }
+
+    /// Refused at one controller, a job is known at all others after a hello: its
+    /// waiting counts wherever it comes next, and each is told once.
+    #[test]
+    fn a_retry_at_another_controller_gets_the_same_answer() {
+        let (a, b) = (Gate::new(true), Gate::new(true));
+        for g in [&a, &b] {
+            g.adopt(&table(1, 1, 100.0));
+        }
+        // 120 CPU seconds, let in after 12 s of waiting.
+        let j = job("wk-000001", 12);
+        assert!(matches!(a.judge(&j, 50.0), Verdict::Refuse { .. }));
+        a.refused(&j, 50.0);
+        let (news, upto) = a.untold("b", 51.0);
+        b.heard(&news, 1051.0);
+        assert_eq!(
+            a.untold("b", 51.0).0.len(),
+            1,
+            "not told until the answer came"
+        );
+        a.told("b", upto);
+        assert!(a.untold("b", 51.0).0.is_empty());
+        for waited in [5.0, 11.0, 13.0, 30.0] {
+            assert_eq!(a.judge(&j, 50.0 + waited), b.judge(&j, 1050.0 + waited));
+        }
+        assert_eq!(b.judge(&j, 1063.0), Verdict::Admit);
+    }
+
+    #[test]
+    fn a_controller_that_hears_nothing_reads_the_table_and_one_that_does_need_not() {
+        let gate = Gate::new(true);
+        gate.confirmed(100.0);
+        assert!(!gate.stale(102.9) && gate.stale(103.1));
+        let off = Gate::new(false);
+        off.adopt(&table(1, 1, 1.0));
+        assert_eq!(off.judge(&job("wk-000001", 99), 0.0), Verdict::Admit);
+    }
+}
--- a/crates/node/src/loops/lead.rs
+++ b/crates/node/src/loops/lead.rs
@@ -7,6 +7,7 @@
 use cherrywood_net::NetError;
 use cherrywood_net::budget::Class;
 use cherrywood_net::state::TxnResult;
+use cherrywood_wire::admission::AdmissionValue;
 use cherrywood_wire::state::{
     Change, EpochValue, Guard, HistogramsValue, ImagesValue, JobValue, LeaderValue, LogValue,
     ProgressValue, Txn, Value,
@@ -157,6 +158,8 @@
     from.histograms = saved.map(|i| i.value);
     let saved = insist!(node, node.state.get::<ImagesValue>(keys::IMAGES));
     from.images = saved.map(|i| i.value);
+    let saved = insist!(node, node.state.get::<AdmissionValue>(keys::ADMISSION));
+    from.admission = saved.map(|i| i.value);
     let rows = insist!(node, node.state.list::<JobValue>(keys::JOBS)).0;
     from.jobs = rows.into_iter().map(|i| (i.value, i.version)).collect();
     from.wall_ms = node.host.wall_ms();
--- a/crates/node/src/loops/mod.rs
+++ b/crates/node/src/loops/mod.rs
@@ -1,5 +1,6 @@
 //! What a controller does by itself.
 
+mod admit;
 mod cloud;
 mod lead;
 mod polls;
@@ -22,6 +23,8 @@
     node.host.spawn(cloud::list(node.clone()));
     node.host.spawn(cloud::types(node.clone()));
     node.host.spawn(write::snapshot(node.clone()));
+    node.host.spawn(admit::tables(node.clone()));
+    node.host.spawn(admit::refresh(node.clone()));
     node.host.spawn(tick(node.clone()));
     for i in 0..node.peers.len() {
         let own = node.clone();
@@ -66,6 +69,7 @@
         {
             let mut core = node.core();
             core.holder.forget_old(now, limits::UNHEARD_S);
+            node.gate.forget_old(now);
             if let Some(leader) = core.leading(now) {
                 beats += 1;
                 if beats.is_multiple_of(20) {
--- a/crates/node/src/loops/polls.rs
+++ b/crates/node/src/loops/polls.rs
@@ -69,10 +69,13 @@
 mod tests {
     use super::*;
     use crate::api;
+    use crate::api::tests::{job as submission, types};
     use crate::settings::{EXAMPLE, Operator, Settings};
+    use cherrywood_admission::{Gate as Bar, Table};
     use cherrywood_net::Host;
     use cherrywood_net::server::{self, Request, Response};
     use cherrywood_wire::state::FinalValue;
+    use cherrywood_wire::user::Submission;
     use cherrywood_wire::user::{JobState, JobStatus};
     use cherrywood_wire::{decode, encode};
     use serde::{Deserialize, Serialize};
@@ -135,6 +138,13 @@
         (addr, count)
     }
 
+    fn node_at(state: std::net::SocketAddr) -> Arc<Node> {
+        let text = EXAMPLE.replace("state = \"127.0.0.1:9\"", &format!("state = \"{state}\""));
+        let platform = Settings::platform(&text).unwrap();
+        let operator = Operator::default();
+        Arc::new(Node::new(Host::machine(), Settings { platform, operator }))
+    }
+
     /// Asks about all of these at once; status, state and `Retry-After`.
     fn ask(refuses: bool, jobs: &[u32]) -> (Vec<(u16, Option<JobState>, bool)>, usize) {
         let rt = tokio::runtime::Builder::new_current_thread()
@@ -143,10 +153,7 @@
             .unwrap();
         rt.block_on(async {
             let (addr, count) = state(refuses).await;
-            let text = EXAMPLE.replace("state = \"127.0.0.1:9\"", &format!("state = \"{addr}\""));
-            let platform = Settings::platform(&text).unwrap();
-            let operator = Operator::default();
-            let node = Arc::new(Node::new(Host::machine(), Settings { platform, operator }));
+            let node = node_at(addr);
             tokio::spawn(serve(node.clone()));
             let polls: Vec<_> = jobs
                 .iter()
@@ -189,6 +196,56 @@
         assert_eq!(requests, 5);
     }
 
+    /// Under overload: a job that is known is 200 whatever there is room for, one that
+    /// isn't gets its 429 at once and with a time to come back; it is never told that
+    /// it is impossible, and a state service that fails is no reason to refuse it.
+    #[test]
+    fn a_refused_submission_is_429_unless_the_job_is_known() {
+        let answers = |refuses: bool| {
+            let rt = tokio::runtime::Builder::new_current_thread()
+                .enable_all()
+                .build()
+                .unwrap();
+            rt.block_on(async {
+                let (addr, _) = state(refuses).await;
+                let node = node_at(addr);
+                tokio::spawn(serve(node.clone()));
+                node.core().types = types();
+                let spec = |n: u32| Submission {
+                    id: format!("wk-{n:06}"),
+                    ..submission()
+                };
+                let shut = Bar {
+                    cell: cherrywood_admission::cell("t", "c"),
+                    up_to: 1.0,
+                    share: 0.0,
+                };
+                node.gate.adopt(&Table {
+                    epoch: 1,
+                    gates: vec![shut],
+                    relief_s: 10.0,
+                    ..Table::default()
+                });
+                let mut told = Vec::new();
+                for n in [50, 150, 999_999] {
+                    let request = Request {
+                        method: "POST".into(),
+                        path: "/submissions".into(),
+                        body: encode(&spec(n)),
+                    };
+                    let r = api::answer(&node, request).await;
+                    told.push((r.status, r.retry_after_s));
+                }
+                told
+            })
+        };
+        let told = answers(false);
+        assert_eq!(told[..2], [(200, None), (200, None)]);
+        assert_eq!(told[2].0, 429);
+        assert!((5..=30).contains(&told[2].1.unwrap()), "{told:?}");
+        assert_eq!(answers(true), [(503, Some(1)); 3]);
+    }
+
     #[test]
     fn polls_that_cannot_be_answered_get_their_503_at_once() {
         let (told, requests) = ask(true, &[1, 2, 3]);
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -1,6 +1,7 @@
 //! One controller: the state its loops and handlers share, and the dealings
 //! with workers' reports and with other controllers.
 
+use crate::gate::Gate;
 use crate::lock;
 use crate::polls::Polls;
 use crate::settings::Settings;
@@ -121,6 +122,7 @@
     outbox: Mutex<Vec<Outgoing>>,
     pub outbox_due: Notify,
     pub polls: Polls,
+    pub gate: Gate,
 }
 
 impl Node {
@@ -148,6 +150,7 @@
             outbox: Mutex::default(),
             outbox_due: Notify::new(),
             polls: Polls::default(),
+            gate: Gate::new(settings.operator.policy().admission.gates),
             host,
             settings,
         }
@@ -350,8 +353,14 @@
 
     pub async fn peer(self: &Arc<Self>, request: Request) -> Reply {
         match request {
-            Request::Hello { from, state_ok } => {
+            Request::Hello {
+                from,
+                state_ok,
+                table,
+                refused,
+            } => {
                 let now = self.now();
+                self.gate.heard(&refused, now);
                 let mut core = self.core();
                 if state_ok {
                     core.peers_state_ok = now;
@@ -366,6 +375,7 @@
                     state_ok: mine,
                     leads,
                     block,
+                    table: self.gate.newer_than(table).map(Box::new),
                 }
             }
             Request::Reports { from, reports } => {
@@ -425,20 +435,31 @@
     pub async fn hello(&self, peer: &Peer) {
         let sent = self.now();
         let state_ok = sent - self.core().state_ok < limits::STATE_LOST_S;
+        let (refused, told) = self.gate.untold(&peer.label, sent);
         let request = Request::Hello {
             from: self.me().to_string(),
             state_ok,
+            table: self.gate.version(),
+            refused,
         };
         let Ok(Reply::Hello {
             from,
             state_ok,
             leads,
             block,
+            table,
         }) = peer.ask(&request, limits::FORWARD_WAIT_S).await
         else {
             return;
         };
+        self.gate.told(&peer.label, told);
         let now = self.now();
+        if let Some(table) = table {
+            self.gate.adopt(&table);
+        }
+        if leads.is_some() {
+            self.gate.confirmed(now);
+        }
         let mut core = self.core();
         if state_ok {
             core.peers_state_ok = now;
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -5,6 +5,7 @@
 use garde::Validate;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::Path;
 
@@ -58,6 +59,47 @@
     pub cheap_only: bool,
     #[garde(dive)]
     pub scheduler: Scheduler,
+    #[garde(dive)]
+    pub admission: Admission,
+}
+
+/// What is admitted when not all can be served (docs/admission.md).
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema, Validate)]
+#[serde(deny_unknown_fields, default)]
+pub struct Admission {
+    /// Refuse nothing for lack of room.
+    #[garde(skip)]
+    pub off: bool,
+    /// Classes of teams behind what they were promised get a part of what comes free.
+    #[garde(skip)]
+    pub floors: bool,
+    /// Served share up to which every class of a team comes before guarantees.
+    #[garde(range(min = 0.0, max = 1.0))]
+    pub floor: f64,
+    /// A team that weighs 2 is served twice the share of one that weighs 1.
+    #[garde(custom(weighs))]
+    pub weights: BTreeMap<String, f64>,
+}
+
+fn weighs(weights: &BTreeMap<String, f64>, _: &()) -> garde::Result {
+    match weights.iter().find(|(_, w)| !(0.1..=10.0).contains(*w)) {
+        Some((team, w)) => Err(garde::Error::new(format!(
+            "{team} weighs {w}; allowed: 0.1 to 10"
+        ))),
+        None => Ok(()),
+    }
+}
+
+impl Default for Admission {
+    fn default() -> Self {
+        let policy = cherrywood_control::Admission::default();
+        Admission {
+            off: !policy.gates,
+            floors: policy.floors,
+            floor: policy.floor,
+            weights: policy.weights,
+        }
+    }
 }
 
 /// Parts of the order of service that experiments switch off.
@@ -104,6 +146,12 @@
                 Aging::Plain => Rise::Plain,
                 Aging::Off => Rise::Off,
             },
+            admission: cherrywood_control::Admission {
+                gates: !self.admission.off,
+                floors: self.admission.floors,
+                floor: self.admission.floor,
+                weights: self.admission.weights.clone(),
+            },
         }
     }
 }
--- a/crates/sched/src/predictor.rs
+++ b/crates/sched/src/predictor.rs
@@ -195,6 +195,15 @@
         (k.seen >= limits::KEY_MIN).then_some(k.quantiles[0])
     }
 
+    /// All medians that may be used, by the key's number.
+    pub fn medians(&self) -> Vec<(u64, f32)> {
+        let known = self.keys.iter().filter(|(_, k)| k.seen >= limits::KEY_MIN);
+        let number = |key: &str| xxhash_rust::xxh3::xxh3_64(key.as_bytes());
+        known
+            .map(|(key, k)| (number(key), k.quantiles[0] as f32))
+            .collect()
+    }
+
     /// What nearly all of the key's tasks stay below.
     pub fn tail(&self, key: &str) -> Option<f64> {
         let k = self.keys.get(key)?;
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -1,6 +1,7 @@
 //! Controllers <-> controllers: `bitcode` frames, each behind its length
 //! (4 bytes, big-endian) and the number of the request it belongs to.
 
+use crate::admission::{Refused, Table};
 use crate::agent::{Command, Orders, Report};
 use bitcode::{Decode, Encode};
 
@@ -8,7 +9,14 @@
 pub enum Request {
     /// Sent every second to every peer; the leader's answer renews the
     /// sender's block of machines.
-    Hello { from: String, state_ok: bool },
+    Hello {
+        from: String,
+        state_ok: bool,
+        /// Epoch and generation of the admission table that the sender has.
+        table: (u64, u64),
+        /// Jobs that it refused since its last hello.
+        refused: Vec<Refused>,
+    },
     /// Workers' reports, each with the run times that its holder measured.
     Reports {
         from: String,
@@ -32,6 +40,8 @@
         leads: Option<u64>,
         /// Machine and token, the whole block of the asking node.
         block: Vec<(String, u64)>,
+        /// The admission table, if it is newer than the asking node's.
+        table: Option<Box<Table>>,
     },
     /// For each report the token and the commands of its answer; None where
     /// it must not be answered.
--- a/crates/wire/src/state.rs
+++ b/crates/wire/src/state.rs
@@ -138,6 +138,7 @@
     Final(FinalValue),
     Histograms(HistogramsValue),
     Images(ImagesValue),
+    Admission(Box<crate::admission::AdmissionValue>),
 }
 
 /// `L/leader`, tethered: who leads and in which epoch.
