--- a/crates/emulator/src/users.rs
+++ b/crates/emulator/src/users.rs
@@ -304,6 +304,9 @@
     /// Submits until it is accepted (true), refused, or given up.
     async fn submit(self: &Arc<Self>, line: &mut Option<Line>, id: &str, body: &[u8]) -> bool {
         let first = self.host.now();
+        // Drawn only where a night has such users, so that others replay as before.
+        let impatient = self.world.night.workload.impatient;
+        let impatient = impatient > 0.0 && self.host.between(0.0, 1.0) < impatient;
         loop {
             let told = self.ask(line, Ask::Submit, id, Some(body)).await;
             match told.status {
@@ -311,7 +314,8 @@
                 400 | 422 => return false,
                 _ => {}
             }
-            let wait = told.retry_after_s.unwrap_or(0.0).min(RETRY_AFTER_MOST_S);
+            let asked_s = told.retry_after_s.filter(|_| !impatient);
+            let wait = asked_s.unwrap_or(0.0).min(RETRY_AFTER_MOST_S);
             let wait = wait.max(RETRY_S) * self.host.between(1.0, 1.2);
             if self.host.now() + wait - first > RETRY_ALL_S {
                 self.world.record(What::GaveUp {
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -123,6 +123,7 @@
                 teams: d.teams.clone(),
                 kinds: d.machine_types.clone(),
                 aims: d.aims.clone(),
+                served: d.served,
             },
         };
         judge.feed(history.record(0, begins));
--- a/crates/judge/src/aims.rs
+++ b/crates/judge/src/aims.rs
@@ -116,6 +116,7 @@
         teams: Vec::new(),
         kinds: Vec::new(),
         aims: Vec::new(),
+        served: None,
     };
     let mut jobs: BTreeMap<String, Tracked> = BTreeMap::new();
     let mut machines: BTreeMap<String, Machine> = BTreeMap::new();
--- a/crates/judge/src/history.rs
+++ b/crates/judge/src/history.rs
@@ -2,7 +2,7 @@
 //! that made trouble. One line of JSON an event; the digest is over these lines,
 //! so `b3sum history.jsonl` repeats it.
 
-pub use cherrywood_night::deployment::{Aim, MachineType, Team};
+pub use cherrywood_night::deployment::{Aim, MachineType, Served, Team};
 use serde::{Deserialize, Serialize};
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -20,6 +20,9 @@
     pub teams: Vec<Team>,
     pub kinds: Vec<MachineType>,
     pub aims: Vec<Aim>,
+    /// What every class and team must have of its jobs, if the night asks for it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub served: Option<Served>,
 }
 
 /// What a user submitted.
--- a/crates/judge/src/lib.rs
+++ b/crates/judge/src/lib.rs
@@ -1,11 +1,12 @@
 //! Judges a recorded history by the protocol page alone: every rule, what
-//! became of each job, and the aims. It shares no code with the controllers,
+//! became of each job, who starved, and the aims. It shares no code with the controllers,
 //! so a mistake of theirs is not repeated here.
 
 pub mod aims;
 pub mod history;
 pub mod rules;
 pub mod settle;
+pub mod starved;
 
 pub use aims::{Aims, ClassFigures};
 pub use history::{Event, History, What};
--- a/crates/judge/src/rules.rs
+++ b/crates/judge/src/rules.rs
@@ -1,6 +1,7 @@
 //! Every rule of the protocol page, fed event by event.
 
 use crate::history::{Ask, Event, Facts, Job, Off, State, What, job_of, secs};
+use crate::starved::Starved;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fmt;
 
@@ -15,10 +16,12 @@
     NotDone,
     WentBack,
     NothingRan,
+    /// Not on the protocol page: the operators' own, if the night asks for it.
+    Starved,
 }
 
 impl Rule {
-    pub const ALL: [Rule; 9] = [
+    pub const ALL: [Rule; 10] = [
         Rule::RanTwice,
         Rule::Quota,
         Rule::WrongPlace,
@@ -28,6 +31,7 @@
         Rule::NotDone,
         Rule::WentBack,
         Rule::NothingRan,
+        Rule::Starved,
     ];
 
     /// Its name on the protocol page.
@@ -42,6 +46,7 @@
             Rule::NotDone => "not_done",
             Rule::WentBack => "went_back",
             Rule::NothingRan => "nothing_ran",
+            Rule::Starved => "starved",
         }
     }
 }
@@ -132,6 +137,7 @@
     overdue: BTreeSet<(u64, String)>,
     starts: u64,
     submitted: u64,
+    starved: Starved,
     pub breaches: Vec<Breach>,
 }
 
@@ -147,6 +153,7 @@
     pub fn feed(&mut self, event: &Event) {
         let at = event.at_ms;
         self.expire(at);
+        self.starved.feed(event);
         match &event.what {
             What::Begins { facts, .. } => self.facts = Some(facts.clone()),
             What::Submitted { job } => self.submitted(job),
@@ -442,6 +449,8 @@
 
     fn ends(&mut self, at: u64) {
         self.expire(at + 1);
+        let starved = self.starved.ends(at);
+        self.breaches.extend(starved);
         if self.starts == 0 && self.submitted > 0 {
             self.breach(Breach {
                 rule: Rule::NothingRan,
--- /dev/null
+++ b/crates/judge/src/starved.rs
@@ -0,0 +1,153 @@
+//! Who starves: a class or a team of which less than the night asks was done in time,
+//! although what the others got beyond that would have been enough.
+
+use crate::history::{Event, Job, Off, What, job_of};
+use crate::rules::{Breach, Rule};
+use cherrywood_night::deployment::Served;
+use std::collections::{BTreeMap, BTreeSet};
+
+#[derive(Debug)]
+struct Seen {
+    job: Job,
+    at: u64,
+    /// Nobody waits for it: its user wants it cancelled, or it can never run.
+    void: bool,
+    done: BTreeSet<String>,
+    done_at: Option<u64>,
+}
+
+#[derive(Debug, Default)]
+pub struct Starved {
+    asked: Option<Served>,
+    jobs: BTreeMap<String, Seen>,
+    /// Run time that was of use, CPU seconds, and tasks done, by class.
+    useful: BTreeMap<String, (f64, u32)>,
+}
+
+/// One class or team at the end.
+#[derive(Debug, Default)]
+struct Group {
+    wanted: usize,
+    served: usize,
+    first_ms: Option<u64>,
+    /// Expected CPU seconds of the jobs that were served, and of those that weren't.
+    got: f64,
+    missing: Vec<f64>,
+}
+
+impl Group {
+    fn share(&self) -> f64 {
+        self.served as f64 / self.wanted.max(1) as f64
+    }
+}
+
+impl Starved {
+    pub fn feed(&mut self, event: &Event) {
+        match &event.what {
+            What::Begins { facts, .. } => self.asked = facts.served,
+            What::Submitted { job } => {
+                let seen = Seen {
+                    job: job.clone(),
+                    at: event.at_ms,
+                    void: job.standing,
+                    done: BTreeSet::new(),
+                    done_at: None,
+                };
+                self.jobs.entry(job.id.clone()).or_insert(seen);
+            }
+            What::Told {
+                job,
+                status: 400 | 422,
+                ..
+            }
+            | What::Unwanted { job } => {
+                if let Some(s) = self.jobs.get_mut(job) {
+                    s.void = true;
+                }
+            }
+            What::Off {
+                task, why, kept_s, ..
+            } => {
+                let Some(s) = self.jobs.get_mut(job_of(task)) else {
+                    return;
+                };
+                let useful = self.useful.entry(s.job.class.clone()).or_default();
+                useful.0 += kept_s * s.job.cpus;
+                if *why == Off::Done && s.done.insert(task.clone()) {
+                    useful.1 += 1;
+                    if s.done.len() as u32 >= s.job.tasks {
+                        s.done_at = Some(event.at_ms);
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// What a job takes, by what the tasks of its class took.
+    fn work(&self, job: &Job) -> f64 {
+        let (useful, tasks) = self.useful.get(&job.class).copied().unwrap_or_default();
+        let all = self
+            .useful
+            .values()
+            .fold((0.0, 0), |a, u| (a.0 + u.0, a.1 + u.1));
+        let (useful, tasks) = if tasks > 0 { (useful, tasks) } else { all };
+        useful / f64::from(tasks.max(1)) * f64::from(job.tasks)
+    }
+
+    /// At the end of the night.
+    pub fn ends(&self, at: u64) -> Vec<Breach> {
+        let Some(asked) = self.asked else {
+            return Vec::new();
+        };
+        let within_ms = (asked.within_s * 1000.0) as u64;
+        let mut groups: BTreeMap<(&str, &str), Group> = BTreeMap::new();
+        for s in self.jobs.values().filter(|s| !s.void) {
+            let served = s.done_at.is_some_and(|d| d - s.at <= within_ms);
+            // Too late in the night for its time to be over.
+            if !served && at < s.at + within_ms {
+                continue;
+            }
+            for key in [("class", s.job.class.as_str()), ("team", &s.job.team)] {
+                let g = groups.entry(key).or_default();
+                g.wanted += 1;
+                g.first_ms.get_or_insert(s.at);
+                if served {
+                    g.served += 1;
+                    g.got += self.work(&s.job);
+                } else {
+                    g.missing.push(self.work(&s.job));
+                }
+            }
+        }
+        let mut breaches = Vec::new();
+        for ((what, name), g) in &groups {
+            if g.share() >= asked.share {
+                continue;
+            }
+            let lacks = (asked.share * g.wanted as f64).ceil() as usize - g.served;
+            let mut missing = g.missing.clone();
+            missing.sort_by(f64::total_cmp);
+            let needs: f64 = missing.iter().take(lacks).sum();
+            // What the others of its kind got beyond what was asked for them.
+            let others = groups.iter().filter(|(k, _)| k.0 == *what && k.1 != *name);
+            let spare = |g: &Group| g.got * (1.0 - asked.share / g.share().max(asked.share));
+            let spare: f64 = others.map(|(_, g)| spare(g)).sum();
+            if spare >= needs {
+                breaches.push(Breach {
+                    rule: Rule::Starved,
+                    what: format!("{what} {name}"),
+                    place: "all machines".into(),
+                    since_ms: g.first_ms.unwrap_or(0),
+                    at_ms: at,
+                    why: format!(
+                        "{} of {} jobs done within {} s, {:.0} CPU s short while others had \
+                         {spare:.0} beyond their part, since",
+                        g.served, g.wanted, asked.within_s, needs
+                    ),
+                });
+            }
+        }
+        breaches
+    }
+}
--- a/crates/judge/tests/judge.rs
+++ b/crates/judge/tests/judge.rs
@@ -1,7 +1,7 @@
 //! A judge that can't find a breach proves nothing: each rule is broken once by
 //! a written history, and the judge must name rule, job, machine and both times.
 
-use cherrywood_judge::history::{Aim, Ask, Facts, Job, MachineType, Off, State, Team};
+use cherrywood_judge::history::{Aim, Ask, Facts, Job, MachineType, Off, Served, State, Team};
 use cherrywood_judge::settle::{self, End};
 use cherrywood_judge::{History, Judge, Rule, What, aims};
 
@@ -27,6 +27,7 @@
             ..MachineType::default()
         }],
         aims: Vec::new(),
+        served: None,
     }
 }
 
@@ -479,3 +480,77 @@
     let err = History::read("{\"at_ms\":1}").unwrap_err();
     assert!(err.contains("line 1"), "{err}");
 }
+
+/// Two classes want ten jobs each of 10 CPU seconds; one gets `first`, the other
+/// `second` of them in time, and the rest late or never.
+fn served(first: u32, second: u32, asked: Option<Served>) -> Night {
+    let mut n = Night::new();
+    if let What::Begins { facts, .. } = &mut n.0.events[0].what {
+        facts.served = asked;
+    }
+    for (class, done) in [("rich", first), ("poor", second)] {
+        for i in 0..10 {
+            let id = format!("wk-{}{i:05}", u8::from(class == "poor"));
+            let spec = Job {
+                class: class.into(),
+                team: format!("team-{class}"),
+                tasks: 1,
+                ..job(&id, 1)
+            };
+            n.at(1).accepted(spec);
+            let task = format!("{id}/0");
+            let at = if i < done { 10 } else { 500 };
+            if i < 9 {
+                n.at(at).on("vm-1", &task);
+                n.at(at + 5).off("vm-1", &task, Off::Done, 5.0);
+            }
+        }
+    }
+    // Cancelled by its user: nobody waits for it.
+    n.at(2).submit(Job {
+        class: "poor".into(),
+        ..job("wk-999999", 1)
+    });
+    n.add(What::Unwanted {
+        job: "wk-999999".into(),
+    });
+    n.at(600);
+    n
+}
+
+#[test]
+fn who_starves_is_named_if_what_others_had_would_have_been_enough() {
+    let asked = Some(Served {
+        share: 0.5,
+        within_s: 300.0,
+    });
+    let starved = |mut n: Night| {
+        n.add(What::Ends);
+        let all = Judge::of(&n.0.events).breaches;
+        let all = all.into_iter().filter(|b| b.rule == Rule::Starved);
+        all.map(|b| b.to_string()).collect::<Vec<_>>()
+    };
+    let told = starved(served(9, 2, asked));
+    assert_eq!(told.len(), 2, "{told:?}");
+    for part in [
+        "starved: class poor",
+        "2 of 10 jobs done within 300 s",
+        "30 CPU s short",
+    ] {
+        assert!(told[0].contains(part), "{told:?}");
+    }
+    assert!(told[1].contains("team team-poor"), "{told:?}");
+    // Enough, or nobody had enough, or nobody asks.
+    assert!(starved(served(9, 5, asked)).is_empty());
+    assert!(
+        starved(served(6, 2, asked)).is_empty(),
+        "10 CPU s of the 30 it lacks"
+    );
+    assert!(starved(served(9, 2, None)).is_empty());
+    // Whose time isn't over yet doesn't count.
+    let soon = Served {
+        within_s: 700.0,
+        ..asked.unwrap()
+    };
+    assert!(starved(served(9, 0, Some(soon))).is_empty());
+}
--- a/crates/night/src/deployment.rs
+++ b/crates/night/src/deployment.rs
@@ -33,6 +33,9 @@
     pub teams: Vec<Team>,
     #[garde(dive)]
     pub aims: Vec<Aim>,
+    /// What every class and team must have of its jobs; else somebody starves.
+    #[garde(dive)]
+    pub served: Option<Served>,
 }
 
 impl Default for Deployment {
@@ -106,10 +109,22 @@
                 Aim::Useful { share: 0.6 },
                 Aim::Price { most: 3.5 },
             ],
+            served: None,
         }
     }
 }
 
+/// The least served share of every class and team, of the jobs that nobody cancelled.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize, JsonSchema, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct Served {
+    #[garde(range(min = 0.0, max = 1.0))]
+    pub share: f64,
+    /// s from the first attempt to submit a job to its end.
+    #[garde(range(min = 1.0, max = 86_400.0))]
+    pub within_s: f64,
+}
+
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema, Validate)]
 #[serde(deny_unknown_fields, default)]
 pub struct NodeLimits {
--- a/crates/night/src/workload.rs
+++ b/crates/night/src/workload.rs
@@ -21,6 +21,9 @@
     /// Share of jobs that can never run.
     #[garde(range(min = 0.0, max = 1.0))]
     pub impossible: f64,
+    /// Share of users who try again after a second whatever `Retry-After` says.
+    #[garde(range(min = 0.0, max = 1.0))]
+    pub impatient: f64,
 }
 
 impl Default for Workload {
@@ -67,6 +70,7 @@
             strangers_per_minute: 2.0,
             repeats: 0.03,
             impossible: 0.02,
+            impatient: 0.0,
         }
     }
 }
