--- a/crates/admission/src/book.rs
+++ b/crates/admission/src/book.rs
@@ -34,6 +34,19 @@
     pub medians: Vec<(u64, f32)>,
     /// Served shares below which a cell comes before guarantees.
     pub floor: f64,
+    pub shed: Shed,
+}
+
+/// What is refused of a cell that can't have all.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Shed {
+    /// The largest jobs: most are served that way.
+    #[default]
+    Largest,
+    /// Any, by their ids; for experiments.
+    Random,
+    /// Whatever comes while there is no room; for experiments.
+    Newest,
 }
 
 /// One cell's counts; the first three fade, the others are for the operators.
@@ -265,7 +278,17 @@
             let Some((_, work)) = c.offers.get(*n) else {
                 continue;
             };
-            gates.push(gate(c, *n));
+            let share = (*n as f32) / c.offers.len() as f32;
+            let any = |share| Gate {
+                cell: c.id,
+                up_to: f64::INFINITY,
+                share,
+            };
+            match view.shed {
+                Shed::Largest => gates.push(gate(c, *n)),
+                Shed::Random => gates.push(any(share)),
+                Shed::Newest => gates.push(any(0.0)),
+            }
             let lacks =
                 |p: &&usize| left[**p].room < (left[**p].per_job + left[**p].per_work * work) / 2.0;
             if let Some(p) = c.pools.iter().find(lacks) {
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -10,7 +10,7 @@
 pub mod memory;
 pub mod verdict;
 
-pub use book::{Book, View};
+pub use book::{Book, Shed, View};
 pub use cherrywood_wire::admission::{AdmissionValue, Gate, Refused, Short, Table};
 pub use memory::Memory;
 pub use verdict::{Ask, Verdict, verdict};
--- a/crates/admission/src/verdict.rs
+++ b/crates/admission/src/verdict.rs
@@ -32,7 +32,9 @@
     };
     let gate = &table.gates[at];
     let work = counted(ask.work, ask.waited_s);
-    let same = (work - gate.up_to).abs() <= gate.up_to * limits::SAME_WORK;
+    // Without a bound on work the id alone decides.
+    let same =
+        gate.up_to.is_infinite() || (work - gate.up_to).abs() <= gate.up_to * limits::SAME_WORK;
     let admitted = if same {
         portion(ask.id) < f64::from(gate.share)
     } else {
--- a/crates/admission/tests/overload.rs
+++ b/crates/admission/tests/overload.rs
@@ -4,7 +4,7 @@
 
 use cherrywood_admission::book::Team;
 use cherrywood_admission::{
-    Ask, Book, Memory, Refused, Short, Table, Verdict, View, cell, number, verdict,
+    Ask, Book, Memory, Refused, Shed, Short, Table, Verdict, View, cell, number, verdict,
 };
 use cherrywood_limits::admission as limits;
 use rand::{Rng, SeedableRng};
@@ -116,6 +116,7 @@
             refused: self.memories[0].waiting(self.now),
             medians: Vec::new(),
             floor: limits::FLOOR,
+            shed: Shed::default(),
         }
     }
 
--- a/crates/control/src/cluster.rs
+++ b/crates/control/src/cluster.rs
@@ -1,5 +1,6 @@
 //! What the platform's settings say about the deployment.
 
+pub use cherrywood_admission::Shed;
 pub use cherrywood_sched::Aging;
 use serde::{Deserialize, Deserializer, Serialize};
 
@@ -91,6 +92,7 @@
     pub floor: f64,
     /// Of teams that don't weigh 1.
     pub weights: std::collections::BTreeMap<String, f64>,
+    pub shed: Shed,
 }
 
 impl Default for Admission {
@@ -100,6 +102,7 @@
             floors: true,
             floor: cherrywood_limits::admission::FLOOR,
             weights: std::collections::BTreeMap::new(),
+            shed: Shed::default(),
         }
     }
 }
--- a/crates/control/src/leader/admitting.rs
+++ b/crates/control/src/leader/admitting.rs
@@ -82,6 +82,7 @@
             refused,
             medians,
             floor: policy.floor,
+            shed: policy.shed,
         }
     }
 
--- a/crates/judge/src/lib.rs
+++ b/crates/judge/src/lib.rs
@@ -12,3 +12,4 @@
 pub use history::{Event, History, What};
 pub use rules::{Breach, Judge, Rule};
 pub use settle::{End, Settled};
+pub use starved::Least;
--- a/crates/judge/src/rules.rs
+++ b/crates/judge/src/rules.rs
@@ -1,7 +1,7 @@
 //! Every rule of the protocol page, fed event by event.
 
 use crate::history::{Ask, Event, Facts, Job, Off, State, What, job_of, secs};
-use crate::starved::Starved;
+use crate::starved::{Least, Starved};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fmt;
 
@@ -138,6 +138,8 @@
     starts: u64,
     submitted: u64,
     starved: Starved,
+    /// At the end, if the night asks how its classes are served.
+    pub least: Option<Least>,
     pub breaches: Vec<Breach>,
 }
 
@@ -451,6 +453,7 @@
         self.expire(at + 1);
         let starved = self.starved.ends(at);
         self.breaches.extend(starved);
+        self.least = self.starved.least(at);
         if self.starts == 0 && self.submitted > 0 {
             self.breach(Breach {
                 rule: Rule::NothingRan,
--- a/crates/judge/src/starved.rs
+++ b/crates/judge/src/starved.rs
@@ -1,7 +1,7 @@
 //! Who starves: a class or a team of which less than the night asks was done in time,
 //! although what the others got beyond that would have been enough.
 
-use crate::history::{Event, Job, Off, What, job_of};
+use crate::history::{Event, Job, MachineType, Off, What, job_of};
 use crate::rules::{Breach, Rule};
 use cherrywood_night::deployment::Served;
 use std::collections::{BTreeMap, BTreeSet};
@@ -22,6 +22,21 @@
     jobs: BTreeMap<String, Seen>,
     /// Run time that was of use, CPU seconds, and tasks done, by class.
     useful: BTreeMap<String, (f64, u32)>,
+    kinds: Vec<MachineType>,
+    /// CPUs of each machine, when it was up and when it was gone.
+    machines: BTreeMap<String, (f64, Option<u64>, Option<u64>)>,
+}
+
+/// The least served class or team, and what could have been.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Least {
+    /// Share of its jobs done in time.
+    pub share: f64,
+    /// The class or team.
+    pub name: String,
+    /// The share that every class could have had on the machines that were up, had all
+    /// sizes been known and had no CPU ever waited or fetched.
+    pub bound: f64,
 }
 
 /// One class or team at the end.
@@ -44,7 +59,25 @@
 impl Starved {
     pub fn feed(&mut self, event: &Event) {
         match &event.what {
-            What::Begins { facts, .. } => self.asked = facts.served,
+            What::Begins { facts, .. } => {
+                self.asked = facts.served;
+                self.kinds.clone_from(&facts.kinds);
+            }
+            What::Rented { machine, kind, .. } => {
+                let kind = self.kinds.iter().find(|k| k.name == *kind);
+                let cpus = kind.map_or(0.0, |k| k.cpus);
+                self.machines.insert(machine.clone(), (cpus, None, None));
+            }
+            What::Up { machine } => {
+                if let Some(m) = self.machines.get_mut(machine) {
+                    m.1.get_or_insert(event.at_ms);
+                }
+            }
+            What::Gone { machine, .. } => {
+                if let Some(m) = self.machines.get_mut(machine) {
+                    m.2.get_or_insert(event.at_ms);
+                }
+            }
             What::Submitted { job } => {
                 let seen = Seen {
                     job: job.clone(),
@@ -95,12 +128,8 @@
         useful / f64::from(tasks.max(1)) * f64::from(job.tasks)
     }
 
-    /// At the end of the night.
-    pub fn ends(&self, at: u64) -> Vec<Breach> {
-        let Some(asked) = self.asked else {
-            return Vec::new();
-        };
-        let within_ms = (asked.within_s * 1000.0) as u64;
+    /// Every class and team with its jobs whose time was over.
+    fn groups(&self, within_ms: u64, at: u64) -> BTreeMap<(&str, &str), Group> {
         let mut groups: BTreeMap<(&str, &str), Group> = BTreeMap::new();
         for s in self.jobs.values().filter(|s| !s.void) {
             let served = s.done_at.is_some_and(|d| d - s.at <= within_ms);
@@ -120,6 +149,52 @@
                 }
             }
         }
+        groups
+    }
+
+    /// The least served, if the night says in what time.
+    pub fn least(&self, at: u64) -> Option<Least> {
+        let within_ms = (self.asked?.within_s * 1000.0) as u64;
+        let groups = self.groups(within_ms, at);
+        let least = groups
+            .iter()
+            .min_by(|a, b| a.1.share().total_cmp(&b.1.share()));
+        let ((_, name), group) = least?;
+        let open = self.jobs.values().filter(|s| !s.void);
+        let last = open.clone().map(|s| s.at + within_ms).max().unwrap_or(0);
+        let up = |m: &(f64, Option<u64>, Option<u64>)| {
+            let (from, to) = (m.1.unwrap_or(last), m.2.unwrap_or(last).min(last));
+            m.0 * to.saturating_sub(from) as f64 / 1000.0
+        };
+        let can: f64 = self.machines.values().map(up).sum();
+        let mut classes: BTreeMap<&str, Vec<f64>> = BTreeMap::new();
+        for s in open {
+            let sizes = classes.entry(&s.job.class).or_default();
+            sizes.push(self.work(&s.job));
+        }
+        classes.values_mut().for_each(|c| c.sort_by(f64::total_cmp));
+        // The largest share whose smallest jobs fit, to a thousandth.
+        let takes = |thousandth: u32| -> f64 {
+            let of = |c: &Vec<f64>| {
+                let n = (c.len() as f64 * f64::from(thousandth) / 1000.0).ceil() as usize;
+                c[..n.min(c.len())].iter().sum::<f64>()
+            };
+            classes.values().map(of).sum()
+        };
+        let fits = (0..=1000).rev().find(|s| takes(*s) <= can);
+        Some(Least {
+            share: group.share(),
+            name: (*name).to_string(),
+            bound: f64::from(fits.unwrap_or(0)) / 1000.0,
+        })
+    }
+
+    /// At the end of the night.
+    pub fn ends(&self, at: u64) -> Vec<Breach> {
+        let Some(asked) = self.asked else {
+            return Vec::new();
+        };
+        let groups = self.groups((asked.within_s * 1000.0) as u64, at);
         let mut breaches = Vec::new();
         for ((what, name), g) in &groups {
             if g.share() >= asked.share {
--- a/crates/judge/tests/judge.rs
+++ b/crates/judge/tests/judge.rs
@@ -520,10 +520,11 @@
 
 #[test]
 fn who_starves_is_named_if_what_others_had_would_have_been_enough() {
-    let asked = Some(Served {
+    let half = Served {
         share: 0.5,
         within_s: 300.0,
-    });
+    };
+    let asked = Some(half);
     let starved = |mut n: Night| {
         n.add(What::Ends);
         let all = Judge::of(&n.0.events).breaches;
@@ -550,7 +551,7 @@
     // Whose time isn't over yet doesn't count.
     let soon = Served {
         within_s: 700.0,
-        ..asked.unwrap()
+        ..half
     };
     assert!(starved(served(9, 0, Some(soon))).is_empty());
 }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -79,6 +79,21 @@
     /// A team that weighs 2 is served twice the share of one that weighs 1.
     #[garde(custom(weighs))]
     pub weights: BTreeMap<String, f64>,
+    #[garde(skip)]
+    pub shed: Shed,
+}
+
+/// What is refused of a class that can't have all.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum Shed {
+    /// The largest jobs: most are served that way.
+    #[default]
+    Largest,
+    /// Any, by their ids; for experiments.
+    Random,
+    /// Whatever comes while there is no room; for experiments.
+    Newest,
 }
 
 fn weighs(weights: &BTreeMap<String, f64>, _: &()) -> garde::Result {
@@ -98,6 +113,7 @@
             floors: policy.floors,
             floor: policy.floor,
             weights: policy.weights,
+            shed: Shed::default(),
         }
     }
 }
@@ -137,7 +153,7 @@
 
 impl Operator {
     pub fn policy(&self) -> cherrywood_control::Policy {
-        use cherrywood_control::cluster::Aging as Rise;
+        use cherrywood_control::cluster::{Aging as Rise, Shed as Refuse};
         cherrywood_control::Policy {
             cheap_only: self.cheap_only,
             levels: self.scheduler.levels,
@@ -151,6 +167,11 @@
                 floors: self.admission.floors,
                 floor: self.admission.floor,
                 weights: self.admission.weights.clone(),
+                shed: match self.admission.shed {
+                    Shed::Largest => Refuse::Largest,
+                    Shed::Random => Refuse::Random,
+                    Shed::Newest => Refuse::Newest,
+                },
             },
         }
     }
--- a/crates/rehearsal/src/experiment.rs
+++ b/crates/rehearsal/src/experiment.rs
@@ -86,8 +86,8 @@
     pub broken: usize,
     pub unsettled: usize,
     pub price: f64,
-    /// By class: mean and 95th percentile of completion, and of the tasks' waits.
-    pub classes: BTreeMap<String, [f64; 4]>,
+    /// By class, what [`MEASURES`] names.
+    pub classes: BTreeMap<String, [f64; MEASURES.len()]>,
 }
 
 impl Experiment {
@@ -151,8 +151,19 @@
         };
         let log = Log::new(Level::ERROR, None, false);
         let o = log.around(|| play(self.night(cell), &options, &log, &mut |_| Ok(())))?;
-        let figures = |c: &ClassFigures| [c.done_mean_s, c.done_p95_s, c.wait_mean_s, c.wait_p95_s];
-        let mut classes: BTreeMap<String, [f64; 4]> = o
+        let least = o.least.clone().unwrap_or_default();
+        let figures = |c: &ClassFigures| {
+            [
+                c.done_mean_s,
+                c.done_p95_s,
+                c.wait_mean_s,
+                c.wait_p95_s,
+                100.0 * c.done as f64 / c.jobs.max(1) as f64,
+                100.0 * least.share,
+                100.0 * least.share / least.bound.max(1e-9),
+            ]
+        };
+        let mut classes: BTreeMap<String, [f64; MEASURES.len()]> = o
             .aims
             .classes
             .iter()
@@ -230,13 +241,19 @@
 const ALL: &str = "all";
 
 /// What is measured of a class.
-pub const MEASURES: [&str; 4] = [
+pub const MEASURES: [&str; 7] = [
     "mean completion",
     "95% completion",
     "mean wait of tasks",
     "95% wait of tasks",
+    "jobs done (%)",
+    "least served in time (%)",
+    "least served, of its bound (%)",
 ];
 
+/// Measures of the night as a whole, if it asks who is served.
+const WHOLE: usize = 5;
+
 /// An arm against the other, at a load and backlog.
 #[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct Comparison {
@@ -301,7 +318,13 @@
         };
         let classes: BTreeSet<&String> = cells.values().flat_map(|r| r.classes.keys()).collect();
         for class in classes {
-            for (m, measure) in MEASURES.iter().enumerate() {
+            let asked = class == ALL && e.night.deployment.served.is_some();
+            let measures = if asked {
+                &MEASURES[..]
+            } else {
+                &MEASURES[..WHOLE]
+            };
+            for (m, measure) in measures.iter().enumerate() {
                 let pairs: Vec<(f64, f64)> = cells
                     .iter()
                     .filter_map(|(seed, r)| {
@@ -336,16 +359,16 @@
 /// The table for the terminal: completion of all classes; the report has the rest.
 pub fn table(e: &Experiment, all: &[Comparison]) -> String {
     let mut out = format!(
-        "{:<6} {:<12} {:<14} {:<16} {:<14} {:>9} {:>9} {:>9}  95% interval\n",
-        "load", "backlog", "class", "measure", "arm", e.against, "arm, s", "change"
+        "{:<6} {:<12} {:<14} {:<31} {:<14} {:>9} {:>9} {:>9}  95% interval\n",
+        "load", "backlog", "class", "measure", "arm", e.against, "arm", "change"
     );
     for c in all
         .iter()
-        .filter(|c| c.class == ALL && c.measure.ends_with("completion"))
+        .filter(|c| c.class == ALL && !c.measure.ends_with("tasks"))
     {
         let _ = writeln!(
             out,
-            "{:<6} {:<12} {:<14} {:<16} {:<14} {:>9.1} {:>9.1} {:>+8.1}%  {:+.1}% to {:+.1}%",
+            "{:<6} {:<12} {:<14} {:<31} {:<14} {:>9.1} {:>9.1} {:>+8.1}%  {:+.1}% to {:+.1}%",
             c.load, c.backlog, c.class, c.measure, c.arm, c.base, c.got, c.change, c.from, c.to
         );
     }
@@ -398,7 +421,7 @@
                     "95 of 100 bootstrap resamples." }
                 table {
                     tr { th { "load" } th { "backlog" } th { "class" } th { "measure" } th { "arm" }
-                         th.n { (e.against) ", s" } th.n { "arm, s" } th.n { "change" } th { "interval" } th.n { "pairs" } }
+                         th.n { (e.against) ", s or %" } th.n { "arm" } th.n { "change" } th { "interval" } th.n { "pairs" } }
                     @for c in all {
                         tr { td { (c.load) } td { (c.backlog) } td { (c.class) } td { (c.measure) } td { (c.arm) }
                              td.n { (format!("{:.1}", c.base)) } td.n { (format!("{:.1}", c.got)) }
--- a/crates/rehearsal/src/play.rs
+++ b/crates/rehearsal/src/play.rs
@@ -5,7 +5,7 @@
 use crate::processes::Processes;
 use cherrywood_emulator::{Cloud, Nodes, StateHost, Troubles, Users, World};
 use cherrywood_judge::settle::{Settled, settle};
-use cherrywood_judge::{Aims, Breach, History, Judge, What, aims};
+use cherrywood_judge::{Aims, Breach, History, Judge, Least, What, aims};
 use cherrywood_night::Night;
 use cherrywood_node::node::View;
 use cherrywood_node::settings::Operator;
@@ -74,6 +74,8 @@
     pub settled: BTreeMap<String, Settled>,
     pub breaches: Vec<Breach>,
     pub aims: Aims,
+    /// Who was served least, if the night asks.
+    pub least: Option<Least>,
     pub digest: String,
     /// s that the night lasted, and that playing it took.
     pub night_s: f64,
@@ -203,6 +205,7 @@
         seed: options.seed,
         settled: settle(&history.events),
         breaches: judge.breaches,
+        least: judge.least,
         aims: aims::count(&history.events),
         digest: history.digest(),
         history,
--- a/crates/rehearsal/src/report.rs
+++ b/crates/rehearsal/src/report.rs
@@ -32,6 +32,7 @@
     pub broken: Vec<String>,
     pub ended: Vec<String>,
     pub classes: BTreeMap<String, Class>,
+    pub least: Option<Least>,
     pub aims: Vec<Reached>,
     pub cost: f64,
     pub price: f64,
@@ -52,6 +53,15 @@
     pub wait_p95_s: f64,
 }
 
+/// The class or team served least: share of its jobs done in time, and the share that
+/// every class could have had.
+#[derive(Debug, Serialize)]
+pub struct Least {
+    pub name: String,
+    pub share: f64,
+    pub bound: f64,
+}
+
 #[derive(Debug, Serialize)]
 pub struct Reached {
     pub aim: String,
@@ -106,6 +116,11 @@
                 (n.clone(), c)
             })
             .collect(),
+        least: o.least.clone().map(|l| Least {
+            name: l.name,
+            share: l.share,
+            bound: l.bound,
+        }),
         aims: o
             .aims
             .reached
--- a/crates/rehearsal/src/summary.rs
+++ b/crates/rehearsal/src/summary.rs
@@ -88,6 +88,15 @@
             o.aims.price
         ),
     );
+    if let Some(l) = &o.least {
+        line(
+            "served",
+            format!(
+                "least: {}, {:.3} of its jobs in time; {:.3} of each class at best",
+                l.name, l.share, l.bound
+            ),
+        );
+    }
     for r in &o.aims.reached {
         let (what, wanted) = aim(&r.aim);
         let met = if r.met { "met" } else { "missed" };
