--- a/crates/rehearsal/tests/nights.rs
+++ b/crates/rehearsal/tests/nights.rs
@@ -1,7 +1,8 @@
 //! Whole nights, played in virtual time.
 
-use cherrywood_judge::What;
+use cherrywood_judge::{Rule, What};
 use cherrywood_night::Night;
+use cherrywood_node::settings::Settings;
 use cherrywood_rehearsal::log::Log;
 use cherrywood_rehearsal::{Options, Outcome, play, summary};
 use std::path::{Path, PathBuf};
@@ -76,6 +77,25 @@
     assert!(count(&|w| matches!(w, What::LeaseEnds { .. })) > 0);
 }
 
+/// The judge sees who starves: with rank alone the flood's night is not good, and with
+/// floors of service it is (as a shipped night).
+#[test]
+fn by_rank_alone_a_class_starves_in_the_flood() {
+    let options = Options {
+        seed: 2,
+        operator: Settings::operator("op.yaml", "admission: {off: true, floors: false}").unwrap(),
+        ..Options::default()
+    };
+    let log = Log::new(Level::INFO, None, false);
+    let night = night("flood.yaml");
+    let o = log
+        .around(|| play(night, &options, &log, &mut |_| Ok(())))
+        .unwrap();
+    let starved = o.breaches.iter().filter(|b| b.rule == Rule::Starved);
+    assert!(starved.count() > 0, "{}", summary::text(&o));
+    assert!(o.least.is_some_and(|l| l.share < 0.5 && l.bound > 0.9));
+}
+
 /// A night that ends before its jobs do says so, and is not good.
 #[test]
 fn what_is_not_settled_is_counted_as_such() {
