--- /dev/null
+++ b/crates/control/src/leader/audit.rs
@@ -0,0 +1,66 @@
+//! Are the sums what a scan of all placements says?
+
+use super::*;
+
+impl Leader {
+    /// Compares every sum and index with a scan of all placements; for tests.
+    pub fn audit(&self) -> Result<(), String> {
+        let mut usage: HashMap<&str, (f64, f64)> = HashMap::new();
+        let mut live: HashMap<u64, u32> = HashMap::new();
+        let mut on: HashMap<(JobNo, u32), u32> = HashMap::new();
+        let mut running: HashMap<JobNo, u32> = HashMap::new();
+        let mut zones: HashMap<(JobNo, &str), u32> = HashMap::new();
+        for (name, m) in &self.machines {
+            for p in &m.placed {
+                let u = usage.entry(&p.team).or_default();
+                *u = (u.0 + p.cpus, u.1 + p.gpus);
+                if p.entry > 0 {
+                    *live.entry(p.entry).or_default() += 1;
+                }
+                if p.stage == Stage::Planned && !self.planned.contains(name) {
+                    return Err(format!("{} waits on {name}, unknown to the ledger", p.id));
+                }
+                if (p.stage == Stage::Durable) != (p.entry > 0) {
+                    return Err(format!("{} is durable without an entry", p.id));
+                }
+                if let Some(no) = p.job.filter(|no| self.jobs.contains_key(no)) {
+                    *on.entry((no, p.task)).or_default() += 1;
+                    *running.entry(no).or_default() += u32::from(p.running);
+                    *zones.entry((no, &m.zone)).or_default() += 1;
+                }
+            }
+        }
+        for (team, u) in &self.usage {
+            let scan = usage.get(team.as_str()).copied().unwrap_or_default();
+            if (u.0 - scan.0).abs() > 1e-6 || (u.1 - scan.1).abs() > 1e-6 {
+                return Err(format!("{team} uses {scan:?}, not {u:?}"));
+            }
+        }
+        for (id, e) in &self.log {
+            let scan = live.remove(id).unwrap_or(0);
+            if e.live != scan {
+                return Err(format!("entry {id:x} holds {scan}, not {}", e.live));
+            }
+        }
+        if let Some((id, n)) = live.iter().next() {
+            return Err(format!("{n} placements in entry {id:x}, which is gone"));
+        }
+        for (no, job) in &self.jobs {
+            let scan: HashMap<u32, u32> = on
+                .iter()
+                .filter(|((n, _), _)| n == no)
+                .map(|((_, task), n)| (*task, *n))
+                .collect();
+            let here = running.get(no).copied().unwrap_or(0);
+            let placed: u32 = scan.values().sum();
+            let by_zone = job
+                .zones
+                .iter()
+                .all(|(z, n)| zones.get(&(*no, z.as_str())).copied().unwrap_or(0) == *n);
+            if scan != job.on || here != job.running || placed != job.placed || !by_zone {
+                return Err(format!("{}: {scan:?} and {here} running", job.spec.id));
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/control/src/leader/placing.rs
+++ b/crates/control/src/leader/placing.rs
@@ -9,6 +9,9 @@
 use crate::Team;
 use cherrywood_sched::queue::Pick;
 
+mod floors;
+mod gangs;
+
 /// How tasks of one standing are served, in this order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Order {
@@ -363,41 +366,6 @@
         }
     }
 
-    /// CPUs that teams use, with what this pass has placed.
-    fn placed(&self) -> f64 {
-        self.used.iter().map(|u| u.0).sum()
-    }
-
-    /// The floor of service: a part of the CPUs that come free goes to the cells that
-    /// are behind what they were promised, whatever their rank, the least served
-    /// first and within each the job with the least work left. Without it jobs of
-    /// lower ranks waited as long as higher ones kept coming (1 of 129 done).
-    fn serve_behind(&mut self, queue: &mut Queue<JobNo>, behind: &[u64], due: f64) {
-        let most = self.placed() + due;
-        self.floor = true;
-        for cell in behind {
-            let mut jobs: Vec<(f64, JobNo)> = Vec::new();
-            for (no, w) in self.waiters.iter().filter(|(_, w)| !w.blocked) {
-                if let Some(job) = self.jobs.get(no).filter(|j| j.cell == *cell) {
-                    let left = f64::from(job.left()) * job.spec.cpus * w.est;
-                    jobs.push((left, *no));
-                }
-            }
-            jobs.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-            for (_, no) in jobs {
-                let of = self.jobs.get(&no).map(|j| j.spec.priority);
-                while self.placed() < most
-                    && !self.sites.is_empty()
-                    && of.is_some_and(|rank| self.ready(&no, false, rank))
-                    && let Some(pick) = queue.find(&no)
-                {
-                    self.place_group(queue, &pick, false, Order::Any);
-                }
-            }
-        }
-        self.floor = false;
-    }
-
     fn serve_rank(&mut self, queue: &mut Queue<JobNo>, guaranteed: bool, rank: Priority) {
         self.serve_due(queue, guaranteed, rank);
         self.serve(queue, guaranteed, rank, Order::Hot);
@@ -572,33 +540,6 @@
         }
     }
 
-    /// There must be room for all of a gang, then it is placed whole, before
-    /// anything else can take the room. The tasks of a gang find each other
-    /// by their common attempt.
-    fn place_gang(&mut self, queue: &mut Queue<JobNo>, no: JobNo) {
-        let Some(zone) = self.gang_zone(no) else {
-            self.block(no);
-            return;
-        };
-        *self.counter += 1;
-        let attempt = (self.epoch << limits::EPOCH_SHIFT) | *self.counter;
-        while let Some(pick) = queue.find(&no) {
-            let Some((at, _)) = self.best_machine(no, zone.as_deref()) else {
-                self.block(no);
-                return;
-            };
-            let w = &self.waiters[&no];
-            let job = &self.jobs[&no];
-            let n = pick
-                .len
-                .min(self.sites[at].fits(&job.spec))
-                .min(zone_room(job, &self.sites[at].m.zone))
-                .max(1);
-            queue.take(&pick, n, w.est);
-            self.place(no, pick.first, n, attempt, at);
-        }
-    }
-
     /// The machine that suits a task of the job best, and the s until its
     /// image could be there.
     fn best_machine(&mut self, no: JobNo, zone: Option<&str>) -> Option<(usize, f64)> {
@@ -642,38 +583,6 @@
         best
     }
 
-    /// Where a gang can go as a whole: None if nowhere, Some(None) if the zone
-    /// doesn't matter.
-    fn gang_zone(&self, no: JobNo) -> Option<Option<String>> {
-        let job = self.jobs.get(&no)?;
-        let s = &job.spec;
-        let missing = s.tasks - job.done.count().min(s.tasks);
-        let missing = missing.saturating_sub(job.on.len() as u32);
-        if self.team_room(self.waiters.get(&no)?.team, s, false) < missing {
-            return None;
-        }
-        let mut room: BTreeMap<&str, u32> = BTreeMap::new();
-        for site in &self.sites {
-            let m = &*site.m;
-            if allowed(s, &m.kind, &m.zone, m.spot) {
-                let r = room.entry(&m.zone).or_default();
-                *r = r.saturating_add(site.fits(s).min(missing));
-            }
-        }
-        if s.one_zone {
-            let zone = room
-                .iter()
-                .find(|(z, n)| **n >= missing && zone_room(job, z) > 0)
-                .map(|(z, _)| (*z).to_string())?;
-            return Some(Some(zone));
-        }
-        let total: u64 = room
-            .iter()
-            .map(|(z, n)| u64::from((*n).min(zone_room(job, z))))
-            .sum();
-        (total >= u64::from(missing)).then_some(None)
-    }
-
     fn place(&mut self, no: JobNo, first: u32, n: u32, attempt: u64, at: usize) {
         let (Some(job), Some(site)) = (self.jobs.get(&no), self.sites.get_mut(at)) else {
             return;
