One retry policy with an allowance; what was refused is in no doubt

Need: admission's one retry policy: when all fails repeating may add a tenth at most; the leader repeated every write six times, whatever failed. Cause beside it: a refused write (503, 429, never sent) counted as unknown, so an outage left hundreds of keys to be read one by one. Change: net::retry (tries, doubling spread pauses, deadline, what the other side asked for, an allowance that only answers fill), used by the leader's writes, its rounds and the takeover's reads; Outcome::Refused puts placements back without doubt; reading keys again stops at the first that isn't answered.

--- a/crates/control/src/leader/ledger.rs
+++ b/crates/control/src/leader/ledger.rs
@@ -387,6 +387,9 @@
                 self.unwritten(batch);
                 self.conflict(failed);
             }
+            // An outage once left hundreds of keys to be read again, each in doubt
+            // for nothing: what the state service refuses it hasn't executed.
+            Outcome::Refused => self.unwritten(batch),
             // Reading the entry tells whether it was written. What is in it
             // starts only then, and nothing else is written meanwhile.
             _ => {
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -215,7 +215,9 @@
     Applied(u64),
     /// Not applied, because these keys had changed.
     Conflict(Vec<String>),
-    /// Certainly not applied, or it can't be known: write again.
+    /// Certainly not applied, and nothing of it has changed for that.
+    Refused,
+    /// It can't be known: read what it would have written.
     Unknown,
 }
 
--- a/crates/control/src/leader/progress.rs
+++ b/crates/control/src/leader/progress.rs
@@ -124,6 +124,7 @@
                 }
             }
             Outcome::Conflict(failed) => self.conflict(failed),
+            Outcome::Refused => {}
             Outcome::Unknown => {
                 for g in &batch.txn.guards {
                     if g.key != keys::LEADER {
--- a/crates/control/tests/leader.rs
+++ b/crates/control/tests/leader.rs
@@ -664,3 +664,33 @@
     let held = l.held();
     assert_eq!(held.first().unwrap().0, "vm-2", "the image is there");
 }
+
+/// The state service has refused it, so it was not executed: the placements wait for
+/// the next round, and no key is in doubt. After an outage hundreds of keys were once
+/// read again one by one before anything was placed.
+#[test]
+fn what_the_state_service_refused_is_written_again_without_reading_anything() {
+    let (mut s, mut w) = (Store::default(), Worker::new("vm-1"));
+    let mut l = s.elect(1, 0.0);
+    submit(&mut l, &mut s, &job("wk-000001", 2), 0.0);
+    let r = w.report();
+    l.report("n1", &r, &[], 1.0).unwrap();
+    l.plan(1.0);
+    let refused = l.ledger_batch().unwrap();
+    l.ledger_done(refused, &Outcome::Refused);
+    assert!(l.reread.is_empty() && l.commands(&r, 1.0).is_empty());
+    assert_eq!(l.audit(), Ok(()));
+    beat(&mut l, &mut s, &mut w, "n1", 2.0);
+    assert_eq!(w.running(), 2);
+    // Final states as well.
+    for t in &mut w.tasks {
+        t.2 = Some(Why::Done);
+    }
+    let r = w.report();
+    l.report("n1", &r, &[], 3.0).unwrap();
+    let refused = l.job_batch(true).unwrap();
+    assert!(refused.urgent() && l.job_done(refused, &Outcome::Refused).is_empty());
+    assert!(l.reread.is_empty());
+    flush(&mut l, &mut s);
+    assert!(s.rows.contains_key(&keys::ended("wk-000001")));
+}
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -246,11 +246,20 @@
 /// Share of the state service's budget that the leader may use; the others
 /// divide the rest.
 pub const LEADER_SHARE: f64 = 0.55;
-/// Tries of a read in a takeover, and s between them.
+/// Tries of a read in a takeover, s before the second, and at most between two.
 pub const TAKEOVER_TRIES: u32 = 20;
 pub const TAKEOVER_GAP_S: f64 = 0.1;
-/// Tries of a leader's write before its keys are read again.
+pub const TAKEOVER_GAP_MOST_S: f64 = 0.2;
+/// The same of a leader's write before it is given up: it waits for the next round.
 pub const COMMIT_TRIES: u32 = 6;
+pub const COMMIT_GAP_S: f64 = 0.05;
+pub const COMMIT_GAP_MOST_S: f64 = 0.1;
+/// s at most between two rounds of writes while they fail.
+pub const ROUND_GAP_MOST_S: f64 = 0.3;
+/// Repetitions that a client's requests may save up, and what each answer earns: with
+/// a fifth of all failing nearly everything is repeated; with all failing, twenty are.
+pub const RETRIES_SAVED: f64 = 20.0;
+pub const RETRIES_EARNED: f64 = 0.5;
 /// Looks at a job that changes while it is being cancelled.
 pub const CANCEL_TRIES: u32 = 3;
 /// s between two requests for the polls that came meanwhile; users wait 2 s.
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod cloud;
 pub mod host;
 pub mod peer;
+pub mod retry;
 pub mod server;
 pub mod state;
 
--- a/crates/net/src/state.rs
+++ b/crates/net/src/state.rs
@@ -2,6 +2,7 @@
 
 use crate::budget::{Budget, Class};
 use crate::client::Client;
+use crate::retry::Allowance;
 use crate::{Host, NetError};
 use cherrywood_limits as limits;
 use cherrywood_wire::state::{
@@ -20,6 +21,8 @@
     rps: f64,
     write_rps: f64,
     nodes: f64,
+    /// Shared by all that repeat requests to it.
+    pub retries: Allowance,
 }
 
 /// Answer to a transaction.
@@ -41,6 +44,7 @@
             rps,
             write_rps,
             nodes,
+            retries: Allowance::default(),
         };
         // From the start: with equal shares of the reads beside a leader's the
         // sum was 1.35 of the whole, and the leader's writes were refused too.
@@ -91,7 +95,10 @@
             .await?;
         match answer.status {
             503 | 429 => Err(NetError::Refused(format!("status {}", answer.status))),
-            _ => Ok(answer),
+            _ => {
+                self.retries.answered();
+                Ok(answer)
+            }
         }
     }
 
--- a/crates/node/src/loops/lead.rs
+++ b/crates/node/src/loops/lead.rs
@@ -6,6 +6,7 @@
 use cherrywood_limits as limits;
 use cherrywood_net::NetError;
 use cherrywood_net::budget::Class;
+use cherrywood_net::retry::Policy;
 use cherrywood_net::state::TxnResult;
 use cherrywood_wire::admission::AdmissionValue;
 use cherrywood_wire::state::{
@@ -116,19 +117,28 @@
     node.state.set_leading(false);
 }
 
+/// How reads of a takeover are repeated.
+const TAKEOVER: Policy = Policy {
+    tries: limits::TAKEOVER_TRIES,
+    first_s: limits::TAKEOVER_GAP_S,
+    most_s: limits::TAKEOVER_GAP_MOST_S,
+    within_s: f64::INFINITY,
+};
+
 /// Repeats a read that the state service refuses or that gets lost.
 macro_rules! insist {
     ($node:expr, $call:expr) => {{
-        let mut tries = 0;
+        let mut tries = TAKEOVER.begin($node.now());
         loop {
             match $call.await {
                 Ok(v) => break v,
                 Err(e) => {
-                    tries += 1;
-                    if tries > limits::TAKEOVER_TRIES || $node.now() > $node.core().leader_until {
-                        return Err(e);
+                    let chance = $node.host.between(0.0, 1.0);
+                    let pause = tries.again(&$node.state.retries, None, chance, $node.now());
+                    match pause.filter(|_| $node.now() <= $node.core().leader_until) {
+                        Some(pause) => $node.host.sleep(pause).await,
+                        None => return Err(e),
                     }
-                    $node.host.sleep(limits::TAKEOVER_GAP_S).await;
                 }
             }
         }
--- a/crates/node/src/loops/write.rs
+++ b/crates/node/src/loops/write.rs
@@ -7,6 +7,7 @@
 use cherrywood_limits as limits;
 use cherrywood_net::NetError;
 use cherrywood_net::budget::Class;
+use cherrywood_net::retry::Policy;
 use cherrywood_net::state::TxnResult;
 use cherrywood_wire::agent::Orders;
 use cherrywood_wire::peer::{Reply, Request};
@@ -17,7 +18,8 @@
 /// Sends a transaction until it is known whether it was applied.
 async fn commit(node: &Node, epoch: u64, txn: &Txn, class: Class) -> Outcome {
     let mut unsure = false;
-    for _ in 0..limits::COMMIT_TRIES {
+    let mut tries = COMMIT.begin(node.now());
+    loop {
         let now = node.now();
         if node.core().leading(now).is_none_or(|l| l.epoch() != epoch) {
             break;
@@ -31,15 +33,44 @@
             // ourselves: what we wrote is read again.
             Ok(TxnResult::Failed(_)) if unsure => return Outcome::Unknown,
             Ok(TxnResult::Failed(keys)) => return Outcome::Conflict(keys),
-            Err(NetError::Refused(_)) => node.host.sleep(0.05 * node.host.between(1.0, 2.0)).await,
+            Err(NetError::Refused(_)) => {}
             Err(NetError::Unknown(_)) => unsure = true,
             Err(NetError::Bad(e)) => {
                 warn!(e, "the state service refuses a transaction");
-                break;
+                return Outcome::Unknown;
             }
         }
+        let chance = node.host.between(0.0, 1.0);
+        match tries.again(&node.state.retries, None, chance, node.now()) {
+            Some(pause) => node.host.sleep(pause).await,
+            None => break,
+        }
+    }
+    if unsure {
+        Outcome::Unknown
+    } else {
+        Outcome::Refused
     }
-    Outcome::Unknown
+}
+
+/// How a leader's write is repeated, and the rounds of writes while they fail.
+const COMMIT: Policy = Policy {
+    tries: limits::COMMIT_TRIES,
+    first_s: limits::COMMIT_GAP_S,
+    most_s: limits::COMMIT_GAP_MOST_S,
+    within_s: f64::INFINITY,
+};
+const ROUNDS: Policy = Policy {
+    tries: u32::MAX,
+    first_s: limits::FLUSH_GAP_S,
+    most_s: limits::ROUND_GAP_MOST_S,
+    within_s: f64::INFINITY,
+};
+
+/// Before the next round, after so many that failed in a row.
+async fn round_gap(node: &Node, failed: u32) {
+    let chance = node.host.between(0.0, 1.0);
+    node.host.sleep(ROUNDS.pause_s(failed, chance)).await;
 }
 
 pub(super) async fn reread(node: &Node) {
@@ -49,15 +80,18 @@
         (l.epoch(), l.reread.iter().take(20).cloned().collect())
     };
     for key in keys {
-        if let Ok(item) = node.state.get::<serde::de::IgnoredAny>(&key).await
-            && let Some(leader) = node.core().leader_of(epoch)
-        {
+        // Where one isn't answered the others won't be: they wait for the next round.
+        let Ok(item) = node.state.get::<serde::de::IgnoredAny>(&key).await else {
+            return;
+        };
+        if let Some(leader) = node.core().leader_of(epoch) {
             leader.reread_done(&key, item.map_or(0, |i| i.version));
         }
     }
 }
 
 pub(super) async fn ledger(node: Arc<Node>) {
+    let mut failed = 0;
     loop {
         node.ledger_due.notified().await;
         loop {
@@ -72,6 +106,7 @@
             let write = commit(&node, epoch, &batch.txn, Class::Place);
             let outcome = write.instrument(span.clone()).await;
             let ok = matches!(outcome, Outcome::Applied(_));
+            let answered = ok || matches!(outcome, Outcome::Conflict(_));
             let orders = span.in_scope(|| {
                 if let Some(leader) = node.core().leader_of(epoch) {
                     leader.ledger_done(batch, &outcome);
@@ -84,9 +119,10 @@
             for (holder, orders) in orders {
                 node.host.spawn(order(node.clone(), epoch, holder, orders));
             }
+            failed = if answered { 0 } else { failed + 1 };
             if !ok {
                 reread(&node).await;
-                node.host.sleep(limits::FLUSH_GAP_S).await;
+                round_gap(&node, failed).await;
             }
             node.host.sleep(limits::FLUSH_GAP_S).await;
         }
@@ -135,6 +171,7 @@
 
 pub(super) async fn jobs(node: Arc<Node>) {
     let mut wrote = 0.0;
+    let mut failed = 0;
     loop {
         node.jobs_due.notified().await;
         loop {
@@ -158,9 +195,14 @@
             if let Some(leader) = node.core().leader_of(epoch) {
                 leader.job_done(batch, &outcome);
             }
+            let answered = ok || matches!(outcome, Outcome::Conflict(_));
+            failed = if answered { 0 } else { failed + 1 };
             if !ok {
                 reread(&node).await;
             }
+            if !answered {
+                round_gap(&node, failed).await;
+            }
             node.host.sleep(limits::FLUSH_GAP_S).await;
         }
     }
