--- a/crates/rehearsal/src/experiment.rs
+++ b/crates/rehearsal/src/experiment.rs
@@ -266,8 +266,8 @@
     /// Means over the seeds, s.
     pub base: f64,
     pub got: f64,
-    /// Mean of the paired differences over the mean of the base, in %, and the
-    /// interval that holds 95 of 100 resamples.
+    /// Mean of the paired differences over the mean of the base, in % (of shares: in
+    /// points), and the interval that holds 95 of 100 resamples.
     pub change: f64,
     pub from: f64,
     pub to: f64,
@@ -335,6 +335,11 @@
                 let n = pairs.len().max(1) as f64;
                 let bases: Vec<f64> = pairs.iter().map(|p| p.0).collect();
                 let diffs: Vec<f64> = pairs.iter().map(|p| p.1 - p.0).collect();
+                // Shares change by points: a share of none has no relative change.
+                let bases = match measure.ends_with("(%)") {
+                    true => vec![100.0; pairs.len()],
+                    false => bases,
+                };
                 let sum: f64 = bases.iter().sum();
                 let (from, to) = bootstrap(&bases, &diffs, 1);
                 out.push(Comparison {
@@ -344,7 +349,7 @@
                     measure,
                     arm: arm.clone(),
                     pairs: pairs.len(),
-                    base: sum / n,
+                    base: pairs.iter().map(|p| p.0).sum::<f64>() / n,
                     got: pairs.iter().map(|p| p.1).sum::<f64>() / n,
                     change: 100.0 * diffs.iter().sum::<f64>() / sum.max(1e-9),
                     from,
@@ -452,4 +457,38 @@
         let (from, to) = bootstrap(&base, &wild, 1);
         assert!(from < -5.0 && to > 5.0, "{from} {to}: no difference");
     }
+
+    /// Against an arm that serves nobody the relative change was a number of 14 digits.
+    #[test]
+    fn shares_change_by_points() {
+        let text = include_str!("../../../experiments/overload.yaml");
+        let e: Experiment = file::parse("overload.yaml", text).unwrap();
+        let row = |arm: &str, seed, share| Row {
+            key: String::new(),
+            cell: Cell {
+                load: 1.0,
+                backlog: "as written".into(),
+                arm: arm.into(),
+                seed,
+            },
+            digest: String::new(),
+            broken: 0,
+            unsettled: 0,
+            price: 1.0,
+            classes: BTreeMap::from([(
+                ALL.to_string(),
+                [10.0, 20.0, 1.0, 2.0, 100.0, share, share],
+            )]),
+        };
+        let rows = [
+            row("rank-alone", 1, 0.0),
+            row("rank-alone", 2, 0.0),
+            row("as-built", 1, 60.0),
+            row("as-built", 2, 70.0),
+        ];
+        let all = compare(&e, &rows);
+        let least = all.iter().find(|c| c.measure == MEASURES[WHOLE]).unwrap();
+        assert_eq!((least.base, least.got, least.change), (0.0, 65.0, 65.0));
+        assert!(least.from >= 60.0 && least.to <= 70.0, "{least:?}");
+    }
 }
