One answer to polls and known jobs, one numbering of keys, no sum without need

Need: reading the whole change once more: a poll's answer was written twice, key numbers were made in two packages, and all CPUs were summed in every pass of the queue. Change: poll calls known; the predictor gives names and medians, control numbers them with admission's number (sched needs no hash); the sum is made only while a cell is behind. Behaviour is the same.

--- a/crates/control/src/leader/admitting.rs
+++ b/crates/control/src/leader/admitting.rs
@@ -62,7 +62,10 @@
         let full = short && (self.book.full() || now - self.grew > bounds::FULL_AFTER_S);
         let policy = &self.settings.policy.admission;
         let teams = self.settings.teams.iter();
-        let mut medians: Vec<(u64, f32)> = self.predictor.medians();
+        let medians = self.predictor.medians();
+        let mut medians: Vec<(u64, f32)> = medians
+            .map(|(key, median)| (number(key), median as f32))
+            .collect();
         medians.sort_by_key(|m| m.0);
         View {
             cpus: (up + coming - standing).max(1.0),
--- a/crates/control/src/leader/placing.rs
+++ b/crates/control/src/leader/placing.rs
@@ -213,7 +213,6 @@
         ranks.sort_unstable();
         let spare = self.ranked_cpus() * limits::FILL_SPARE;
         let behind = self.behind(now);
-        let all: f64 = self.machines.values().map(|m| self.cpus_of(&m.kind)).sum();
         let fetching = self.fetching(&team_no);
         let fresh = limits::MISSED_REPORTS * self.settings.workers.report_s;
         let mut sites = Vec::new();
@@ -288,6 +287,8 @@
         self.floor_due = if behind.is_empty() {
             0.0
         } else {
+            let machines = self.machines.values();
+            let all: f64 = machines.map(|m| self.cpus_of(&m.kind)).sum();
             let due = self.floor_due - floored + others * share / (1.0 - share);
             due.min(all * limits::admission::FLOOR_SAVED)
         };
--- a/crates/node/src/api.rs
+++ b/crates/node/src/api.rs
@@ -168,9 +168,8 @@
     }
 }
 
-/// What a job is told that is known already, whatever there is room for; None if it
-/// isn't. It asks as a poll does, with all others that wait: under overload every
-/// refused submission comes this way.
+/// What a poll is told of a job that is known; None if it isn't. All that wait ask
+/// together: under overload every submission without room comes this way, too.
 async fn known(node: &Node, id: &str) -> Option<Response> {
     match node.polls.ask(id).await {
         Told::Live(done, running) => Some(live(id, (done, running))),
@@ -235,12 +234,7 @@
     if let Some(v) = node.core().finals.get(id) {
         return ended(200, id, v);
     }
-    match node.polls.ask(id).await {
-        Told::Live(done, running) => live(id, (done, running)),
-        Told::Ended(v) => ended(200, id, &v),
-        Told::Nothing => Response::empty(404),
-        Told::Later => Response::busy(),
-    }
+    known(node, id).await.unwrap_or(Response::empty(404))
 }
 
 async fn cancel(node: &Node, id: &str) -> Response {
--- a/crates/sched/src/predictor.rs
+++ b/crates/sched/src/predictor.rs
@@ -195,13 +195,10 @@
         (k.seen >= limits::KEY_MIN).then_some(k.quantiles[0])
     }
 
-    /// All medians that may be used, by the key's number.
-    pub fn medians(&self) -> Vec<(u64, f32)> {
-        let known = self.keys.iter().filter(|(_, k)| k.seen >= limits::KEY_MIN);
-        let number = |key: &str| xxhash_rust::xxh3::xxh3_64(key.as_bytes());
-        known
-            .map(|(key, k)| (number(key), k.quantiles[0] as f32))
-            .collect()
+    /// All keys whose median may be used, with it.
+    pub fn medians(&self) -> impl Iterator<Item = (&str, f64)> {
+        let keys = self.keys.keys().map(String::as_str);
+        keys.filter_map(|key| Some((key, self.estimate(key)?)))
     }
 
     /// What nearly all of the key's tasks stay below.
