A pass looks at each waiting run once; boots an earlier leader saw are not judged

A profile showed 55% of its time there, and 5% in comparing all rows' names with each new job's.

Change: what decides whether a job can be served stands in one array for the pass; runs keep their places while it serves, so what was passed over isn't looked at again; what the predictor says of a key is looked up once a pass; aims and the team's number are kept with the job. And after a takeover some 300 machines that had long been up were noted as late, by which healthy zones were rented last: a machine counts as due only if this leader rented it, the cloud's list calls it starting, or it is up (test seen failing).

--- a/crates/control/src/leader/admitting.rs
+++ b/crates/control/src/leader/admitting.rs
@@ -112,23 +112,20 @@
     /// for long, unless an aim says otherwise: guests' tasks of 300 s were placed before
     /// urgent ones because none of their jobs was done after 90 s.
     fn patience(&self, job: &Job) -> f64 {
-        let aimed = self.settings.objectives.iter();
-        let aimed = aimed
-            .filter(|o| o.kind == "finished")
-            .any(|o| o.class == job.spec.class);
-        let runs = match aimed {
-            true => 0.0,
-            false => bounds::PATIENT_RUNS * run_estimate(&self.predictor, job),
+        let aimed = job.aims.iter().filter(|(aim, _)| *aim == Aim::Finish);
+        let most = aimed.map(|(_, within_s)| *within_s).reduce(f64::max);
+        let time_s = match most {
+            Some(within_s) => time_or_usual(within_s),
+            None => time_or_usual(0.0) + bounds::PATIENT_RUNS * run_estimate(&self.predictor, job),
         };
-        (self.time_of(&job.spec.class) + runs) * bounds::LATE_AFTER
+        time_s * bounds::LATE_AFTER
     }
 
     /// s in which a job of the class should be done.
     fn time_of(&self, class: &str) -> f64 {
         let aims = self.settings.objectives.iter();
         let own = aims.filter(|o| o.class == class && o.kind == "finished");
-        let most = own.map(|o| o.within_s).fold(0.0, f64::max);
-        if most > 0.0 { most } else { bounds::HORIZON_S }
+        time_or_usual(own.map(|o| o.within_s).fold(0.0, f64::max))
     }
 
     /// For the log: what is short, and each cell's jobs offered, admitted, waiting
@@ -169,6 +166,14 @@
     }
 }
 
+fn time_or_usual(within_s: f64) -> f64 {
+    if within_s > 0.0 {
+        within_s
+    } else {
+        bounds::HORIZON_S
+    }
+}
+
 /// Expected CPU seconds of a whole job, from the learned median of its key or, without
 /// one, its owner's estimate.
 pub fn work(spec: &Submission, median: Option<f64>) -> f64 {
--- a/crates/control/src/leader/fleet.rs
+++ b/crates/control/src/leader/fleet.rs
@@ -31,6 +31,7 @@
             if let Some(m) = self.machines.get_mut(&l.id) {
                 m.listed_at.get_or_insert(now);
                 m.born = m.born.min(now - l.age_s);
+                m.starting = l.state == ListedState::Booting;
                 if l.state == ListedState::Failed && !m.deleting {
                     info!(machine = l.id, "failed by itself; deleting it");
                     m.deleting = true;
@@ -149,7 +150,7 @@
             let Some(job) = self.jobs.get(&run.job) else {
                 continue;
             };
-            let Some(at) = teams.iter().position(|t| t.name == job.spec.team) else {
+            let Some(at) = job.team else {
                 continue;
             };
             if demand.teams[at].room < job.spec.cpus {
@@ -257,10 +258,18 @@
     /// Where should machines be up by now, and most are not? What is on its way
     /// there counts for nothing, so that a place that has recovered is taken
     /// again as soon as its machines came or were given up.
+    ///
+    /// That a machine has not reported to this leader is not yet a late boot: an
+    /// earlier leader may have rented it, and it has been up for long. On an operators'
+    /// kind of day some 300 machines were called late after each takeover, and healthy
+    /// zones were avoided. The cloud's list must call it `starting`, or this leader must
+    /// have rented it itself.
     fn count_late(&mut self, now: f64) {
         let mut due: BTreeMap<(String, String), (u32, u32, u32)> = BTreeMap::new();
-        let dated = |m: &&mut Machine| m.rented || m.listed_at.is_some();
-        for m in self.machines.values_mut().filter(dated) {
+        let seen = |m: &&mut Machine| {
+            m.rented || m.listed_at.is_some() && (m.up || m.starting && !m.known)
+        };
+        for m in self.machines.values_mut().filter(seen) {
             let boot = boot_s(&self.types, &m.kind);
             let age = now - m.born - limits::BOOT_REPORT_S;
             let recent = boot * limits::BOOT_USUAL..boot * limits::BOOT_RECENT;
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -20,6 +20,7 @@
     ProgressValue, Txn, Value,
 };
 use cherrywood_wire::user::{JobState, Kind, Priority, Submission, split_task};
+use rustc_hash::FxHashMap;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use tracing::{info, warn};
 
@@ -36,12 +37,26 @@
 pub use ledger::LedgerBatch;
 
 type JobNo = u32;
+/// Looked up for all that waits in every pass; the numbers are our own.
+type Jobs = FxHashMap<JobNo, Job>;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Aim {
+    Start,
+    Finish,
+}
 
 #[derive(Debug)]
 struct Job {
     spec: Submission,
     key: String,
-    /// Stands for the image's name; see `image_no`.
+    /// Stands for the key.
+    key_no: u64,
+    /// Place of its team in the settings.
+    team: Option<usize>,
+    /// The aims on its class, s.
+    aims: Vec<(Aim, f64)>,
+    /// Stands for the image's name; see `number_of`.
     image: u64,
     /// When it was accepted, on this leader's clock.
     born: f64,
@@ -159,6 +174,8 @@
     heard: f64,
     born: f64,
     listed_at: Option<f64>,
+    /// The newest list calls it so; it may be up all the same.
+    starting: bool,
     /// Rented by this leader: `born` is exact.
     rented: bool,
     /// It should be up by now, and this was logged.
@@ -242,7 +259,7 @@
     /// Time of day less this leader's clock, s.
     wall_offset: f64,
     types: Vec<MachineType>,
-    jobs: HashMap<JobNo, Job>,
+    jobs: Jobs,
     ids: HashMap<String, JobNo>,
     next_job: JobNo,
     machines: BTreeMap<String, Machine>,
@@ -325,7 +342,7 @@
             since: now,
             wall_offset: from.wall_ms as f64 / 1000.0 - now,
             types,
-            jobs: HashMap::new(),
+            jobs: Jobs::default(),
             ids: HashMap::new(),
             next_job: 0,
             machines: BTreeMap::new(),
@@ -423,6 +440,7 @@
             heard: now,
             born: now,
             listed_at: None,
+            starting: false,
             rented: false,
             late: false,
             notice: None,
@@ -485,11 +503,23 @@
         self.book
             .admitted(&spec.team, &spec.class, id, work, fresh, now);
         self.ids.insert(spec.id.clone(), no);
+        let of = self.settings.objectives.iter();
+        let aims = of.filter(|o| o.class == spec.class).filter_map(|o| {
+            let aim = match o.kind.as_str() {
+                "finished" => Aim::Finish,
+                "wait" => Aim::Start,
+                _ => return None,
+            };
+            Some((aim, o.within_s))
+        });
         self.jobs.insert(
             no,
             Job {
+                key_no: number_of(&key),
                 key,
-                image: image_no(&spec.image),
+                team: self.settings.teams.iter().position(|t| t.name == spec.team),
+                aims: aims.collect(),
+                image: number_of(&spec.image),
                 fill: spec.priority == Priority::Low
                     && !self
                         .settings
@@ -526,23 +556,35 @@
             }
             None => {
                 // Rows may still name tasks of a job that was taken for ended:
-                // they are where the ledger says, not waiting.
+                // they are where the ledger says, not waiting. Only rows without a
+                // live job can, and they are few: the others' names need no look.
                 let id = value.job.id.clone();
-                let own = |p: &Placement| split_task(&p.id).is_some_and(|(j, _)| j == id);
-                let there: HashSet<u32> = self
-                    .machines
-                    .values()
-                    .flat_map(|m| &m.placed)
-                    .filter(|p| own(p))
-                    .map(|p| p.task)
-                    .collect();
-                self.enter(value, mark, None, Some(&there), now, true);
+                let mut there: Vec<(String, u32)> = Vec::new();
+                for (name, m) in &self.machines {
+                    let lost = |p: &&Placement| p.job.is_none_or(|no| !self.jobs.contains_key(&no));
+                    let own = |p: &&Placement| split_task(&p.id).is_some_and(|(j, _)| j == id);
+                    let rows = m.placed.iter().filter(lost).filter(own);
+                    there.extend(rows.map(|p| (name.clone(), p.task)));
+                }
+                let tasks: HashSet<u32> = there.iter().map(|(_, task)| *task).collect();
+                self.enter(value, mark, None, Some(&tasks), now, true);
                 let no = self.next_job - 1;
                 let Some(job) = self.jobs.get_mut(&no) else {
                     return;
                 };
-                for m in self.machines.values_mut() {
-                    for p in m.placed.iter_mut().filter(|p| own(p)) {
+                for (name, task) in there {
+                    let Some(m) = self.machines.get_mut(&name) else {
+                        continue;
+                    };
+                    let own = |p: &&mut Placement| {
+                        p.task == task && split_task(&p.id).is_some_and(|(j, _)| j == id)
+                    };
+                    for p in m
+                        .placed
+                        .iter_mut()
+                        .filter(own)
+                        .filter(|p| p.job != Some(no))
+                    {
                         p.job = Some(no);
                         job.placed += 1;
                         job.running += u32::from(p.running);
@@ -644,17 +686,17 @@
     }
 }
 
-/// A number for an image's name, so that looking for it compares no text. Two
-/// names with one number would only misjudge a wait. It is kept in the state
-/// service, so it must be the same for every build.
-fn image_no(name: &str) -> u64 {
+/// A number for the name of an image or key, so that looking for it compares no text.
+/// Two names with one number would only misjudge a wait. Those of images are kept in the
+/// state service, so it must be the same for every build.
+fn number_of(name: &str) -> u64 {
     xxhash_rust::xxh3::xxh3_64(name.as_bytes())
 }
 
 /// Keeps the sums in step with a placement that appears (+1) or goes (-1).
 fn count(
     usage: &mut HashMap<String, (f64, f64)>,
-    jobs: &mut HashMap<JobNo, Job>,
+    jobs: &mut Jobs,
     p: &Placement,
     zone: &str,
     sign: f64,
--- a/crates/control/src/leader/placing.rs
+++ b/crates/control/src/leader/placing.rs
@@ -6,8 +6,7 @@
 //! the machines that have room, not on all that runs.
 
 use super::*;
-use crate::Team;
-use cherrywood_sched::queue::Pick;
+use cherrywood_sched::queue::{Pick, Place};
 
 mod floors;
 mod gangs;
@@ -60,12 +59,21 @@
     }
 }
 
-/// What is known of a waiting job for the length of one plan.
+/// What is known of a waiting job for the length of one plan. Whether it can be served
+/// is asked for each of thousands that wait, so it is answered from here alone.
 struct Waiter {
+    no: JobNo,
+    rank: Priority,
+    cell: u64,
+    fill: bool,
+    cpus: f64,
+    gpus: f64,
     est: f64,
     slack: Option<f64>,
     /// Place of its team in the settings.
     team: usize,
+    /// The first of its places in the queue, among `Plan::chain`.
+    places: u32,
     /// No machine takes it, or it must wait for its team's images.
     blocked: bool,
     /// Passes others whose image is at hand.
@@ -74,14 +82,29 @@
     best: Option<(u64, Option<(usize, f64)>)>,
 }
 
+/// The runs of one rank, by level, each with the number of its waiter.
+struct Line {
+    rank: Priority,
+    runs: [Vec<(u32, Place, f64)>; limits::LEVELS],
+}
+
+/// How far each level of a line was looked at. During one serving nobody becomes
+/// eligible who wasn't, so what was passed over once is not looked at again.
+type Looked = [usize; limits::LEVELS];
+
+/// No more places.
+const END: u32 = u32::MAX;
+
 /// One pass over the queue: the leader's parts, borrowed side by side.
 struct Plan<'a> {
     now: f64,
     settings: &'a Settings,
-    jobs: &'a mut HashMap<JobNo, Job>,
+    jobs: &'a mut Jobs,
     usage: &'a mut HashMap<String, (f64, f64)>,
     sites: Vec<Site<'a>>,
-    waiters: HashMap<JobNo, Waiter>,
+    waiters: Vec<Waiter>,
+    /// Places of waiting runs, each with the next one of the same job.
+    chain: Vec<(Place, u32)>,
     used: Vec<(f64, f64)>,
     /// CPUs of each team that wait for images, and the images that are on
     /// machines; counted when first asked for.
@@ -123,8 +146,7 @@
 /// Jobs that wait and don't just fill idle room, and the CPUs that their tasks may use.
 pub(super) fn ranked_waiting(
     queue: &Queue<JobNo>,
-    jobs: &HashMap<JobNo, Job>,
-    teams: &[Team],
+    jobs: &Jobs,
     mut room: Vec<f64>,
     now: f64,
 ) -> Vec<(JobNo, f64)> {
@@ -134,8 +156,7 @@
             continue;
         };
         let s = &job.spec;
-        let team = teams.iter().position(|t| t.name == s.team);
-        let Some(room) = team.and_then(|t| room.get_mut(t)) else {
+        let Some(room) = job.team.and_then(|t| room.get_mut(t)) else {
             continue;
         };
         if job.fill || job.suspect() || job.retry_at > now || *room < s.cpus {
@@ -178,39 +199,70 @@
             .collect();
         // The smallest shape that waits: machines without room for it are
         // not looked at again.
-        let mut waiters = HashMap::new();
-        let mut ranks = Vec::new();
+        let mut waiters: Vec<Waiter> = Vec::new();
+        let mut known: FxHashMap<JobNo, u32> = FxHashMap::default();
+        let mut learned: FxHashMap<u64, Learned> = FxHashMap::default();
+        let mut lines: Vec<Line> = Vec::new();
+        let mut chain: Vec<(Place, u32)> = Vec::new();
+        let mut last: Vec<u32> = Vec::new();
         let mut least = (f64::INFINITY, f64::INFINITY, f64::INFINITY);
-        for run in self.queue.runs() {
-            if waiters.contains_key(&run.job) {
-                continue;
-            }
-            let Some(job) = self.jobs.get(&run.job) else {
-                continue;
-            };
-            let Some(team) = team_no.get(job.spec.team.as_str()) else {
-                continue;
+        for (place, run) in self.queue.places() {
+            let n = match known.get(&run.job) {
+                Some(n) => *n,
+                None => {
+                    let Some(job) = self.jobs.get(&run.job) else {
+                        continue;
+                    };
+                    let Some(team) = job.team else {
+                        continue;
+                    };
+                    let s = &job.spec;
+                    least = (
+                        least.0.min(s.cpus),
+                        least.1.min(s.gpus),
+                        least.2.min(s.memory_gb),
+                    );
+                    let of = learned
+                        .entry(job.key_no)
+                        .or_insert_with(|| Learned::of(&self.predictor, &job.key));
+                    waiters.push(Waiter {
+                        no: run.job,
+                        rank: s.priority,
+                        cell: job.cell,
+                        fill: job.fill,
+                        cpus: s.cpus,
+                        gpus: s.gpus,
+                        est: of.run_s(job),
+                        slack: of.slack(job, now),
+                        team,
+                        places: END,
+                        blocked: job.retry_at > now || job.suspect() && !job.on.is_empty(),
+                        cold: false,
+                        best: None,
+                    });
+                    last.push(END);
+                    known.insert(run.job, waiters.len() as u32 - 1);
+                    waiters.len() as u32 - 1
+                }
             };
-            let s = &job.spec;
-            least = (
-                least.0.min(s.cpus),
-                least.1.min(s.gpus),
-                least.2.min(s.memory_gb),
-            );
-            if !ranks.contains(&s.priority) {
-                ranks.push(s.priority);
+            let w = &mut waiters[n as usize];
+            let link = chain.len() as u32;
+            chain.push((place, END));
+            match std::mem::replace(&mut last[n as usize], link) {
+                END => w.places = link,
+                before => chain[before as usize].1 = link,
             }
-            let waiter = Waiter {
-                est: run_estimate(&self.predictor, job),
-                slack: slack(&self.settings, &self.predictor, job, now),
-                team: *team,
-                blocked: job.retry_at > now || job.suspect() && !job.on.is_empty(),
-                cold: false,
-                best: None,
-            };
-            waiters.insert(run.job, waiter);
+            let at = lines.iter().position(|l| l.rank == w.rank);
+            let at = at.unwrap_or_else(|| {
+                lines.push(Line {
+                    rank: w.rank,
+                    runs: Default::default(),
+                });
+                lines.len() - 1
+            });
+            lines[at].runs[place.level].push((n, place, run.since));
         }
-        ranks.sort_unstable();
+        lines.sort_unstable_by_key(|l| l.rank);
         let spare = self.ranked_cpus() * limits::FILL_SPARE;
         let behind = self.behind(now);
         let fetching = self.fetching(&team_no);
@@ -250,6 +302,7 @@
             usage,
             sites,
             waiters,
+            chain,
             used,
             fetching: &fetching,
             epoch: self.epoch,
@@ -269,15 +322,15 @@
         // fetches an image, tasks of the same standing whose image is there
         // already may pass, for a bounded time.
         for guaranteed in [true, false] {
-            for rank in &ranks {
+            for line in &lines {
                 // What only fills idle room comes last, and leaves some.
-                let last = *rank == Priority::Low && !guaranteed;
+                let last = line.rank == Priority::Low && !guaranteed;
                 plan.no_fill = last;
-                plan.serve_rank(&mut queue, guaranteed, *rank);
+                plan.serve_rank(&mut queue, guaranteed, line);
                 if last {
                     plan.no_fill = false;
                     plan.keep = spare + plan.ranked_need(&queue);
-                    plan.serve_rank(&mut queue, guaranteed, *rank);
+                    plan.serve_rank(&mut queue, guaranteed, line);
                 }
             }
         }
@@ -322,35 +375,50 @@
         .max(1.0)
 }
 
-/// s until the job's waiting tasks must be started for the next aim on its
-/// class that it can still meet; None if there is none.
-fn slack(settings: &Settings, predictor: &Predictor, job: &Job, now: f64) -> Option<f64> {
-    let age = now - job.born;
-    let mut least: Option<f64> = None;
-    for o in &settings.objectives {
-        if o.class != job.spec.class {
-            continue;
+/// What the predictor says of a key, looked up once a pass for all its jobs.
+#[derive(Clone, Copy)]
+struct Learned {
+    median: Option<f64>,
+    tail: Option<f64>,
+}
+
+impl Learned {
+    fn of(predictor: &Predictor, key: &str) -> Learned {
+        Learned {
+            median: predictor.estimate(key),
+            tail: predictor.tail(key),
         }
-        let run = match o.kind.as_str() {
-            "finished" => predictor
-                .tail(&job.key)
-                .unwrap_or(job.spec.estimate_s * limits::TAIL_GUESS),
-            "wait" => 0.0,
-            _ => continue,
-        };
-        let slack = o.within_s - age - run;
-        if slack >= 0.0 && least.is_none_or(|l| slack < l) {
-            least = Some(slack);
+    }
+
+    fn run_s(self, job: &Job) -> f64 {
+        self.median.unwrap_or(job.spec.estimate_s).max(1.0)
+    }
+
+    /// s until the job's waiting tasks must be started for the next aim on its
+    /// class that it can still meet; None if there is none.
+    fn slack(self, job: &Job, now: f64) -> Option<f64> {
+        let age = now - job.born;
+        let guess = job.spec.estimate_s * limits::TAIL_GUESS;
+        let mut least: Option<f64> = None;
+        for (aim, within_s) in &job.aims {
+            let run = match aim {
+                Aim::Finish => self.tail.unwrap_or(guess),
+                Aim::Start => 0.0,
+            };
+            let slack = within_s - age - run;
+            if slack >= 0.0 && least.is_none_or(|l| slack < l) {
+                least = Some(slack);
+            }
         }
+        least
     }
-    least
 }
 
 impl Plan<'_> {
-    /// Tasks of this shape for which its team has room.
-    fn team_room(&self, team: usize, s: &Submission, guaranteed: bool) -> u32 {
-        let t = &self.settings.teams[team];
-        let (c, g) = self.used[team];
+    /// Tasks of the waiter's shape for which its team has room.
+    fn team_room(&self, w: &Waiter, guaranteed: bool) -> u32 {
+        let t = &self.settings.teams[w.team];
+        let (c, g) = self.used[w.team];
         let room = |most: f64, used: f64, each: f64| {
             if each > 0.0 {
                 ((most - used + 1e-6) / each).floor().max(0.0) as u32
@@ -358,7 +426,7 @@
                 u32::MAX
             }
         };
-        let bound = |cpus, gpus| room(cpus, c, s.cpus).min(room(gpus, g, s.gpus));
+        let bound = |cpus, gpus| room(cpus, c, w.cpus).min(room(gpus, g, w.gpus));
         let most = bound(t.cpus_max, t.gpus_max);
         if guaranteed {
             most.min(bound(t.cpus, t.gpus))
@@ -367,17 +435,17 @@
         }
     }
 
-    fn serve_rank(&mut self, queue: &mut Queue<JobNo>, guaranteed: bool, rank: Priority) {
-        self.serve_due(queue, guaranteed, rank);
-        self.serve(queue, guaranteed, rank, Order::Hot);
-        self.serve(queue, guaranteed, rank, Order::Any);
+    fn serve_rank(&mut self, queue: &mut Queue<JobNo>, guaranteed: bool, line: &Line) {
+        self.serve_due(queue, guaranteed, line.rank);
+        self.serve(queue, guaranteed, line, Order::Hot);
+        self.serve(queue, guaranteed, line, Order::Any);
     }
 
     /// CPUs for which work waits that doesn't just fill idle room.
     fn ranked_need(&self, queue: &Queue<JobNo>) -> f64 {
         let teams = self.settings.teams.iter().zip(&self.used);
         let room = teams.map(|(t, u)| t.cpus_max - u.0).collect();
-        ranked_waiting(queue, self.jobs, &self.settings.teams, room, self.now)
+        ranked_waiting(queue, self.jobs, room, self.now)
             .iter()
             .map(|(_, cpus)| cpus)
             .sum()
@@ -387,15 +455,20 @@
         self.keep <= 0.0 || self.sites.iter().map(|s| s.free.0).sum::<f64>() > self.keep
     }
 
-    fn ready(&self, no: &JobNo, guaranteed: bool, rank: Priority) -> bool {
-        let Some(w) = self.waiters.get(no).filter(|w| !w.blocked) else {
-            return false;
-        };
-        self.jobs.get(no).is_some_and(|j| {
-            j.spec.priority == rank
-                && !(self.no_fill && j.fill)
-                && self.team_room(w.team, &j.spec, guaranteed) > 0
-        })
+    fn ready(&self, w: &Waiter, guaranteed: bool) -> bool {
+        !(w.blocked || self.no_fill && w.fill) && self.team_room(w, guaranteed) > 0
+    }
+
+    /// A waiting run of the job, whatever the clocks say.
+    fn find(&self, queue: &Queue<JobNo>, n: u32) -> Option<Pick<JobNo>> {
+        let mut link = self.waiters[n as usize].places;
+        while let Some((place, next)) = self.chain.get(link as usize) {
+            match queue.pick(*place) {
+                None => link = *next,
+                found => return found,
+            }
+        }
+        None
     }
 
     /// Is the job's team near its limit, with enough of it waiting for images
@@ -411,41 +484,59 @@
     /// Jobs about to miss an aim, least work left first: what is left only
     /// shrinks while a job is served, so the order stands for the whole pass.
     fn serve_due(&mut self, queue: &mut Queue<JobNo>, guaranteed: bool, rank: Priority) {
-        let mut due: Vec<(f64, JobNo)> = Vec::new();
-        for (no, w) in &self.waiters {
-            if w.slack.is_some_and(|s| s < limits::RISK_S)
-                && self.ready(no, guaranteed, rank)
-                && let Some(job) = self.jobs.get(no)
-            {
-                due.push((f64::from(job.left()) * job.spec.cpus * w.est, *no));
-            }
+        if self.sites.is_empty() {
+            return;
         }
-        due.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-        for (_, no) in due {
+        let due = self.by_work_left(|w| {
+            w.rank == rank
+                && w.slack.is_some_and(|s| s < limits::RISK_S)
+                && self.ready(w, guaranteed)
+        });
+        for n in due {
             while !self.sites.is_empty()
                 && self.spare()
-                && self.waiters.get(&no).is_some_and(|w| !w.cold)
-                && self.ready(&no, guaranteed, rank)
-                && let Some(pick) = queue.find(&no)
+                && !self.waiters[n as usize].cold
+                && self.ready(&self.waiters[n as usize], guaranteed)
+                && let Some(pick) = self.find(queue, n)
             {
-                self.place_group(queue, &pick, guaranteed, Order::Due);
+                self.place_group(queue, n, &pick, guaranteed, Order::Due);
+            }
+        }
+    }
+
+    /// The waiters that are wanted, those with the least work left first.
+    fn by_work_left(&self, wanted: impl Fn(&Waiter) -> bool) -> Vec<u32> {
+        let mut found: Vec<(f64, JobNo, u32)> = Vec::new();
+        for (n, w) in self.waiters.iter().enumerate().filter(|(_, w)| wanted(w)) {
+            if let Some(job) = self.jobs.get(&w.no) {
+                found.push((f64::from(job.left()) * w.cpus * w.est, w.no, n as u32));
             }
         }
+        found.sort_unstable_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        found.into_iter().map(|(_, _, n)| n).collect()
     }
 
     /// Places what it can of one standing, by the level clocks.
-    fn serve(&mut self, queue: &mut Queue<JobNo>, guaranteed: bool, rank: Priority, order: Order) {
+    fn serve(&mut self, queue: &mut Queue<JobNo>, guaranteed: bool, line: &Line, order: Order) {
+        let mut looked = Looked::default();
         while !self.sites.is_empty() && self.spare() {
-            let passes = |no: &JobNo, since: f64| {
-                let Some(w) = self.waiters.get(no) else {
-                    return false;
-                };
-                order == Order::Any || !w.cold || !self.may_pass(w, since)
+            let mut found = [None; limits::LEVELS];
+            let mut of = [0; limits::LEVELS];
+            for (level, runs) in line.runs.iter().enumerate() {
+                while let Some((n, place, since)) = runs.get(looked[level]) {
+                    let w = &self.waiters[*n as usize];
+                    let passes = order == Order::Any || !w.cold || !self.may_pass(w, *since);
+                    if passes && self.ready(w, guaranteed) && queue.pick(*place).is_some() {
+                        (found[level], of[level]) = (Some(*place), *n);
+                        break;
+                    }
+                    looked[level] += 1;
+                }
+            }
+            let Some(pick) = queue.choose(found) else {
+                return;
             };
-            let next =
-                queue.next(|no, since| passes(no, since) && self.ready(no, guaranteed, rank));
-            let Some(pick) = next else { return };
-            self.place_group(queue, &pick, guaranteed, order);
+            self.place_group(queue, of[pick.level()], &pick, guaranteed, order);
         }
     }
 
@@ -454,11 +545,12 @@
     fn place_group(
         &mut self,
         queue: &mut Queue<JobNo>,
+        n: u32,
         pick: &Pick<JobNo>,
         guaranteed: bool,
         order: Order,
     ) {
-        let no = pick.job;
+        let (no, at) = (pick.job, n as usize);
         let Some(job) = self.jobs.get(&no) else {
             queue.drop_first(pick, pick.len);
             return;
@@ -473,18 +565,18 @@
         }
         let whole = run.take_while(idle).count() as u32;
         if job.spec.kind == Kind::Gang {
-            self.place_gang(queue, no);
+            self.place_gang(queue, n);
             return;
         }
-        let w = &self.waiters[&no];
+        let w = &self.waiters[at];
         let (est, slack, team) = (w.est, w.slack, w.team);
-        let Some((at, wait)) = self.best_machine(no, None) else {
-            self.block(no);
+        let Some((site, wait)) = self.best_machine(n, None) else {
+            self.waiters[at].blocked = true;
             return;
         };
         let job = &self.jobs[&no];
         if wait > limits::HOT_S {
-            let young = self.may_pass(&self.waiters[&no], pick.since);
+            let young = self.may_pass(&self.waiters[at], pick.since);
             let calm = slack.is_none_or(|s| s > wait);
             // Machines with the image free room all the time: a short wait for
             // one of them beats a fetch, unless the image is nowhere yet.
@@ -496,37 +588,35 @@
                 Order::Any => soon,
             };
             if pass && order == Order::Any {
-                self.block(no);
+                self.waiters[at].blocked = true;
                 return;
             }
             if pass {
-                if let Some(w) = self.waiters.get_mut(&no) {
-                    w.cold = true;
-                }
+                self.waiters[at].cold = true;
                 return;
             }
             if self.scarce(team, job.image) {
-                self.block(no);
+                self.waiters[at].blocked = true;
                 return;
             }
         }
-        let site = &self.sites[at];
-        let n = whole
-            .min(site.fits(&job.spec))
-            .min(zone_room(job, &site.m.zone))
-            .min(self.team_room(team, &job.spec, guaranteed))
+        let m = &self.sites[site];
+        let tasks = whole
+            .min(m.fits(&job.spec))
+            .min(zone_room(job, &m.m.zone))
+            .min(self.team_room(&self.waiters[at], guaranteed))
             .min(if job.suspect() { 1 } else { u32::MAX });
-        if n == 0 {
-            self.block(no);
+        if tasks == 0 {
+            self.waiters[at].blocked = true;
             return;
         }
         *self.counter += 1;
         let attempt = (self.epoch << limits::EPOCH_SHIFT) | *self.counter;
         let probe = job.suspect();
-        queue.take(pick, n, est);
-        self.place(no, pick.first, n, attempt, at);
+        queue.take(pick, tasks, est);
+        self.place(n, pick.first, tasks, attempt, site);
         if probe {
-            self.block(no);
+            self.waiters[at].blocked = true;
         }
     }
 
@@ -535,17 +625,11 @@
         self.now - since < limits::PASS_OVER_S || w.slack.is_some_and(|s| s > limits::RISK_S)
     }
 
-    fn block(&mut self, no: JobNo) {
-        if let Some(w) = self.waiters.get_mut(&no) {
-            w.blocked = true;
-        }
-    }
-
     /// The machine that suits a task of the job best, and the s until its
     /// image could be there.
-    fn best_machine(&mut self, no: JobNo, zone: Option<&str>) -> Option<(usize, f64)> {
-        let job = self.jobs.get(&no)?;
-        let w = self.waiters.get_mut(&no)?;
+    fn best_machine(&mut self, n: u32, zone: Option<&str>) -> Option<(usize, f64)> {
+        let w = self.waiters.get_mut(n as usize)?;
+        let job = self.jobs.get(&w.no)?;
         if let Some((groups, best)) = w.best
             && groups == self.groups
             && zone.is_none()
@@ -584,7 +668,8 @@
         best
     }
 
-    fn place(&mut self, no: JobNo, first: u32, n: u32, attempt: u64, at: usize) {
+    fn place(&mut self, waiter: u32, first: u32, n: u32, attempt: u64, at: usize) {
+        let Waiter { no, team, .. } = self.waiters[waiter as usize];
         let (Some(job), Some(site)) = (self.jobs.get(&no), self.sites.get_mut(at)) else {
             return;
         };
@@ -612,7 +697,6 @@
         }
         crate::life!(s.id, first, n, machine = site.name, attempt, "placed");
         m.idle_since = now;
-        let team = self.waiters[&no].team;
         let placements: Vec<Placement> = (first..first + n)
             .map(|task| Placement {
                 id: format!("{}/{task}", s.id),
--- a/crates/control/src/leader/placing/floors.rs
+++ b/crates/control/src/leader/placing/floors.rs
@@ -16,22 +16,13 @@
         let most = self.placed() + due;
         self.floor = true;
         for cell in behind {
-            let mut jobs: Vec<(f64, JobNo)> = Vec::new();
-            for (no, w) in self.waiters.iter().filter(|(_, w)| !w.blocked) {
-                if let Some(job) = self.jobs.get(no).filter(|j| j.cell == *cell) {
-                    let left = f64::from(job.left()) * job.spec.cpus * w.est;
-                    jobs.push((left, *no));
-                }
-            }
-            jobs.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-            for (_, no) in jobs {
-                let of = self.jobs.get(&no).map(|j| j.spec.priority);
+            for n in self.by_work_left(|w| !w.blocked && w.cell == *cell) {
                 while self.placed() < most
                     && !self.sites.is_empty()
-                    && of.is_some_and(|rank| self.ready(&no, false, rank))
-                    && let Some(pick) = queue.find(&no)
+                    && self.ready(&self.waiters[n as usize], false)
+                    && let Some(pick) = self.find(queue, n)
                 {
-                    self.place_group(queue, &pick, false, Order::Any);
+                    self.place_group(queue, n, &pick, false, Order::Any);
                 }
             }
         }
--- a/crates/control/src/leader/placing/gangs.rs
+++ b/crates/control/src/leader/placing/gangs.rs
@@ -6,38 +6,38 @@
     /// There must be room for all of a gang, then it is placed whole, before
     /// anything else can take the room. The tasks of a gang find each other
     /// by their common attempt.
-    pub(super) fn place_gang(&mut self, queue: &mut Queue<JobNo>, no: JobNo) {
-        let Some(zone) = self.gang_zone(no) else {
-            self.block(no);
+    pub(super) fn place_gang(&mut self, queue: &mut Queue<JobNo>, waiter: u32) {
+        let at = waiter as usize;
+        let Some(zone) = self.gang_zone(&self.waiters[at]) else {
+            self.waiters[at].blocked = true;
             return;
         };
         *self.counter += 1;
         let attempt = (self.epoch << limits::EPOCH_SHIFT) | *self.counter;
-        while let Some(pick) = queue.find(&no) {
-            let Some((at, _)) = self.best_machine(no, zone.as_deref()) else {
-                self.block(no);
+        while let Some(pick) = self.find(queue, waiter) {
+            let Some((site, _)) = self.best_machine(waiter, zone.as_deref()) else {
+                self.waiters[at].blocked = true;
                 return;
             };
-            let w = &self.waiters[&no];
-            let job = &self.jobs[&no];
+            let job = &self.jobs[&pick.job];
             let n = pick
                 .len
-                .min(self.sites[at].fits(&job.spec))
-                .min(zone_room(job, &self.sites[at].m.zone))
+                .min(self.sites[site].fits(&job.spec))
+                .min(zone_room(job, &self.sites[site].m.zone))
                 .max(1);
-            queue.take(&pick, n, w.est);
-            self.place(no, pick.first, n, attempt, at);
+            queue.take(&pick, n, self.waiters[at].est);
+            self.place(waiter, pick.first, n, attempt, site);
         }
     }
 
     /// Where a gang can go as a whole: None if nowhere, Some(None) if the zone
     /// doesn't matter.
-    fn gang_zone(&self, no: JobNo) -> Option<Option<String>> {
-        let job = self.jobs.get(&no)?;
+    fn gang_zone(&self, w: &Waiter) -> Option<Option<String>> {
+        let job = self.jobs.get(&w.no)?;
         let s = &job.spec;
         let missing = s.tasks - job.done.count().min(s.tasks);
         let missing = missing.saturating_sub(job.on.len() as u32);
-        if self.team_room(self.waiters.get(&no)?.team, s, false) < missing {
+        if self.team_room(w, false) < missing {
             return None;
         }
         let mut room: BTreeMap<&str, u32> = BTreeMap::new();
--- a/crates/control/tests/boots.rs
+++ b/crates/control/tests/boots.rs
@@ -81,20 +81,59 @@
     l.audit().unwrap();
 }
 
+fn row(name: &str, zone: &str, state: ListedState, age_s: f64) -> Listed {
+    Listed {
+        id: name.into(),
+        kind: "m8".into(),
+        zone: zone.into(),
+        spot: true,
+        state,
+        age_s,
+    }
+}
+
+/// A new leader judges no zone by boots that it never saw: machines that have long been
+/// up report to it one by one, and until then they look like machines that don't come
+/// up. Those that the cloud still calls `starting` are late whoever rented them.
+#[test]
+fn a_takeover_takes_machines_that_are_up_for_no_late_boots() {
+    let zone = |n: u32| if n.is_multiple_of(2) { "a" } else { "b" };
+    for (state, avoided) in [(ListedState::Running, false), (ListedState::Booting, true)] {
+        let mut s = Store::default();
+        s.elect(1, 0.0);
+        let mut l = s.elect(2, 100.0);
+        // Rented by the first leader, idle, in no ledger: zone b's report at once.
+        let list: Vec<Listed> = (0..16)
+            .map(|n| {
+                let state = if n % 2 == 0 {
+                    state
+                } else {
+                    ListedState::Running
+                };
+                row(&format!("vm-{n:06}"), zone(n), state, 70.0)
+            })
+            .collect();
+        l.listed(&list, 101.0);
+        for n in (1..16).step_by(2) {
+            comes_up(&mut l, &mut s, &format!("vm-{n:06}"), "b", 101.0);
+        }
+        submit(&mut l, &mut s, &work("wk-000001", 200), 101.5);
+        l.fleet(102.0);
+        let mut count = 100;
+        let next = rent(&mut l, &mut count, 103.0);
+        let in_a = next.iter().filter(|g| g.1.zone == "a").count();
+        assert_eq!(in_a == 0, avoided, "{in_a} of {}", next.len());
+        assert!(!next.is_empty());
+        l.audit().unwrap();
+    }
+}
+
 /// A list may be older than what this leader did: a machine rented or adopted
 /// since isn't taken for gone, and one deleted since doesn't come back.
 #[test]
 fn a_list_older_than_a_rental_an_adoption_and_a_deletion_proves_nothing() {
     let mut s = Store::default();
     let mut l = s.elect(1, 0.0);
-    let row = |name: &str, age_s: f64| Listed {
-        id: name.into(),
-        kind: "m8".into(),
-        zone: "a".into(),
-        spot: true,
-        state: ListedState::Running,
-        age_s,
-    };
     let mut adopted = Worker::new("vm-000900");
     let mut gone = Worker::new("vm-000901");
     beat(&mut l, &mut s, &mut adopted, "n1", 1.0);
@@ -112,7 +151,7 @@
     // The old list: without the rental and the adoption, with the deleted one.
     for now in [3.0, 4.0, 5.0] {
         beat(&mut l, &mut s, &mut adopted, "n1", now);
-        l.listed(&[row("vm-000901", 60.0)], now);
+        l.listed(&[row("vm-000901", "a", ListedState::Running, 60.0)], now);
     }
     let late: Report = gone.report();
     assert_eq!(l.report("n1", &late, &[], 5.0), None, "deleted for certain");
--- a/crates/sched/src/queue.rs
+++ b/crates/sched/src/queue.rs
@@ -40,17 +40,32 @@
     clocks: [f64; limits::LEVELS],
     aged: f64,
     aging: Aging,
+    /// Runs that were emptied still stand where they stood.
+    emptied: bool,
 }
 
-/// A run that could be served, and where it stands until the queue changes.
+/// Where a run stands. Serving moves none: places hold until something is pushed,
+/// removed or ages.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Place {
+    pub level: usize,
+    at: usize,
+}
+
+/// A run that could be served, and where it stands.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Pick<J> {
     pub job: J,
     pub first: u32,
     pub len: u32,
     pub since: f64,
-    level: usize,
-    at: usize,
+    place: Place,
+}
+
+impl<J> Pick<J> {
+    pub fn level(&self) -> usize {
+        self.place.level
+    }
 }
 
 impl<J: Clone + PartialEq> Default for Queue<J> {
@@ -66,6 +81,16 @@
             levels: Default::default(),
             clocks: [0.0; limits::LEVELS],
             aged: f64::NEG_INFINITY,
+            emptied: false,
+        }
+    }
+
+    /// Takes out runs that were emptied while places had to hold.
+    fn sweep(&mut self) {
+        if std::mem::take(&mut self.emptied) {
+            for level in &mut self.levels {
+                level.retain(|r| !r.is_empty());
+            }
         }
     }
 
@@ -84,6 +109,7 @@
     }
 
     pub fn push(&mut self, level: usize, job: J, first: u32, end: u32, now: f64) {
+        self.sweep();
         self.wake(level);
         self.levels[level].push_back(Run {
             job,
@@ -96,6 +122,7 @@
 
     /// A task that comes back (lost, stopped, refused) goes first in its level.
     pub fn push_front(&mut self, level: usize, job: J, task: u32, now: f64) {
+        self.sweep();
         self.wake(level);
         self.levels[level].push_front(Run {
             job,
@@ -107,26 +134,32 @@
     }
 
     pub fn runs(&self) -> impl Iterator<Item = &Run<J>> {
-        self.levels.iter().flatten()
+        self.levels.iter().flatten().filter(|r| !r.is_empty())
+    }
+
+    /// All runs, level by level in their order, and where each stands.
+    pub fn places(&self) -> impl Iterator<Item = (Place, &Run<J>)> {
+        let levels = self.levels.iter().enumerate();
+        levels.flat_map(|(level, runs)| {
+            let runs = runs.iter().enumerate().filter(|(_, r)| !r.is_empty());
+            runs.map(move |(at, r)| (Place { level, at }, r))
+        })
     }
 
     pub fn is_empty(&self) -> bool {
-        self.levels.iter().all(VecDeque::is_empty)
+        self.runs().next().is_none()
     }
 
     pub fn retain(&mut self, mut keep: impl FnMut(&J) -> bool) {
+        self.sweep();
         for level in &mut self.levels {
             level.retain(|r| keep(&r.job));
         }
     }
 
-    /// The run to serve next: the first eligible one of the level with the
-    /// smallest clock among those that have one.
-    pub fn next(&mut self, mut eligible: impl FnMut(&J, f64) -> bool) -> Option<Pick<J>> {
-        let mut found = [None; limits::LEVELS];
-        for (l, level) in self.levels.iter().enumerate() {
-            found[l] = level.iter().position(|r| eligible(&r.job, r.since));
-        }
+    /// The run to serve next, of those found to be the first eligible ones of their
+    /// levels: the one of the level with the smallest clock.
+    pub fn choose(&mut self, found: [Option<Place>; limits::LEVELS]) -> Option<Pick<J>> {
         let best = (0..limits::LEVELS)
             .filter(|l| found[*l].is_some())
             .min_by(|a, b| self.clocks[*a].total_cmp(&self.clocks[*b]))?;
@@ -136,43 +169,34 @@
                 self.clocks[l] = self.clocks[l].max(self.clocks[best]);
             }
         }
-        Some(self.pick(best, found[best]?))
-    }
-
-    /// A waiting run of the job, whatever the clocks say.
-    pub fn find(&self, job: &J) -> Option<Pick<J>> {
-        self.levels.iter().enumerate().find_map(|(l, level)| {
-            let at = level.iter().position(|r| r.job == *job)?;
-            Some(self.pick(l, at))
-        })
+        self.pick(found[best]?)
     }
 
-    fn pick(&self, level: usize, at: usize) -> Pick<J> {
-        let run = &self.levels[level][at];
-        Pick {
+    /// What stands at a place, if anything of it is left.
+    pub fn pick(&self, place: Place) -> Option<Pick<J>> {
+        let run = self.levels[place.level].get(place.at)?;
+        (!run.is_empty()).then(|| Pick {
             job: run.job.clone(),
             first: run.first,
             len: run.len(),
             since: run.since,
-            level,
-            at,
-        }
+            place,
+        })
     }
 
-    /// Takes the first `n` tasks of a run that `next` or `find` gave just now,
-    /// and charges its level their expected cost over its weight, each.
+    /// Takes the first `n` tasks of a run, and charges its level their expected cost
+    /// over its weight, each.
     pub fn take(&mut self, pick: &Pick<J>, n: u32, cost: f64) {
         self.drop_first(pick, n);
-        self.clocks[pick.level] +=
-            f64::from(n) * cost.max(0.001) / limits::LEVEL_WEIGHTS[pick.level];
+        let level = pick.place.level;
+        self.clocks[level] += f64::from(n) * cost.max(0.001) / limits::LEVEL_WEIGHTS[level];
     }
 
     /// Takes tasks that need not run: nothing is charged.
     pub fn drop_first(&mut self, pick: &Pick<J>, n: u32) {
-        let run = &mut self.levels[pick.level][pick.at];
-        run.first = (run.first + n).min(run.end);
-        if run.is_empty() {
-            self.levels[pick.level].remove(pick.at);
+        if let Some(run) = self.levels[pick.place.level].get_mut(pick.place.at) {
+            run.first = (run.first + n).min(run.end);
+            self.emptied |= run.is_empty();
         }
     }
 
@@ -192,6 +216,7 @@
             return;
         }
         self.aged = now;
+        self.sweep();
         for l in (1..limits::LEVELS).rev() {
             let Some((at, since)) = self.oldest(l) else {
                 continue;
@@ -240,12 +265,26 @@
 mod tests {
     use super::*;
 
+    /// The run to serve next of those that are eligible.
+    fn next<J: Clone + PartialEq>(
+        q: &mut Queue<J>,
+        mut eligible: impl FnMut(&J, f64) -> bool,
+    ) -> Option<Pick<J>> {
+        let mut found = [None; limits::LEVELS];
+        for (place, run) in q.places() {
+            if found[place.level].is_none() && eligible(&run.job, run.since) {
+                found[place.level] = Some(place);
+            }
+        }
+        q.choose(found)
+    }
+
     /// Serves one task.
     fn one<J: Clone + PartialEq>(
         q: &mut Queue<J>,
         eligible: impl FnMut(&J, f64) -> bool,
     ) -> Option<(J, u32)> {
-        let pick = q.next(eligible)?;
+        let pick = next(q, eligible)?;
         q.take(&pick, 1, 1.0);
         Some((pick.job, pick.first))
     }
@@ -275,7 +314,7 @@
         }
         let mut served = [0; 3];
         for _ in 0..60 {
-            let pick = q.next(|_, _| true).unwrap();
+            let pick = next(&mut q, |_, _| true).unwrap();
             q.take(&pick, 4, 1.0);
             served[pick.job] += 4;
         }
@@ -340,6 +379,38 @@
         assert_eq!(risen(Aging::Off), 40);
     }
 
+    /// A pass holds places of runs while it serves others: none may shift, and what
+    /// is emptied is neither served again nor counted as waiting.
+    #[test]
+    fn places_hold_while_runs_are_emptied() {
+        let mut q = Queue::default();
+        for job in ['a', 'b', 'c'] {
+            q.push(1, job, 0, 2, 0.0);
+        }
+        let places: Vec<Place> = q.places().map(|(p, _)| p).collect();
+        let first = q.pick(places[0]).unwrap();
+        q.take(&first, 2, 1.0);
+        assert_eq!(q.pick(places[0]), None);
+        assert_eq!(q.pick(places[2]).unwrap().job, 'c');
+        assert_eq!(q.runs().count(), 2);
+        for place in &places[1..] {
+            let pick = q.pick(*place).unwrap();
+            q.drop_first(&pick, 9);
+        }
+        assert!(q.is_empty());
+        // An emptied level saves no credit, though its runs still stand there.
+        q.push(2, 'd', 0, 50, 0.0);
+        for _ in 0..50 {
+            one(&mut q, |_, _| true);
+        }
+        q.push(1, 'e', 0, 9, 0.0);
+        q.push(2, 'f', 0, 9, 0.0);
+        let served: String = (0..4)
+            .map(|_| one(&mut q, |_, _| true).unwrap().0)
+            .collect();
+        assert_eq!(served.matches('f').count(), 1, "{served}");
+    }
+
     #[test]
     fn a_returning_task_goes_first_and_ineligible_jobs_are_passed_over() {
         let mut q = Queue::default();
