Ends of a moment: an outage is told truly, refusals are told again, addresses waited for

Change: only an answer counts as one; a node started in an outage follows what the others say after 1 s. A peer's process has a number of its own, so one that was back before it was missed is told all refusals again. An address that an earlier self still holds is waited for, 3 s at most. A leader elected over its own earlier lease waits for what that one may still grant.

--- a/crates/control/src/leader/ledger.rs
+++ b/crates/control/src/leader/ledger.rs
@@ -141,7 +141,12 @@
     }
 
     /// Reads the log, oldest entry first: what stands in it and was not freed.
-    pub(super) fn inherit_ledger(&mut self, entries: Vec<(u64, LogValue)>, now: f64) {
+    pub(super) fn inherit_ledger(
+        &mut self,
+        entries: Vec<(u64, LogValue)>,
+        overlap_s: f64,
+        now: f64,
+    ) {
         let freed: HashSet<(u64, u32)> = entries
             .iter()
             .flat_map(|(_, v)| v.freed.iter().copied())
@@ -204,7 +209,7 @@
                         m.images = self.recall(&name, now);
                         // The last leader's grants may run on until its time
                         // was over.
-                        m.granted_until = now + self.timing.grant_bound_s();
+                        m.granted_until = now + overlap_s + self.timing.grant_bound_s();
                         self.machines.insert(name.clone(), m);
                     }
                     if let Some(m) = self.machines.get_mut(&name) {
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -306,6 +306,9 @@
 pub struct Inheritance {
     /// Time of day, ms.
     pub wall_ms: u64,
+    /// s for which the last leader may still act, although its key is gone: an earlier
+    /// process of this one's name whose lease was ended early and not waited for.
+    pub overlap_s: f64,
     pub jobs: Vec<(JobValue, u64)>,
     pub progress: Vec<(String, ProgressValue, u64)>,
     /// Entries by number, the oldest first.
@@ -423,7 +426,7 @@
             self.enter(value, mark, saved, placed.get(&id), now, false);
         }
         self.inherit_images(from.images.unwrap_or_default());
-        self.inherit_ledger(from.ledger, now);
+        self.inherit_ledger(from.ledger, from.overlap_s, now);
     }
 
     fn machine(&self, kind: &str, zone: &str, spot: bool, now: f64) -> Machine {
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -60,6 +60,17 @@
     }
 
     pub fn elect_with(&mut self, settings: Settings, epoch: u64, now: f64) -> Leader {
+        self.elect_over(settings, epoch, 0.0, now)
+    }
+
+    /// The same over a leader that may act for so long yet.
+    pub fn elect_over(
+        &mut self,
+        settings: Settings,
+        epoch: u64,
+        overlap_s: f64,
+        now: f64,
+    ) -> Leader {
         let mark = self.put(
             keys::LEADER,
             Value::Leader(cherrywood_wire::state::LeaderValue {
@@ -68,7 +79,10 @@
                 nonce: epoch,
             }),
         );
-        let mut from = Inheritance::default();
+        let mut from = Inheritance {
+            overlap_s,
+            ..Inheritance::default()
+        };
         for (key, (value, mark)) in &self.rows {
             match value {
                 Value::Job(j) => from.jobs.push(((**j).clone(), *mark)),
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -77,6 +77,10 @@
 /// peer still has contact.
 pub const STATE_LOST_S: f64 = 3.0;
 
+/// s after its start from which a node that the state service has not answered yet
+/// believes the others that there is an outage: a few tries of its own.
+pub const STATE_FIRST_S: f64 = 1.0;
+
 // --- waits inside the service ---
 
 /// s that a holder waits for the leader; far below the worker's 4 s.
@@ -227,6 +231,11 @@
 /// s for a whole request to arrive, and for an idle connection to stay.
 pub const REQUEST_WAIT_S: f64 = 10.0;
 pub const IDLE_WAIT_S: f64 = 75.0;
+/// s for which an address may still be held by this process's earlier self, and s
+/// between two tries: longer than a killed process takes to go, shorter than a mistake
+/// in the settings should stay unseen.
+pub const BIND_WAIT_S: f64 = 3.0;
+pub const BIND_GAP_S: f64 = 0.05;
 /// s before another try to accept, when sockets ran out.
 pub const ACCEPT_AGAIN_S: f64 = 0.05;
 /// Share of the platform's sockets that served connections may take.
--- a/crates/node/src/gate.rs
+++ b/crates/node/src/gate.rs
@@ -14,8 +14,8 @@
     /// When the leader last had no newer one.
     confirmed: f64,
     memory: Memory,
-    /// What each peer was told of the refusals made here.
-    told: BTreeMap<String, u64>,
+    /// What each peer was told of the refusals made here, and which of its lives was.
+    told: BTreeMap<String, (u64, u64)>,
 }
 
 #[derive(Debug)]
@@ -90,12 +90,19 @@
     /// What this peer hasn't been told yet, and the number to note when it has.
     pub fn untold(&self, peer: &str, now: f64) -> (Vec<Refused>, u64) {
         let inside = lock(&self.inside);
-        let from = inside.told.get(peer).copied().unwrap_or(0);
+        let from = inside.told.get(peer).map_or(0, |(_, upto)| *upto);
         inside.memory.since(from, now)
     }
 
-    pub fn told(&self, peer: &str, upto: u64) {
-        lock(&self.inside).told.insert(peer.to_string(), upto);
+    /// The peer's process `life` has heard of these. One that was started meanwhile
+    /// knows nothing of what its earlier self was told, however soon it was back: it
+    /// is told all again, or users who wait would lose their turn there.
+    pub fn told(&self, peer: &str, life: u64, upto: u64) {
+        let mut inside = lock(&self.inside);
+        let before = inside.told.get(peer).map(|(life, _)| *life);
+        let known = before.is_none_or(|before| before == life);
+        let upto = if known { upto } else { 0 };
+        inside.told.insert(peer.to_string(), (life, upto));
     }
 
     pub fn heard(&self, refused: &[Refused], now: f64) {
@@ -180,7 +187,7 @@
             1,
             "not told until the answer came"
         );
-        a.told("b", upto);
+        a.told("b", 1, upto);
         assert!(a.untold("b", 51.0).0.is_empty());
         for waited in [5.0, 11.0, 13.0, 30.0] {
             assert_eq!(a.judge(&j, 50.0 + waited), b.judge(&j, 1050.0 + waited));
@@ -188,6 +195,32 @@
         assert_eq!(b.judge(&j, 1063.0), Verdict::Admit);
     }
 
+    /// A peer that ended and was back before anybody missed it: what was told to its
+    /// earlier self, and the one hello that met the new one, is told again.
+    #[test]
+    fn a_peer_started_anew_is_told_all_refusals_again() {
+        let (a, reborn) = (Gate::new(true), Gate::new(true));
+        for g in [&a, &reborn] {
+            g.adopt(&table(1, 1, 100.0));
+        }
+        a.refused(&job("wk-000001", 12), 50.0);
+        let (_, upto) = a.untold("b", 50.5);
+        a.told("b", 7, upto);
+        a.refused(&job("wk-000002", 12), 51.0);
+        // The next hello meets another process, which answers with its own number.
+        let (news, upto) = a.untold("b", 51.5);
+        assert_eq!(news.len(), 1);
+        reborn.heard(&news, 51.5);
+        a.told("b", 8, upto);
+        let (news, upto) = a.untold("b", 52.5);
+        assert_eq!(news.len(), 2, "also what the earlier process had heard");
+        reborn.heard(&news, 52.5);
+        a.told("b", 8, upto);
+        assert!(a.untold("b", 53.5).0.is_empty());
+        let j = job("wk-000001", 12);
+        assert_eq!(a.judge(&j, 63.0), reborn.judge(&j, 63.0));
+    }
+
     #[test]
     fn a_controller_that_hears_nothing_reads_the_table_and_one_that_does_need_not() {
         let gate = Gate::new(true);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,8 +10,10 @@
 pub mod settings;
 
 use anyhow::Context as _;
-use cherrywood_net::Host;
+use cherrywood_net::{Host, Listener};
 use node::Node;
+use std::io;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -24,15 +26,29 @@
     Ok(())
 }
 
+/// A process started again within a fraction of a second may find its earlier self not
+/// quite gone, which still listens: it waits a moment instead of ending as well.
+async fn bind(host: &Host, at: SocketAddr) -> io::Result<Listener> {
+    let until = host.now() + cherrywood_limits::BIND_WAIT_S;
+    loop {
+        match host.bind(at).await {
+            Err(e) if e.kind() == io::ErrorKind::AddrInUse && host.now() < until => {
+                host.sleep(cherrywood_limits::BIND_GAP_S).await;
+            }
+            bound => return bound,
+        }
+    }
+}
+
 /// A controller whose loops run, and what serves its users and workers.
 pub async fn start(
     host: Host,
     settings: settings::Settings,
 ) -> anyhow::Result<(Arc<Node>, impl Future<Output = ()> + Send)> {
     let at = &settings.platform;
-    let users = host.bind(at.serve_on).await;
+    let users = bind(&host, at.serve_on).await;
     let users = users.with_context(|| format!("serve_on {}", at.serve_on))?;
-    let peers = host.bind(at.internal_addr).await;
+    let peers = bind(&host, at.internal_addr).await;
     let peers = peers.with_context(|| format!("internal_addr {}", at.internal_addr))?;
     let most = (at.deployment.limits.sockets as f64 * cherrywood_limits::SOCKET_SHARE) as usize;
     let node = Arc::new(Node::new(host.clone(), settings));
@@ -59,3 +75,33 @@
     let serve = cherrywood_net::server::serve(host, users, most.max(16), on_user);
     Ok((node, serve))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use settings::{EXAMPLE, Operator, Settings};
+
+    /// The earlier process of this name is killed and not quite gone: its address is
+    /// free a moment after this one wanted it.
+    #[test]
+    fn an_address_that_an_earlier_self_still_holds_is_waited_for() {
+        let rt = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .unwrap();
+        rt.block_on(async {
+            let earlier = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+            let held = earlier.local_addr().unwrap();
+            let mut platform = Settings::platform(EXAMPLE).unwrap();
+            platform.serve_on = held;
+            platform.internal_addr = ([127, 0, 0, 1], 0).into();
+            tokio::spawn(async move {
+                tokio::time::sleep(std::time::Duration::from_millis(300)).await;
+                drop(earlier);
+            });
+            let operator = Operator::default();
+            let started = start(Host::machine(), Settings { platform, operator }).await;
+            assert!(started.is_ok(), "{:?}", started.err());
+        });
+    }
+}
--- a/crates/node/src/loops/lead.rs
+++ b/crates/node/src/loops/lead.rs
@@ -35,10 +35,14 @@
     if let Some(item) = current {
         if item.value.leader == node.me() {
             // This process doesn't lead, so an earlier one of the same name
-            // did, and it is dead: no need to wait for its lease.
+            // did, and it is dead: no need to wait for its lease. Should it not be
+            // quite dead yet, it acts until its own clock says that its time is over,
+            // and what it grants until then must be waited for.
             if let Some(lease) = item.lease {
                 node.state.end_lease(lease).await?;
             }
+            let until = node.now() + node.timing.leader_s;
+            node.core().earlier_until = until;
         } else {
             let now = node.now();
             let mut core = node.core();
@@ -173,6 +177,7 @@
     let rows = insist!(node, node.state.list::<JobValue>(keys::JOBS)).0;
     from.jobs = rows.into_iter().map(|i| (i.value, i.version)).collect();
     from.wall_ms = node.host.wall_ms();
+    from.overlap_s = (node.core().earlier_until - node.now()).max(0.0);
     let types = node.core().types.clone();
     let mut cluster = node.settings.platform.deployment.cluster.clone();
     cluster.policy = node.settings.operator.policy();
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -26,6 +26,8 @@
     pub leader: Option<Leader>,
     /// On this node's clock, counted from the sending of the last renewal.
     pub leader_until: f64,
+    /// Until when an earlier process of this name may think that it leads.
+    pub earlier_until: f64,
     pub lease: u64,
     pub holder: Holder,
     /// The node that leads, as far as this one knows.
@@ -40,6 +42,8 @@
     /// When the state service last answered this node, and any peer.
     pub state_ok: f64,
     pub peers_state_ok: f64,
+    /// When another controller was last heard.
+    pub peers_heard: f64,
 }
 
 impl Core {
@@ -61,6 +65,26 @@
             && now - self.leader_ok > limits::LEADER_LOST_S
     }
 
+    /// Has the state service answered here of late? A process that has just started
+    /// has no answer yet, whatever its clock says.
+    fn state_here(&self, now: f64) -> bool {
+        self.state_ok > 0.0 && now - self.state_ok < limits::STATE_LOST_S
+    }
+
+    /// Can users be served here, or nowhere better? In an outage that no peer
+    /// contradicts a node stays healthy; so does one that was started during it, once
+    /// others have said that it isn't alone. Called unhealthy, it was taken out by the
+    /// load balancer, and missing for the first seconds after the outage.
+    fn served(&self, now: f64) -> bool {
+        let others = now - self.peers_state_ok <= limits::STATE_LOST_S;
+        if self.state_ok > 0.0 {
+            return now - self.state_ok <= limits::STATE_LOST_S || !others;
+        }
+        let heard = self.peers_heard > 0.0 && now - self.peers_heard <= limits::STATE_LOST_S;
+        let others = others && self.peers_state_ok > 0.0;
+        now > limits::STATE_FIRST_S && heard && !others
+    }
+
     /// The leader of this epoch, if it is still here. Answers that arrive
     /// later belong to a past whose job numbers mean nothing to a new leader
     /// on the same node.
@@ -123,6 +147,8 @@
     pub outbox_due: Notify,
     pub polls: Polls,
     pub gate: Gate,
+    /// Tells this process from earlier ones of its name.
+    life: u64,
 }
 
 impl Node {
@@ -151,6 +177,7 @@
             outbox_due: Notify::new(),
             polls: Polls::default(),
             gate: Gate::new(settings.operator.policy().admission.gates),
+            life: host.random(),
             host,
             settings,
         }
@@ -174,15 +201,11 @@
         self.core().state_ok = now;
     }
 
-    /// Can users be served here? In an outage that no peer contradicts the
-    /// node stays healthy: there is nowhere better to send them.
     pub fn healthy(&self) -> bool {
         let now = self.now();
         let core = self.core();
-        let lost = now - core.state_ok > limits::STATE_LOST_S;
-        let others = now - core.peers_state_ok <= limits::STATE_LOST_S;
         let settling = core.leader.as_ref().is_some_and(|l| l.settling(now));
-        !(lost && others) && core.state_ok > 0.0 && !settling
+        core.served(now) && !settling
     }
 
     /// How it looks from inside, for those who watch.
@@ -362,16 +385,18 @@
                 let now = self.now();
                 self.gate.heard(&refused, now);
                 let mut core = self.core();
+                core.peers_heard = now;
                 if state_ok {
                     core.peers_state_ok = now;
                 }
-                let mine = now - core.state_ok < limits::STATE_LOST_S;
+                let mine = core.state_here(now);
                 let (leads, block) = match core.leading(now) {
                     Some(l) => (Some(l.epoch()), l.block(&from, now)),
                     None => (None, Vec::new()),
                 };
                 Reply::Hello {
                     from: self.me().to_string(),
+                    life: self.life,
                     state_ok: mine,
                     leads,
                     block,
@@ -434,7 +459,7 @@
     /// Says hello to one peer; the leader's answer renews this node's block.
     pub async fn hello(&self, peer: &Peer) {
         let sent = self.now();
-        let state_ok = sent - self.core().state_ok < limits::STATE_LOST_S;
+        let state_ok = self.core().state_here(sent);
         let (refused, told) = self.gate.untold(&peer.label, sent);
         let request = Request::Hello {
             from: self.me().to_string(),
@@ -444,6 +469,7 @@
         };
         let Ok(Reply::Hello {
             from,
+            life,
             state_ok,
             leads,
             block,
@@ -452,7 +478,7 @@
         else {
             return;
         };
-        self.gate.told(&peer.label, told);
+        self.gate.told(&peer.label, life, told);
         let now = self.now();
         if let Some(table) = table {
             self.gate.adopt(&table);
@@ -461,6 +487,7 @@
             self.gate.confirmed(now);
         }
         let mut core = self.core();
+        core.peers_heard = now;
         if state_ok {
             core.peers_state_ok = now;
         }
@@ -474,3 +501,46 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A controller that starts while the state service is down for all is as healthy
+    /// as those that were there before; where only it is refused, or nobody has told it
+    /// anything, it is not.
+    #[test]
+    fn a_node_started_in_an_outage_is_as_healthy_as_the_others() {
+        let new = Core::default();
+        assert!(!new.served(0.5) && !new.served(9.0), "nobody was heard");
+        assert!(!new.state_here(0.5), "a clock near zero is no answer");
+        let heard = Core {
+            peers_heard: 2.0,
+            ..Core::default()
+        };
+        assert!(heard.served(2.5) && !heard.served(5.5));
+        let contradicted = Core {
+            peers_state_ok: 2.0,
+            ..heard
+        };
+        assert!(!contradicted.served(2.5));
+        let answered = Core {
+            state_ok: 2.4,
+            ..contradicted
+        };
+        assert!(answered.served(2.5) && answered.served(5.1));
+    }
+
+    #[test]
+    fn a_node_that_alone_lost_the_state_service_is_not_healthy() {
+        let mut core = Core {
+            state_ok: 10.0,
+            peers_state_ok: 13.0,
+            peers_heard: 13.0,
+            ..Core::default()
+        };
+        assert!(core.served(12.9) && !core.served(13.1));
+        core.peers_state_ok = 9.0;
+        assert!(core.served(13.1), "an outage for all");
+    }
+}
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -1,5 +1,6 @@
-//! Controllers <-> controllers: `bitcode` frames, each behind its length
-//! (4 bytes, big-endian) and the number of the request it belongs to.
+//! Controllers <-> controllers: `bitcode` frames, each behind its length (4 bytes,
+//! big-endian). A connection carries one request at a time and ends with the process,
+//! so no answer meets another request, or another process's.
 
 use crate::admission::{Refused, Table};
 use crate::agent::{Command, Orders, Report};
@@ -35,6 +36,8 @@
 pub enum Reply {
     Hello {
         from: String,
+        /// Another number for each process of this name.
+        life: u64,
         state_ok: bool,
         /// The epoch in which the answering node leads, if it does.
         leads: Option<u64>,
