Rehearsal: controllers that end again and again, fleets drawn from the seed, a search

The judge's rules and its count of who starves no longer use each other: what a breach is has a file of its own.

--- a/crates/cherrywood/tests/rehearse.rs
+++ b/crates/cherrywood/tests/rehearse.rs
@@ -56,6 +56,31 @@
   - node_crash: {at_s: 10, who: leader}
 ";
 
+/// A search plays every seed, names those that are not good and says how to play them.
+#[test]
+fn a_search_counts_its_nights_and_names_the_bad_ones() {
+    let dir = tempfile::tempdir().unwrap();
+    let good = file(dir.path(), "good.yaml", SHORT);
+    let (code, out, err) = run(&["rehearse", &good, "--search", "3", "--seed", "5"]);
+    assert_eq!(code, 0, "{out}{err}");
+    assert!(
+        out.contains("3 of 3 nights played") && out.contains(" 0 not good"),
+        "{out}"
+    );
+    let early = SHORT.replace("settle_s: 60", "settle_s: 0");
+    let bad = file(dir.path(), "bad.yaml", &early);
+    let (code, out, _) = run(&["rehearse", &bad, "--search", "2", "--seed", "5"]);
+    assert_eq!(code, 1, "{out}");
+    let named = |seed: &str| {
+        out.lines()
+            .any(|l| l.starts_with(&format!("seed {seed}: settled ")))
+    };
+    assert!(named("5") || named("6"), "{out}");
+    assert!(!out.contains(" 0 not good"), "{out}");
+    let (code, _, err) = run(&["rehearse", &good, "--search", "0"]);
+    assert_eq!((code, err.lines().count()), (2, 1), "{err}");
+}
+
 #[test]
 fn a_newcomer_s_first_command_settles_everything() {
     let dir = tempfile::tempdir().unwrap();
--- a/crates/emulator/src/troubles.rs
+++ b/crates/emulator/src/troubles.rs
@@ -184,6 +184,14 @@
                     wait(t.every_s).await;
                 }
             }
+            Trouble::NodeEnds(t) => {
+                for _ in 0..t.times {
+                    for node in self.who(t.who) {
+                        self.crash(node);
+                    }
+                    wait(t.every_s).await;
+                }
+            }
             Trouble::NodeFreeze(t) => {
                 let all = self.who(t.who).into_iter().map(|n| {
                     let own = self.clone();
--- /dev/null
+++ b/crates/judge/src/breach.rs
@@ -0,0 +1,79 @@
+//! The rules, and what is said of one that was broken.
+
+use crate::history::secs;
+use std::fmt;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rule {
+    RanTwice,
+    Quota,
+    WrongPlace,
+    RanCancelled,
+    Forgotten,
+    Invented,
+    NotDone,
+    WentBack,
+    NothingRan,
+    /// Not on the protocol page: the operators' own, if the night asks for it.
+    Starved,
+}
+
+impl Rule {
+    pub const ALL: [Rule; 10] = [
+        Rule::RanTwice,
+        Rule::Quota,
+        Rule::WrongPlace,
+        Rule::RanCancelled,
+        Rule::Forgotten,
+        Rule::Invented,
+        Rule::NotDone,
+        Rule::WentBack,
+        Rule::NothingRan,
+        Rule::Starved,
+    ];
+
+    /// Its name on the protocol page.
+    pub fn name(self) -> &'static str {
+        match self {
+            Rule::RanTwice => "ran_twice",
+            Rule::Quota => "quota",
+            Rule::WrongPlace => "wrong_place",
+            Rule::RanCancelled => "ran_cancelled",
+            Rule::Forgotten => "forgotten",
+            Rule::Invented => "invented",
+            Rule::NotDone => "not_done",
+            Rule::WentBack => "went_back",
+            Rule::NothingRan => "nothing_ran",
+            Rule::Starved => "starved",
+        }
+    }
+}
+
+/// A rule that was broken.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Breach {
+    pub rule: Rule,
+    /// The job, or the task.
+    pub what: String,
+    /// The machine, or the controller that said so.
+    pub place: String,
+    /// What it contradicts happened then.
+    pub since_ms: u64,
+    pub at_ms: u64,
+    pub why: String,
+}
+
+impl fmt::Display for Breach {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{}: {} on {} at {}: {} at {}",
+            self.rule.name(),
+            self.what,
+            self.place,
+            secs(self.at_ms),
+            self.why,
+            secs(self.since_ms)
+        )
+    }
+}
--- a/crates/judge/src/lib.rs
+++ b/crates/judge/src/lib.rs
@@ -3,13 +3,15 @@
 //! so a mistake of theirs is not repeated here.
 
 pub mod aims;
+pub mod breach;
 pub mod history;
 pub mod rules;
 pub mod settle;
 pub mod starved;
 
 pub use aims::{Aims, ClassFigures};
+pub use breach::{Breach, Rule};
 pub use history::{Event, History, What};
-pub use rules::{Breach, Judge, Rule};
+pub use rules::Judge;
 pub use settle::{End, Settled};
 pub use starved::Least;
--- a/crates/judge/src/starved.rs
+++ b/crates/judge/src/starved.rs
@@ -1,8 +1,8 @@
 //! Who starves: a class or a team of which less than the night asks was done in time,
 //! although what the others got beyond that would have been enough.
 
+use crate::breach::{Breach, Rule};
 use crate::history::{Event, Job, MachineType, Off, What, job_of};
-use crate::rules::{Breach, Rule};
 use cherrywood_night::deployment::Served;
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/crates/night/src/draw.rs
+++ b/crates/night/src/draw.rs
@@ -23,6 +23,7 @@
 kinds!(
     NodeCrash,
     NodeRoll,
+    NodeEnds,
     NodeFreeze,
     NodeSlow,
     NodeCut,
@@ -64,7 +65,66 @@
     pub of: Vec<Kind>,
 }
 
+/// A deployment that the seed changes: how many controllers, how soon one that ended is
+/// back, how large each part of the capacity is, and which types there are at all.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct Fleet {
+    /// Controllers, at least and at most.
+    #[garde(inner(range(min = 1, max = 25)))]
+    pub controllers: [u32; 2],
+    /// s until a controller that ended is back, at least and at most.
+    #[garde(inner(range(min = 0.1, max = 600.0)))]
+    pub restart_s: [f64; 2],
+    /// Times the capacity of each type, zone and kind, at least and at most.
+    #[garde(inner(range(min = 0.1, max = 10.0)))]
+    pub times: [f64; 2],
+    /// Share of nights with machines of one type only.
+    #[serde(default)]
+    #[garde(range(min = 0.0, max = 1.0))]
+    pub one_type: f64,
+}
+
+/// The type with the most CPUs.
+fn largest(d: &crate::Deployment) -> Option<String> {
+    let by_cpus = |a: &&crate::deployment::MachineType, b: &&crate::deployment::MachineType| {
+        a.cpus.total_cmp(&b.cpus)
+    };
+    Some(d.machine_types.iter().max_by(by_cpus)?.name.clone())
+}
+
 impl Night {
+    /// The night with the deployment that the seed draws, if it asks for one.
+    #[must_use]
+    pub fn with_fleet(mut self, seed: u64) -> Night {
+        let Some(fleet) = self.drawn_fleet.take() else {
+            return self;
+        };
+        let mut rng = Pcg64::seed_from_u64(seed ^ 0x666c_6565_7473_2121);
+        let mut between = |[least, most]: [f64; 2]| rng.random_range(least..=most.max(least));
+        let d = &mut self.deployment;
+        let [least, most] = fleet.controllers.map(f64::from);
+        d.controllers = between([least, most + 0.999]) as u32;
+        d.node.restart_s = (between(fleet.restart_s) * 10.0).round() / 10.0;
+        for c in &mut d.capacity {
+            let times = between(fleet.times);
+            let whole = |n: u32| (f64::from(n) * times).round() as u32;
+            (c.count, c.spot) = (whole(c.count).max(1), whole(c.spot));
+            c.up = c.up.min(c.count);
+        }
+        if between([0.0, 1.0]) < fleet.one_type
+            && let Some(only) = largest(d)
+        {
+            // The one that every job fits.
+            for c in &mut d.capacity {
+                if c.kind != only {
+                    (c.count, c.spot, c.up) = (0, 0, 0);
+                }
+            }
+        }
+        self
+    }
+
     /// The troubles of the file and those that the seed draws, by time.
     pub fn all_troubles(&self, seed: u64) -> Vec<Trouble> {
         // A stream of its own: other draws must not shift these.
@@ -117,6 +177,12 @@
                 at_s,
                 every_s: for_s,
             }),
+            Kind::NodeEnds => Trouble::NodeEnds(NodeEnds {
+                at_s,
+                every_s: (for_s / 10.0).max(0.3),
+                times: times.round() as u32,
+                who,
+            }),
             Kind::NodeFreeze => Trouble::NodeFreeze(NodeFreeze { at_s, for_s, who }),
             Kind::NodeSlow => Trouble::NodeSlow(NodeSlow {
                 at_s,
--- a/crates/night/src/lib.rs
+++ b/crates/night/src/lib.rs
@@ -10,7 +10,7 @@
 pub mod workload;
 
 pub use deployment::{Aim, Deployment};
-pub use draw::Draw;
+pub use draw::{Draw, Fleet};
 pub use file::FileError;
 pub use trouble::{Cut, Trouble, Who};
 pub use workload::{Class, Spread, Workload};
@@ -51,6 +51,10 @@
     #[serde(default)]
     #[garde(dive)]
     pub drawn: Vec<Draw>,
+    /// What the seed changes of the deployment.
+    #[serde(default)]
+    #[garde(dive)]
+    pub drawn_fleet: Option<Fleet>,
 }
 
 fn plain(name: &str, _: &()) -> garde::Result {
@@ -224,6 +228,25 @@
         assert_eq!(kinds.len(), draw::Kind::ALL.len(), "{kinds:?}");
     }
 
+    #[test]
+    fn a_drawn_fleet_comes_from_the_seed_and_is_possible() {
+        let text = "name: n\nplay_s: 300\ndrawn_fleet: {controllers: [3, 7], \
+                    restart_s: [0.1, 2], times: [0.5, 2.5], one_type: 0.4}\n";
+        let night = Night::parse("n.yaml", text).unwrap();
+        let (mut controllers, mut types) = (std::collections::BTreeSet::new(), 0);
+        for seed in 0..60 {
+            let drawn = night.clone().with_fleet(seed);
+            assert_eq!(drawn, night.clone().with_fleet(seed));
+            drawn.validate().unwrap_or_else(|e| panic!("{seed}: {e}"));
+            let d = &drawn.deployment;
+            assert!((0.1..=2.0).contains(&d.node.restart_s) && d.controllers <= 7);
+            controllers.insert(d.controllers);
+            types += u32::from(d.capacity.iter().any(|c| c.count == 0));
+        }
+        assert_eq!(controllers.len(), 5, "{controllers:?}");
+        assert!((10..40).contains(&types), "{types} of one type");
+    }
+
     #[test]
     fn a_size_changes_machines_teams_and_traffic_alike() {
         let night = Night::parse("n.yaml", "name: n\nplay_s: 60\n").unwrap();
--- a/crates/night/src/trouble.rs
+++ b/crates/night/src/trouble.rs
@@ -101,6 +101,16 @@
         #[garde(range(min = 0.5, max = 600.0))]
         every_s: f64,
     }
+    /// Controllers are killed again and again, started again in between.
+    NodeEnds {
+        #[garde(range(min = 0.1, max = 600.0))]
+        every_s: f64,
+        #[garde(range(min = 1, max = 1000))]
+        times: u32,
+        #[serde(default)]
+        #[garde(skip)]
+        who: Who,
+    }
     /// Controllers stand still while their clocks run on.
     NodeFreeze {
         #[garde(range(min = 0.1, max = 3600.0))]
@@ -332,6 +342,7 @@
         use Trouble as T;
         match self {
             T::NodeCrash(_) | T::NodeRoll(_) | T::MachineDie(_) => None,
+            T::NodeEnds(t) => Some(t.every_s * f64::from(t.times)),
             T::SpotWave(t) => Some(t.over_s),
             T::NodeFreeze(t) => Some(t.for_s),
             T::NodeSlow(t) => Some(t.for_s),
@@ -363,6 +374,7 @@
         match self {
             T::NodeCrash(_) => "node_crash",
             T::NodeRoll(_) => "node_roll",
+            T::NodeEnds(_) => "node_ends",
             T::NodeFreeze(_) => "node_freeze",
             T::NodeSlow(_) => "node_slow",
             T::NodeCut(_) => "node_cut",
--- a/crates/rehearsal/src/command.rs
+++ b/crates/rehearsal/src/command.rs
@@ -4,6 +4,7 @@
 use crate::live::Live;
 use crate::log::Log;
 use crate::play::{Options, Scene, play};
+use crate::search::search;
 use crate::{report, summary};
 use cherrywood_night::Night;
 use cherrywood_night::file::read;
@@ -57,6 +58,9 @@
     /// The operators' own settings (YAML).
     #[arg(long, value_name = "FILE")]
     pub operator: Option<PathBuf>,
+    /// Play so many seeds on all cores, from --seed on, and say what was not good.
+    #[arg(long, value_name = "N", conflicts_with_all = ["report", "live", "processes", "trace", "log"])]
+    pub search: Option<u64>,
     /// Print the life of one job across all controllers.
     #[arg(long, value_name = "ID")]
     pub trace: Option<String>,
@@ -142,6 +146,9 @@
         }
     };
     let stop = interrupted();
+    if let Some(seeds) = args.search {
+        return search(&night, &options, seeds, &stop);
+    }
     let bar = ProgressBar::new(night.play_s as u64);
     if let Ok(style) = ProgressStyle::with_template("{bar:40} {pos}/{len} s of play  {msg}") {
         bar.set_style(style);
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod plot;
 pub mod processes;
 pub mod report;
+pub mod search;
 pub mod summary;
 pub mod timeline;
 
--- a/crates/rehearsal/src/play.rs
+++ b/crates/rehearsal/src/play.rs
@@ -130,6 +130,7 @@
     log: &Log,
     watch: &mut dyn FnMut(&Scene) -> Verdict,
 ) -> anyhow::Result<Outcome> {
+    let night = night.with_fleet(options.seed);
     let world = World::new(night.clone(), options.seed, options.processes);
     log.begin();
     let state = StateHost::start(&world).await?;
--- /dev/null
+++ b/crates/rehearsal/src/search.rs
@@ -0,0 +1,77 @@
+//! Many seeds of one night, to look for what nobody thought of.
+
+use crate::command::{BAD_INPUT, BROKEN, GOOD};
+use crate::log::Log;
+use crate::play::{Options, Outcome, Scene, play};
+use crate::summary;
+use cherrywood_night::Night;
+use rayon::prelude::*;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use tracing::Level;
+
+/// Plays `seeds` of them, from the options' own on. Prints a line for each that was not
+/// good, with the command's seed to play it by, and in the end how many were.
+pub fn search(night: &Night, options: &Options, seeds: u64, stop: &AtomicBool) -> u8 {
+    if !(1..=1_000_000).contains(&seeds) {
+        eprintln!("cherrywood: --search: 1 to 1000000 is allowed, found {seeds}");
+        return BAD_INPUT;
+    }
+    let (played, jobs) = (AtomicU64::new(0), AtomicU64::new(0));
+    let one = |seed: u64| -> Option<bool> {
+        if stop.load(Ordering::Relaxed) {
+            return None;
+        }
+        let options = Options {
+            seed,
+            ..options.clone()
+        };
+        let log = Log::new(Level::WARN, None, false);
+        let mut watch = |_: &Scene| match stop.load(Ordering::Relaxed) {
+            true => Err("interrupted".to_string()),
+            false => Ok(()),
+        };
+        match log.around(|| play(night.clone(), &options, &log, &mut watch)) {
+            Ok(o) if o.stopped.is_some() => None,
+            Ok(o) => {
+                played.fetch_add(1, Ordering::Relaxed);
+                jobs.fetch_add(o.settled.len() as u64, Ordering::Relaxed);
+                if !o.good() {
+                    println!("seed {seed}: {}", what(&o));
+                }
+                Some(o.good())
+            }
+            Err(e) => {
+                println!("seed {seed}: {e:#}");
+                Some(false)
+            }
+        }
+    };
+    let first = options.seed;
+    let found: Vec<bool> = (first..first.saturating_add(seeds))
+        .into_par_iter()
+        .filter_map(one)
+        .collect();
+    let bad = found.iter().filter(|good| !**good).count();
+    println!(
+        "{}: {} of {seeds} nights played, {} jobs, {bad} not good",
+        night.name,
+        played.into_inner(),
+        jobs.into_inner()
+    );
+    if bad == 0 && found.len() as u64 == seeds {
+        GOOD
+    } else {
+        BROKEN
+    }
+}
+
+fn what(o: &Outcome) -> String {
+    let ended = o.ended.first().map(|e| format!(", {e}"));
+    let first = o.breaches.first().map(|b| format!(", first {b:?}"));
+    format!(
+        "{}{}{}",
+        summary::verdict(o),
+        ended.unwrap_or_default(),
+        first.unwrap_or_default()
+    )
+}
