Sums of each machine are kept until its rows change; only jobs with news are looked at

Change: the rows of a machine keep their sums; whoever takes them to change one gets new ones, so none can be forgotten (the audit compares them with a scan; seen failing). The jobs of which the state service lacks something stand in a set.

--- a/crates/control/src/leader/admitting.rs
+++ b/crates/control/src/leader/admitting.rs
@@ -38,7 +38,7 @@
             let cpus = self.cpus_of(&m.kind);
             let n = if m.up { &mut up } else { &mut coming };
             *n += cpus;
-            for p in &m.placed {
+            for p in m.placed.iter() {
                 placed += p.cpus;
                 let job = p.job.and_then(|no| self.jobs.get(&no));
                 if job.is_some_and(|j| j.spec.kind == Kind::Service) {
--- a/crates/control/src/leader/audit.rs
+++ b/crates/control/src/leader/audit.rs
@@ -11,7 +11,10 @@
         let mut running: HashMap<JobNo, u32> = HashMap::new();
         let mut zones: HashMap<(JobNo, &str), u32> = HashMap::new();
         for (name, m) in &self.machines {
-            for p in &m.placed {
+            if m.placed.sums() != m.placed.scan() {
+                return Err(format!("{name}: {:?}", m.placed.sums()));
+            }
+            for p in m.placed.iter() {
                 let u = usage.entry(&p.team).or_default();
                 *u = (u.0 + p.cpus, u.1 + p.gpus);
                 if p.entry > 0 {
--- a/crates/control/src/leader/fleet.rs
+++ b/crates/control/src/leader/fleet.rs
@@ -107,10 +107,10 @@
             let Some(m) = self.machines.get_mut(&name) else {
                 continue;
             };
-            let (dead, kept): (Vec<_>, Vec<_>) = std::mem::take(&mut m.placed)
+            let (dead, kept): (Vec<_>, Vec<_>) = std::mem::take(&mut *m.placed)
                 .into_iter()
                 .partition(|p| p.stage == Stage::Durable);
-            m.placed = kept;
+            m.placed = kept.into();
             let zone = m.zone.clone();
             info!(
                 machine = name,
@@ -125,10 +125,10 @@
     /// first waiting job of the highest rank decides what is rented; jobs with
     /// other wishes get their turn when they are first.
     pub(super) fn demand(&self) -> (Demand, Demand, Option<&Submission>) {
-        let mut demand = Demand::default();
-        for p in self.machines.values().flat_map(|m| &m.placed) {
-            demand.placed += p.cpus;
-        }
+        let mut demand = Demand {
+            placed: self.machines.values().map(|m| m.placed.sums().cpus).sum(),
+            ..Demand::default()
+        };
         let teams = &self.settings.teams;
         demand.teams = teams
             .iter()
@@ -540,7 +540,8 @@
                 continue;
             };
             self.gone.insert(name.clone(), now);
-            self.lose_all(m.placed, &m.zone, now);
+            let mut m = m;
+            self.lose_all(std::mem::take(&mut *m.placed), &m.zone, now);
         }
     }
 
@@ -573,7 +574,7 @@
             .map(|m| self.cpus_of(&m.kind))
             .sum();
         let dear = self.machines.values().filter(|m| !m.spot).count();
-        let rows = || self.machines.values().flat_map(|m| &m.placed);
+        let rows = || self.machines.values().flat_map(|m| m.placed.iter());
         let used: f64 = rows().map(|p| p.cpus).sum();
         let running: f64 = rows().filter(|p| p.running).map(|p| p.cpus).sum();
         // CPUs that each team uses of its limit, and those not running yet.
--- a/crates/control/src/leader/ledger.rs
+++ b/crates/control/src/leader/ledger.rs
@@ -298,7 +298,7 @@
                 draft.add(&name, m, p);
             }
             let mut left = false;
-            for p in &mut m.placed {
+            for p in m.placed.iter_mut() {
                 if p.stage == Stage::Planned {
                     if wait(p) {
                         left = true;
@@ -409,7 +409,7 @@
         for row in &batch.rows {
             let m = self.machines.get_mut(&row.machine);
             let mut held: HashSet<u32> = HashSet::new();
-            for p in m.into_iter().flat_map(|m| &mut m.placed) {
+            for p in m.into_iter().flat_map(|m| m.placed.iter_mut()) {
                 let ours = p.stage == Stage::Writing || batch.drops.contains(&p.entry);
                 if ours && row.covers(p) {
                     crate::life!(
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -27,10 +27,12 @@
 mod admitting;
 mod audit;
 mod fleet;
+mod jobs;
 mod ledger;
 mod placing;
 mod progress;
 mod reports;
+mod rows;
 mod yielding;
 
 pub use admitting::work_by;
@@ -187,7 +189,7 @@
     /// Attempts whose direct start has no answer yet. They are not forgotten:
     /// the start could arrive after the forget and run the task again.
     open_orders: HashSet<u64>,
-    placed: Vec<Placement>,
+    placed: rows::Rows,
     /// The ledger that this leader read names it.
     known: bool,
     images: Vec<Image>,
@@ -204,9 +206,8 @@
 
 impl Machine {
     fn used(&self) -> (f64, f64, f64) {
-        self.placed.iter().fold((0.0, 0.0, 0.0), |u, p| {
-            (u.0 + p.cpus, u.1 + p.gpus, u.2 + p.mem)
-        })
+        let s = self.placed.sums();
+        (s.cpus, s.gpus, s.mem)
     }
 }
 
@@ -262,6 +263,8 @@
     jobs: Jobs,
     ids: HashMap<String, JobNo>,
     next_job: JobNo,
+    /// Jobs of which the state service may lack something that is done.
+    news: BTreeSet<JobNo>,
     machines: BTreeMap<String, Machine>,
     /// Machines deleted for certain; reports in their name are late.
     gone: HashMap<String, f64>,
@@ -348,6 +351,7 @@
             jobs: Jobs::default(),
             ids: HashMap::new(),
             next_job: 0,
+            news: BTreeSet::new(),
             machines: BTreeMap::new(),
             gone: HashMap::new(),
             log: BTreeMap::new(),
@@ -450,7 +454,7 @@
             taken_at: None,
             addr: String::new(),
             open_orders: HashSet::new(),
-            placed: Vec::new(),
+            placed: rows::Rows::default(),
             known: false,
             images: Vec::new(),
             idle_since: now,
@@ -461,175 +465,6 @@
         }
     }
 
-    // --- jobs ---
-
-    fn enter(
-        &mut self,
-        value: JobValue,
-        mark: u64,
-        saved: Option<(ProgressValue, u64)>,
-        placed: Option<&HashSet<u32>>,
-        now: f64,
-        fresh: bool,
-    ) {
-        let spec = value.job;
-        let (done, progress_mark) = match saved {
-            Some((p, m)) => (Bitmap::from_text(&p.finished, spec.tasks), m),
-            None => (Bitmap::default(), 0),
-        };
-        let no = self.next_job;
-        self.next_job += 1;
-        let key = spec.key();
-        let level = self.level(&key, now);
-        crate::life!(
-            spec.id,
-            level,
-            done = done.count(),
-            on_machines = placed.map_or(0, HashSet::len),
-            "enters the queue"
-        );
-        // Runs of tasks that are neither finished nor on a machine.
-        let mut first = None;
-        for n in 0..=spec.tasks {
-            let free = n < spec.tasks && !done.get(n) && !placed.is_some_and(|p| p.contains(&n));
-            match (free, first) {
-                (true, None) => first = Some(n),
-                (false, Some(f)) => {
-                    self.queue.push(level, no, f, n, now);
-                    first = None;
-                }
-                _ => {}
-            }
-        }
-        let work = self.work_of(&spec);
-        let id = cherrywood_admission::number(&spec.id);
-        self.book
-            .admitted(&spec.team, &spec.class, id, work, fresh, now);
-        self.ids.insert(spec.id.clone(), no);
-        let of = self.settings.objectives.iter();
-        let aims = of.filter(|o| o.class == spec.class).filter_map(|o| {
-            let aim = match o.kind.as_str() {
-                "finished" => Aim::Finish,
-                "wait" => Aim::Start,
-                _ => return None,
-            };
-            Some((aim, o.within_s))
-        });
-        self.jobs.insert(
-            no,
-            Job {
-                key_no: number_of(&key),
-                key,
-                team: self.settings.teams.iter().position(|t| t.name == spec.team),
-                aims: aims.collect(),
-                image: number_of(&spec.image),
-                fill: spec.priority == Priority::Low
-                    && !self
-                        .settings
-                        .objectives
-                        .iter()
-                        .any(|o| o.class == spec.class),
-                born: (value.at_ms as f64 / 1000.0 - self.wall_offset).min(now),
-                mark,
-                durable: done.clone(),
-                done,
-                progress_mark,
-                writing: false,
-                cell: cherrywood_admission::cell(&spec.team, &spec.class),
-                placed: 0,
-                on: HashMap::new(),
-                running: 0,
-                zones: HashMap::new(),
-                failed_on: BTreeMap::new(),
-                failures: 0,
-                pauses: 0,
-                retry_at: 0.0,
-                spec,
-            },
-        );
-    }
-
-    /// The state service holds this live job.
-    pub fn add_job(&mut self, value: JobValue, mark: u64, now: f64) {
-        match self.ids.get(&value.job.id) {
-            Some(no) => {
-                if let Some(job) = self.jobs.get_mut(no) {
-                    job.mark = mark;
-                }
-            }
-            None => {
-                // Rows may still name tasks of a job that was taken for ended:
-                // they are where the ledger says, not waiting. Only rows without a
-                // live job can, and they are few: the others' names need no look.
-                let id = value.job.id.clone();
-                let mut there: Vec<(String, u32)> = Vec::new();
-                for (name, m) in &self.machines {
-                    let lost = |p: &&Placement| p.job.is_none_or(|no| !self.jobs.contains_key(&no));
-                    let own = |p: &&Placement| split_task(&p.id).is_some_and(|(j, _)| j == id);
-                    let rows = m.placed.iter().filter(lost).filter(own);
-                    there.extend(rows.map(|p| (name.clone(), p.task)));
-                }
-                let tasks: HashSet<u32> = there.iter().map(|(_, task)| *task).collect();
-                self.enter(value, mark, None, Some(&tasks), now, true);
-                let no = self.next_job - 1;
-                let Some(job) = self.jobs.get_mut(&no) else {
-                    return;
-                };
-                for (name, task) in there {
-                    let Some(m) = self.machines.get_mut(&name) else {
-                        continue;
-                    };
-                    let own = |p: &&mut Placement| {
-                        p.task == task && split_task(&p.id).is_some_and(|(j, _)| j == id)
-                    };
-                    for p in m
-                        .placed
-                        .iter_mut()
-                        .filter(own)
-                        .filter(|p| p.job != Some(no))
-                    {
-                        p.job = Some(no);
-                        job.placed += 1;
-                        job.running += u32::from(p.running);
-                        *job.on.entry(p.task).or_default() += 1;
-                        *job.zones.entry(m.zone.clone()).or_default() += 1;
-                    }
-                }
-            }
-        }
-    }
-
-    /// The job is done or cancelled: nothing of it is started any more, and
-    /// what still runs is stopped with the next answers to its workers.
-    pub fn remove_job(&mut self, id: &str) {
-        let Some(no) = self.ids.remove(id) else {
-            return;
-        };
-        crate::life!(id, "is over for this leader");
-        if let Some(job) = self.jobs.remove(&no) {
-            let done = job.done.count() >= job.spec.tasks;
-            self.book.ended(&job.spec.team, &job.spec.class, done);
-        }
-        self.queue.retain(|j| *j != no);
-        self.delayed.retain(|(_, j, _)| *j != no);
-        let mut freed = Vec::new();
-        for name in &self.planned {
-            let Some(m) = self.machines.get_mut(name) else {
-                continue;
-            };
-            m.placed.retain(|p| {
-                let drop = p.job == Some(no) && p.stage == Stage::Planned;
-                if drop {
-                    freed.push((p.clone(), m.zone.clone()));
-                }
-                !drop
-            });
-        }
-        for (p, zone) in freed {
-            self.count(&p, &zone, -1.0);
-        }
-    }
-
     /// Machine, task and attempt of everything that may be on a machine.
     pub fn held(&self) -> BTreeSet<(String, String, u64)> {
         let of = |(name, m): (&String, &Machine)| {
--- a/crates/control/src/leader/placing.rs
+++ b/crates/control/src/leader/placing.rs
@@ -10,6 +10,9 @@
 
 mod floors;
 mod gangs;
+mod waiting;
+
+use waiting::{Line, Waiter, Waiting};
 
 /// How tasks of one standing are served, in this order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -59,42 +62,10 @@
     }
 }
 
-/// What is known of a waiting job for the length of one plan. Whether it can be served
-/// is asked for each of thousands that wait, so it is answered from here alone.
-struct Waiter {
-    no: JobNo,
-    rank: Priority,
-    cell: u64,
-    fill: bool,
-    cpus: f64,
-    gpus: f64,
-    est: f64,
-    slack: Option<f64>,
-    /// Place of its team in the settings.
-    team: usize,
-    /// The first of its places in the queue, among `Plan::chain`.
-    places: u32,
-    /// No machine takes it, or it must wait for its team's images.
-    blocked: bool,
-    /// Passes others whose image is at hand.
-    cold: bool,
-    /// The best machine, as of this many groups placed.
-    best: Option<(u64, Option<(usize, f64)>)>,
-}
-
-/// The runs of one rank, by level, each with the number of its waiter.
-struct Line {
-    rank: Priority,
-    runs: [Vec<(u32, Place, f64)>; limits::LEVELS],
-}
-
 /// How far each level of a line was looked at. During one serving nobody becomes
 /// eligible who wasn't, so what was passed over once is not looked at again.
 type Looked = [usize; limits::LEVELS];
 
-/// No more places.
-const END: u32 = u32::MAX;
-
 /// One pass over the queue: the leader's parts, borrowed side by side.
 struct Plan<'a> {
     now: f64,
@@ -197,72 +168,12 @@
             .enumerate()
             .map(|(i, t)| (t.name.as_str(), i))
             .collect();
-        // The smallest shape that waits: machines without room for it are
-        // not looked at again.
-        let mut waiters: Vec<Waiter> = Vec::new();
-        let mut known: FxHashMap<JobNo, u32> = FxHashMap::default();
-        let mut learned: FxHashMap<u64, Learned> = FxHashMap::default();
-        let mut lines: Vec<Line> = Vec::new();
-        let mut chain: Vec<(Place, u32)> = Vec::new();
-        let mut last: Vec<u32> = Vec::new();
-        let mut least = (f64::INFINITY, f64::INFINITY, f64::INFINITY);
-        for (place, run) in self.queue.places() {
-            let n = match known.get(&run.job) {
-                Some(n) => *n,
-                None => {
-                    let Some(job) = self.jobs.get(&run.job) else {
-                        continue;
-                    };
-                    let Some(team) = job.team else {
-                        continue;
-                    };
-                    let s = &job.spec;
-                    least = (
-                        least.0.min(s.cpus),
-                        least.1.min(s.gpus),
-                        least.2.min(s.memory_gb),
-                    );
-                    let of = learned
-                        .entry(job.key_no)
-                        .or_insert_with(|| Learned::of(&self.predictor, &job.key));
-                    waiters.push(Waiter {
-                        no: run.job,
-                        rank: s.priority,
-                        cell: job.cell,
-                        fill: job.fill,
-                        cpus: s.cpus,
-                        gpus: s.gpus,
-                        est: of.run_s(job),
-                        slack: of.slack(job, now),
-                        team,
-                        places: END,
-                        blocked: job.retry_at > now || job.suspect() && !job.on.is_empty(),
-                        cold: false,
-                        best: None,
-                    });
-                    last.push(END);
-                    known.insert(run.job, waiters.len() as u32 - 1);
-                    waiters.len() as u32 - 1
-                }
-            };
-            let w = &mut waiters[n as usize];
-            let link = chain.len() as u32;
-            chain.push((place, END));
-            match std::mem::replace(&mut last[n as usize], link) {
-                END => w.places = link,
-                before => chain[before as usize].1 = link,
-            }
-            let at = lines.iter().position(|l| l.rank == w.rank);
-            let at = at.unwrap_or_else(|| {
-                lines.push(Line {
-                    rank: w.rank,
-                    runs: Default::default(),
-                });
-                lines.len() - 1
-            });
-            lines[at].runs[place.level].push((n, place, run.since));
-        }
-        lines.sort_unstable_by_key(|l| l.rank);
+        let Waiting {
+            waiters,
+            lines,
+            chain,
+            least,
+        } = self.line_up(now);
         let spare = self.ranked_cpus() * limits::FILL_SPARE;
         let behind = self.behind(now);
         let fetching = self.fetching(&team_no);
@@ -358,6 +269,9 @@
                 continue;
             }
             images.extend(m.images.iter().map(|i| i.no));
+            if !m.placed.sums().waits {
+                continue;
+            }
             for p in m.placed.iter().filter(|p| !p.running) {
                 if let Some(at) = team_no.get(p.team.as_str()) {
                     cpus[*at] += p.cpus;
@@ -375,45 +289,6 @@
         .max(1.0)
 }
 
-/// What the predictor says of a key, looked up once a pass for all its jobs.
-#[derive(Clone, Copy)]
-struct Learned {
-    median: Option<f64>,
-    tail: Option<f64>,
-}
-
-impl Learned {
-    fn of(predictor: &Predictor, key: &str) -> Learned {
-        Learned {
-            median: predictor.estimate(key),
-            tail: predictor.tail(key),
-        }
-    }
-
-    fn run_s(self, job: &Job) -> f64 {
-        self.median.unwrap_or(job.spec.estimate_s).max(1.0)
-    }
-
-    /// s until the job's waiting tasks must be started for the next aim on its
-    /// class that it can still meet; None if there is none.
-    fn slack(self, job: &Job, now: f64) -> Option<f64> {
-        let age = now - job.born;
-        let guess = job.spec.estimate_s * limits::TAIL_GUESS;
-        let mut least: Option<f64> = None;
-        for (aim, within_s) in &job.aims {
-            let run = match aim {
-                Aim::Finish => self.tail.unwrap_or(guess),
-                Aim::Start => 0.0,
-            };
-            let slack = within_s - age - run;
-            if slack >= 0.0 && least.is_none_or(|l| slack < l) {
-                least = Some(slack);
-            }
-        }
-        least
-    }
-}
-
 impl Plan<'_> {
     /// Tasks of the waiter's shape for which its team has room.
     fn team_room(&self, w: &Waiter, guaranteed: bool) -> u32 {
--- a/crates/control/src/leader/progress.rs
+++ b/crates/control/src/leader/progress.rs
@@ -18,13 +18,17 @@
         let share = self.settings.state.write_rps * limits::JOB_BATCH_SHARE;
         let ops = self.settings.state.txn_ops.min(share as usize).max(3);
         let mut bytes = 200;
-        let mut nos: Vec<JobNo> = self.jobs.keys().copied().collect();
-        nos.sort_unstable();
+        let jobs = &self.jobs;
+        let behind = |job: &Job| job.done.count() != job.durable.count();
+        self.news.retain(|no| jobs.get(no).is_some_and(behind));
+        if self.news.is_empty() {
+            return None;
+        }
         for finals in [true, false] {
             if !finals && (!progress_too || !batch.finals.is_empty()) {
                 break;
             }
-            for no in &nos {
+            for no in &self.news {
                 let Some(job) = self.jobs.get_mut(no) else {
                     continue;
                 };
--- a/crates/control/src/leader/reports.rs
+++ b/crates/control/src/leader/reports.rs
@@ -61,10 +61,10 @@
         (m.kind, m.zone, m.spot) = (r.kind.clone(), r.zone.clone(), r.spot);
         if r.session > m.session {
             // A newer session has killed and forgotten every task.
-            let (dead, kept) = std::mem::take(&mut m.placed)
+            let (dead, kept): (Vec<_>, Vec<_>) = std::mem::take(&mut *m.placed)
                 .into_iter()
                 .partition(|p| p.session < r.session);
-            m.placed = kept;
+            m.placed = kept.into();
             self.lose_all(dead, &m.zone, now);
         }
         (m.session, m.seq, m.up, m.heard) = (r.session, r.seq, true, now);
@@ -167,6 +167,7 @@
                 && !job.done.get(n)
             {
                 job.done.set(n);
+                self.news.insert(no);
                 self.book
                     .worked(job.spec.cpus * placing::run_estimate(&self.predictor, job));
                 succeeded.push(no);
@@ -194,7 +195,7 @@
         // and the response that carried the start is over.
         let trusted = r.token >= m.token;
         let (gone, kept): (Vec<_>, Vec<_>) =
-            std::mem::take(&mut m.placed).into_iter().partition(|p| {
+            std::mem::take(&mut *m.placed).into_iter().partition(|p| {
                 if listed.contains(&(p.id.as_str(), p.attempt))
                     || !trusted
                     || p.stage != Stage::Durable
@@ -210,7 +211,7 @@
                 }
                 p.sent >= limits::START_TRIES && p.sent_seq.is_some_and(|s| s < r.seq)
             });
-        m.placed = kept;
+        m.placed = kept.into();
         self.lose_all(gone, &m.zone, now);
     }
 
@@ -370,7 +371,7 @@
                 out.push(stop(&m.placed[at], job));
             }
         }
-        for p in &mut m.placed {
+        for p in m.placed.iter_mut() {
             let over = p.job.is_none_or(|no| !self.jobs.contains_key(&no));
             if p.stage == Stage::Durable
                 && !p.inherited
@@ -402,11 +403,11 @@
         let fresh = limits::MISSED_REPORTS * self.settings.workers.report_s;
         let mut out: BTreeMap<String, Vec<_>> = BTreeMap::new();
         for (name, m) in &mut self.machines {
-            if !m.up || m.deleting || now - m.heard > fresh {
+            if !m.up || m.deleting || now - m.heard > fresh || !m.placed.sums().calls {
                 continue;
             }
             let mut commands = Vec::new();
-            for p in &mut m.placed {
+            for p in m.placed.iter_mut() {
                 let job = p.job.and_then(|no| self.jobs.get(&no));
                 let live = job.is_some();
                 if let Some(job) = job
--- a/crates/control/src/leader/yielding.rs
+++ b/crates/control/src/leader/yielding.rs
@@ -10,8 +10,8 @@
 impl Leader {
     /// CPUs of placed tasks that don't just fill idle room.
     pub(super) fn ranked_cpus(&self) -> f64 {
-        let all = self.machines.values().flat_map(|m| &m.placed);
-        all.filter(|p| !p.fill).map(|p| p.cpus).sum()
+        let all = self.machines.values();
+        all.map(|m| m.placed.sums().ranked).sum()
     }
 
     /// Filling work that loses little if it is stopped.
@@ -54,19 +54,17 @@
             let Some(kind) = self.types.iter().find(|t| t.name == m.kind) else {
                 continue;
             };
-            let (c, _, mem) = m.used();
-            let (c, mem) = (kind.cpus - c, kind.memory_gb - mem);
+            let sums = m.placed.sums();
+            let (c, mem) = (kind.cpus - sums.cpus, kind.memory_gb - sums.mem);
             if !m.retiring && c + 1e-6 >= least.0 && mem + 1e-6 >= least.1 {
                 short -= c;
             }
-            let mut filled = 0.0;
-            for p in &m.placed {
-                match p.stop {
-                    Stop::No if self.may_stop(p) => filled += p.cpus,
-                    Stop::No => {}
-                    _ => short -= p.cpus,
-                }
+            short -= sums.ending;
+            if !sums.fills {
+                continue;
             }
+            let may = |p: &&Placement| p.stop == Stop::No && self.may_stop(p);
+            let filled: f64 = m.placed.iter().filter(may).map(|p| p.cpus).sum();
             let serves = |no: &JobNo| {
                 self.jobs
                     .get(no)
@@ -77,8 +75,7 @@
                     let of = |no: &JobNo| self.jobs.get(no).is_some_and(|j| j.image == i.no);
                     i.ready_at <= now && wanted.iter().any(of)
                 });
-                let of = |p: &&Placement| p.stop == Stop::No && self.may_stop(p);
-                stops.extend(m.placed.iter().filter(of).map(|p| (p.attempt, p.task)));
+                stops.extend(m.placed.iter().filter(may).map(|p| (p.attempt, p.task)));
                 hosts.push((warm, filled, name.clone()));
             }
         }
@@ -88,7 +85,7 @@
             let Some(m) = self.machines.get_mut(&name) else {
                 continue;
             };
-            for p in &mut m.placed {
+            for p in m.placed.iter_mut() {
                 if short <= 0.0 {
                     return;
                 }
