Admission: work that gives way shuts nobody else out

Change: what only fills idle room is no part of the backlog that other classes' gates look at; it has a gate of its own behind all that waits. The test holds both, with and without.

--- a/crates/admission/src/book.rs
+++ b/crates/admission/src/book.rs
@@ -26,6 +26,8 @@
     pub teams: Vec<Team>,
     /// Expected work that was accepted and isn't done, by cell.
     pub backlog: BTreeMap<u64, f64>,
+    /// How much of that fills idle room alone and gives way to all other work.
+    pub filling: BTreeMap<u64, f64>,
     /// s that the aims leave a job of each class; others have `HORIZON_S`.
     pub horizons: BTreeMap<String, f64>,
     /// Jobs a second whose changes the state service takes.
@@ -401,7 +403,7 @@
                     .cells
                     .get(cell)
                     .is_some_and(|a| horizon(&a.class) <= *h);
-                own.then_some(*work)
+                own.then(|| work - view.filling.get(cell).unwrap_or(&0.0))
             };
             let backlog: f64 = view.backlog.iter().filter_map(within).sum();
             let can = view.cpus * self.pace() * h * limits::BACKLOG;
@@ -431,6 +433,15 @@
             per_work: 0.0,
         });
         shorts.push(Short::StateChanges);
+        // What gives way to other work shuts nobody else out, and waits behind all.
+        let all: f64 = view.backlog.values().sum();
+        let idle = pools.len();
+        let room = match view.full {
+            true => self.room(view.cpus, all, limits::HORIZON_S),
+            false => f64::INFINITY,
+        };
+        pools.push(Pool::of_work(room));
+        shorts.push(Short::Machines);
 
         let mut offers: BTreeMap<u64, Vec<(f64, f64)>> = BTreeMap::new();
         let mut admitted: BTreeMap<u64, f64> = BTreeMap::new();
@@ -458,6 +469,11 @@
             let h = horizon(&a.class);
             let mut own: Vec<usize> = (0..teams).filter(|p| horizons[*p] >= h).collect();
             own.extend([teams + team, state]);
+            let fills = |cell| view.filling.get(cell).copied().unwrap_or(0.0);
+            let waits = view.backlog.get(&id).copied().unwrap_or(0.0);
+            if fills(&id) > 0.0 && fills(&id) >= waits * (1.0 - limits::SAME_WORK) {
+                own.push(idle);
+            }
             cells.push(Cell {
                 id,
                 team,
--- a/crates/admission/tests/overload.rs
+++ b/crates/admission/tests/overload.rs
@@ -111,6 +111,7 @@
             full: self.full,
             teams: self.teams.clone(),
             backlog,
+            filling: BTreeMap::new(),
             horizons: BTreeMap::new(),
             jobs_per_s: 1e9,
             refused: self.memories[0].waiting(self.now),
@@ -444,3 +445,54 @@
         next.table()
     );
 }
+
+/// Guests' idle-time work waited for hours, as it may, and 3.7% of the users of a day that
+/// had room for them were refused for it: it counts for nobody but itself.
+#[test]
+fn work_that_gives_way_shuts_nobody_else_out() {
+    let (guests, work) = (cell("guests", "idle"), cell("a", "work"));
+    let team = |name: &str| Team {
+        name: name.into(),
+        guarantee: 0.0,
+        most: f64::INFINITY,
+        weight: 1.0,
+    };
+    let gates = |fills: bool| {
+        let mut book = Book::new(1, Default::default(), 0.0);
+        let hour = 1000.0 * 3600.0;
+        book.admitted("guests", "idle", 1, hour, true, 1.0);
+        let w = World::new(1000.0, &[], &EVEN);
+        for n in 0..40u64 {
+            book.admitted("a", "work", 2 + n, 500.0, true, 1.0 + n as f64 / 2.0);
+        }
+        // Another of the guests' jobs wants in.
+        let refused = vec![Refused {
+            id: 99,
+            cell: guests,
+            work: hour,
+            age_s: 1.0,
+            last_s: 0.5,
+        }];
+        let of = |id: u64, work: f64| BTreeMap::from([(id, work)]);
+        let mut backlog = of(guests, hour);
+        backlog.insert(work, 20_000.0);
+        let view = View {
+            cpus: 1000.0,
+            full: true,
+            backlog,
+            filling: if fills {
+                of(guests, hour)
+            } else {
+                BTreeMap::new()
+            },
+            refused,
+            teams: ["guests", "a"].map(team).to_vec(),
+            ..w.view()
+        };
+        book.publish(&view, 21.0);
+        let shut = |id| book.table().gates.iter().any(|g| g.cell == id);
+        (shut(work), shut(guests))
+    };
+    assert_eq!(gates(false), (true, true), "what it was");
+    assert_eq!(gates(true), (false, true));
+}
--- a/crates/control/src/leader/admitting.rs
+++ b/crates/control/src/leader/admitting.rs
@@ -51,11 +51,16 @@
         self.book.clocked(up, now - self.clocked, busy);
         self.clocked = now;
         let mut backlog: BTreeMap<u64, f64> = BTreeMap::new();
+        let mut filling: BTreeMap<u64, f64> = BTreeMap::new();
         for job in self.jobs.values().filter(|j| j.spec.kind != Kind::Service) {
             let est = run_estimate(&self.predictor, job);
             // Of those on machines, half is still to come.
             let tasks = f64::from(job.left()) + f64::from(job.placed) / 2.0;
-            *backlog.entry(job.cell).or_default() += tasks * job.spec.cpus * est;
+            let work = tasks * job.spec.cpus * est;
+            *backlog.entry(job.cell).or_default() += work;
+            if job.fill {
+                *filling.entry(job.cell).or_default() += work;
+            }
         }
         let (demand, _, first) = self.demand();
         let short = first.is_some() && demand.wanted(limits::DRAIN_S) > up + coming;
@@ -79,6 +84,7 @@
                 })
                 .collect(),
             backlog,
+            filling,
             horizons: self.book.classes(|class| self.time_of(class)),
             jobs_per_s: self.settings.state.write_rps * bounds::CHANGES_SHARE
                 / bounds::CHANGES_A_JOB,
