Cost of a verdict and of a table, measured; the log says why users are sent elsewhere

Need: what admission costs at 100 teams with 20 classes was not known, and after a takeover the log blamed the state service for the 3 s in which workers come first.

--- /dev/null
+++ b/crates/admission/benches/cost.rs
@@ -0,0 +1,96 @@
+//! What a verdict and a table cost at 100 teams with 20 classes each: `cargo bench -p
+//! cherrywood-admission`.
+
+use cherrywood_admission::book::Team;
+use cherrywood_admission::{Ask, Book, Refused, View, cell, number, verdict};
+use criterion::{Criterion, criterion_group, criterion_main};
+use std::collections::BTreeMap;
+use std::hint::black_box;
+
+const TEAMS: usize = 100;
+const CLASSES: usize = 20;
+/// Jobs admitted in a window of 30 s, and refused ones that try on.
+const ADMITTED: u64 = 1200;
+const REFUSED: u64 = 3000;
+
+/// A book of that size under overload, and what its leader sees.
+fn overload() -> (Book, View) {
+    let name = |n: usize| {
+        (
+            format!("team-{}", n % TEAMS),
+            format!("class-{}", n / TEAMS),
+        )
+    };
+    let work = |n: u64| 50.0 + (n * 37 % 1000) as f64;
+    let mut book = Book::new(1, Default::default(), 0.0);
+    for n in 0..ADMITTED {
+        let (team, class) = name(n as usize * 7 % (TEAMS * CLASSES));
+        let at = 30.0 * n as f64 / ADMITTED as f64;
+        book.admitted(&team, &class, n, work(n), true, at);
+    }
+    let refused = |n: u64| {
+        let (team, class) = name(n as usize * 11 % (TEAMS * CLASSES));
+        Refused {
+            id: ADMITTED + n,
+            cell: cell(&team, &class),
+            work: work(n),
+            age_s: 20.0,
+            last_s: 3.0,
+        }
+    };
+    let teams = (0..TEAMS).map(|n| Team {
+        name: format!("team-{n}"),
+        guarantee: 10.0,
+        most: 400.0,
+        weight: 1.0,
+    });
+    let backlog = (0..TEAMS * CLASSES).map(|n| {
+        let (team, class) = name(n);
+        (cell(&team, &class), 2000.0)
+    });
+    let view = View {
+        cpus: 2000.0,
+        full: true,
+        teams: teams.collect(),
+        backlog: backlog.collect(),
+        filling: BTreeMap::new(),
+        horizons: BTreeMap::new(),
+        jobs_per_s: 40.0,
+        refused: (0..REFUSED).map(refused).collect(),
+        medians: Vec::new(),
+        floor: 0.6,
+        shed: Default::default(),
+    };
+    (book, view)
+}
+
+fn cost(c: &mut Criterion) {
+    let (mut book, view) = overload();
+    let mut now = 30.0;
+    c.bench_function("table", |b| {
+        b.iter(|| {
+            now += 1e-6;
+            black_box(book.publish(&view, now))
+        });
+    });
+    let table = book.table().clone();
+    assert!(!table.gates.is_empty(), "an overload has gates");
+    let asks: Vec<Ask> = (0..1000u64)
+        .map(|n| Ask {
+            id: number(&format!("wk-{n:06}")),
+            cell: table.gates[n as usize % table.gates.len()].cell,
+            work: 50.0 + n as f64,
+            waited_s: 0.0,
+        })
+        .collect();
+    let mut n = 0;
+    c.bench_function("verdict", |b| {
+        b.iter(|| {
+            n = (n + 1) % asks.len();
+            black_box(verdict(&table, &asks[n]))
+        });
+    });
+}
+
+criterion_group!(benches, cost);
+criterion_main!(benches);
--- a/crates/node/src/loops/mod.rs
+++ b/crates/node/src/loops/mod.rs
@@ -56,10 +56,12 @@
             if healthy {
                 info!("users are served again");
             } else {
-                warn!(
-                    state_s,
-                    "users are sent to other nodes: no state service here"
-                );
+                let settling = node.core().settling(now);
+                let why = match settling {
+                    true => "a takeover; workers come first",
+                    false => "no state service here",
+                };
+                warn!(state_s, why, "users are sent to other nodes");
             }
         }
         let refused = node.polls.refused();
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -65,6 +65,11 @@
             && now - self.leader_ok > limits::LEADER_LOST_S
     }
 
+    /// Has this node just taken over, with most workers still to be heard?
+    pub fn settling(&self, now: f64) -> bool {
+        self.leader.as_ref().is_some_and(|l| l.settling(now))
+    }
+
     /// Has the state service answered here of late? A process that has just started
     /// has no answer yet, whatever its clock says.
     fn state_here(&self, now: f64) -> bool {
@@ -204,8 +209,7 @@
     pub fn healthy(&self) -> bool {
         let now = self.now();
         let core = self.core();
-        let settling = core.leader.as_ref().is_some_and(|l| l.settling(now));
-        core.served(now) && !settling
+        core.served(now) && !core.settling(now)
     }
 
     /// How it looks from inside, for those who watch.
