--- a/crates/admission/src/book.rs
+++ b/crates/admission/src/book.rs
@@ -428,7 +428,10 @@
         }
         let state = pools.len();
         pools.push(Pool {
-            room: view.jobs_per_s * self.window_s,
+            // A job's changes are spread over its life, so a burst may take a whole
+            // window's worth at once, also from a leader that has just begun: of the 300
+            // jobs of a day's first second 46 were refused for what 3 s can take.
+            room: view.jobs_per_s * limits::WINDOW_S,
             per_job: 1.0,
             per_work: 0.0,
         });
--- a/crates/admission/tests/overload.rs
+++ b/crates/admission/tests/overload.rs
@@ -496,3 +496,35 @@
     assert_eq!(gates(false), (true, true), "what it was");
     assert_eq!(gates(true), (false, true));
 }
+
+/// Of all jobs that come at once in a day's first second none is refused for the state
+/// service's changes, if a window can take them; a rate beyond it is.
+#[test]
+fn a_first_burst_within_a_window_s_changes_is_taken_whole() {
+    let mut book = Book::new(1, Default::default(), 0.0);
+    let w = World::new(1000.0, &[], &EVEN);
+    let view = View {
+        cpus: 1000.0,
+        jobs_per_s: 40.0,
+        teams: vec![Team {
+            name: "a".into(),
+            guarantee: 0.0,
+            most: f64::INFINITY,
+            weight: 1.0,
+        }],
+        ..w.view()
+    };
+    for n in 0..300u64 {
+        book.admitted("a", "work", n, 100.0 + n as f64, true, 0.5);
+    }
+    book.publish(&view, 1.0);
+    assert!(book.table().gates.is_empty(), "{:?}", book.table());
+    // A hundred a second go on and on.
+    for n in 300..3300u64 {
+        let at = 1.0 + (n - 300) as f64 / 100.0;
+        book.admitted("a", "work", n, 100.0 + n as f64, true, at);
+    }
+    book.publish(&view, 31.0);
+    assert_eq!(book.table().short, Short::StateChanges);
+    assert_eq!(book.table().gates.len(), 1);
+}
