Read once more: one run estimate, breaches in their own words, less around them

Need: a second reading of the whole change. The pass had the run estimate written again beside its twin; a search printed a breach in the debugger's form though it has a text of its own; a removed machine was bound twice; two sums of a cell had a closure each time.

Change: one function of the median serves both estimates; Display for breaches; the rest is shorter.

--- a/crates/admission/src/book.rs
+++ b/crates/admission/src/book.rs
@@ -472,9 +472,9 @@
             let h = horizon(&a.class);
             let mut own: Vec<usize> = (0..teams).filter(|p| horizons[*p] >= h).collect();
             own.extend([teams + team, state]);
-            let fills = |cell| view.filling.get(cell).copied().unwrap_or(0.0);
-            let waits = view.backlog.get(&id).copied().unwrap_or(0.0);
-            if fills(&id) > 0.0 && fills(&id) >= waits * (1.0 - limits::SAME_WORK) {
+            let of = |work: &BTreeMap<u64, f64>| work.get(&id).copied().unwrap_or(0.0);
+            let (fills, waits) = (of(&view.filling), of(&view.backlog));
+            if fills > 0.0 && fills >= waits * (1.0 - limits::SAME_WORK) {
                 own.push(idle);
             }
             cells.push(Cell {
--- a/crates/control/src/leader/fleet.rs
+++ b/crates/control/src/leader/fleet.rs
@@ -536,11 +536,10 @@
     /// The cloud answered a deletion with 200: machines and tasks are gone.
     pub fn deleted(&mut self, names: &[String], now: f64) {
         for name in names {
-            let Some(m) = self.machines.remove(name) else {
+            let Some(mut m) = self.machines.remove(name) else {
                 continue;
             };
             self.gone.insert(name.clone(), now);
-            let mut m = m;
             self.lose_all(std::mem::take(&mut *m.placed), &m.zone, now);
         }
     }
--- a/crates/control/src/leader/placing.rs
+++ b/crates/control/src/leader/placing.rs
@@ -283,10 +283,12 @@
 }
 
 pub(super) fn run_estimate(predictor: &Predictor, job: &Job) -> f64 {
-    predictor
-        .estimate(&job.key)
-        .unwrap_or(job.spec.estimate_s)
-        .max(1.0)
+    run_s(predictor.estimate(&job.key), job)
+}
+
+/// The same from a median that was looked up before.
+fn run_s(median: Option<f64>, job: &Job) -> f64 {
+    median.unwrap_or(job.spec.estimate_s).max(1.0)
 }
 
 impl Plan<'_> {
--- a/crates/control/src/leader/placing/waiting.rs
+++ b/crates/control/src/leader/placing/waiting.rs
@@ -60,10 +60,6 @@
         }
     }
 
-    fn run_s(self, job: &Job) -> f64 {
-        self.median.unwrap_or(job.spec.estimate_s).max(1.0)
-    }
-
     /// s until the job's waiting tasks must be started for the next aim on its
     /// class that it can still meet; None if there is none.
     fn slack(self, job: &Job, now: f64) -> Option<f64> {
@@ -121,7 +117,7 @@
                         fill: job.fill,
                         cpus: s.cpus,
                         gpus: s.gpus,
-                        est: of.run_s(job),
+                        est: super::run_s(of.median, job),
                         slack: of.slack(job, now),
                         team,
                         places: END,
--- a/crates/rehearsal/src/search.rs
+++ b/crates/rehearsal/src/search.rs
@@ -67,7 +67,7 @@
 
 fn what(o: &Outcome) -> String {
     let ended = o.ended.first().map(|e| format!(", {e}"));
-    let first = o.breaches.first().map(|b| format!(", first {b:?}"));
+    let first = o.breaches.first().map(|b| format!(", first {b}"));
     format!(
         "{}{}{}",
         summary::verdict(o),
