The right to answer workers rests on a view of the cancellations

Cause: leadership was renewed by touching its lease alone, while the watch that brings cancellations was a loop of its own. Where the watch was lost, lagged behind a read of parts, or waited 10 s for its answer, the lease went on being renewed, and after an outage it had its full time again before anything was caught up with. A hello renewed a block without the stops that only reports' answers carry.

Change: control::Leadership owns the question. A lease says that nobody else leads, and a view, counted from the sending of the watch that showed it, says what may be answered. The watch waits 0.3 s instead of 10. Submissions in parts are read beside it. A leader that renews its lease for 4 s without a view gives it up. Hellos leave out machines with work that is over, and an answer with stops prolongs no block.

--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -224,6 +224,8 @@
     /// Being emptied because the others have room; undone when work waits.
     retiring: bool,
     deleting: bool,
+    /// Its newest report lists a task that may not be there.
+    unwanted: bool,
     /// Jobs whose tasks failed here since one last succeeded here, how many, and
     /// when the last did.
     failing: HashMap<String, (u32, f64)>,
@@ -522,6 +524,7 @@
             unseen_since: None,
             shown: 0,
             deaf_told: false,
+            unwanted: false,
             draining: false,
             retiring: false,
             deleting: false,
@@ -545,6 +548,11 @@
         ids
     }
 
+    /// Is it a live job of this leader?
+    pub fn knows(&self, id: &str) -> bool {
+        self.ids.contains_key(id)
+    }
+
     /// What is written from now on is made for these limits.
     pub fn keep_to(&mut self, kept: Kept) {
         self.kept = kept;
--- a/crates/control/src/leader/reports.rs
+++ b/crates/control/src/leader/reports.rs
@@ -331,6 +331,7 @@
         if (m.session, m.seq) != (r.session, r.seq) {
             return out;
         }
+        m.unwanted = false;
         for t in &r.tasks {
             let Some((id, n)) = split_task(&t.task) else {
                 continue;
@@ -357,6 +358,7 @@
                 .position(|p| p.attempt == t.attempt && p.id == t.task);
             let wanted = at.is_some() && job.is_some_and(|j| !j.done.get(n));
             if !wanted {
+                m.unwanted = true;
                 out.push(Command::Stop {
                     task: t.task.clone(),
                     attempt: t.attempt,
@@ -419,7 +421,15 @@
                 });
             } else if over && !p.seen && p.stage == Stage::Durable && p.session == r.session {
                 // Cancelled before it was ever listed: once this report's
-                // successor doesn't list it either, it is freed as absent.
+                // successor doesn't list it either, it is freed as absent. Its start may
+                // have come after this report was sent, so its stop follows it.
+                if p.inherited || p.sent > 0 {
+                    out.push(Command::Stop {
+                        task: p.id.clone(),
+                        attempt: p.attempt,
+                        grace_s: 0.0,
+                    });
+                }
                 p.sent = limits::START_TRIES;
                 p.sent_seq.get_or_insert(r.seq);
             }
@@ -502,13 +512,21 @@
 
     /// The block of a controller that says hello, renewed: its machines with
     /// their tokens. A machine not heard from drops out, so that its grants
-    /// run dry and its tasks can be freed.
+    /// run dry and its tasks can be freed. So does one with work that is over: a hello
+    /// carries no stop, and a holder whose reports the leader doesn't answer, while it
+    /// answers its hellos, kept such work alive for as long as that lasted.
     pub fn block(&mut self, holder: &str, now: f64) -> Vec<(String, u64)> {
         let fresh = limits::MISSED_REPORTS * self.settings.workers.report_s;
         let until = now + self.timing.grant_bound_s();
         let mut block = Vec::new();
         for (name, m) in &mut self.machines {
-            if m.holder == holder && m.token > 0 && now - m.heard <= fresh {
+            let over = |p: &Placement| p.job.is_none_or(|no| !self.jobs.contains_key(&no));
+            if m.holder == holder
+                && m.token > 0
+                && now - m.heard <= fresh
+                && !m.unwanted
+                && !m.placed.iter().any(over)
+            {
                 m.granted_until = m.granted_until.max(until);
                 block.push((name.clone(), m.token));
             }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -13,11 +13,13 @@
 pub mod cluster;
 pub mod holder;
 pub mod leader;
+pub mod leadership;
 pub mod timing;
 
 pub use cluster::{Admission, Policy, Settings, Team};
 pub use holder::Holder;
 pub use leader::Leader;
+pub use leadership::Leadership;
 pub use timing::Timing;
 
 /// Keys in the state service.
--- /dev/null
+++ b/crates/control/tests/timing.rs
@@ -0,0 +1,22 @@
+//! The chain that ends what a cancelled job runs, wherever it is cut.
+
+use cherrywood_control::Timing;
+use cherrywood_limits as limits;
+
+#[test]
+fn the_chain_runs_dry_within_cancel_s() {
+    for (lease, cancel) in [(10.0, 40.0), (22.0, 52.0), (10.0, 20.0), (15.0, 120.0)] {
+        let t = Timing::new(lease, cancel);
+        assert!(t.fits, "{lease} {cancel} {t:?}");
+        let sum = (t.view_s + t.grant_s + t.worker_s) * (1.0 + limits::DRIFT);
+        assert!(
+            sum <= cancel - limits::CANCEL_MARGIN_S + 1e-6,
+            "{sum} {cancel}"
+        );
+        assert!(t.grant_s <= 30.0 && t.leader_s <= t.view_s);
+        // Two views in a row may be late, and it goes on speaking.
+        assert!(2.0 * limits::VIEW_HOLD_S + limits::STATE_WAIT_S < t.view_s);
+    }
+    let tight = Timing::new(10.0, 14.0);
+    assert!(!tight.fits && tight.grant_s == limits::GRANT_MIN_S);
+}
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -108,8 +108,16 @@
 pub const PROGRESS_GAP_S: f64 = 2.0;
 /// s between two snapshots of the histograms (the design's own value).
 pub const SNAPSHOT_EVERY_S: f64 = 5.0;
-/// s for which a watch waits at the state service.
-pub const WATCH_HOLD_S: f64 = 10.0;
+/// s for which the leader's watch waits at the state service. Each answer proves that
+/// the view of the cancellations was complete when its request was sent, so a view is
+/// between this and twice this old: about as old as a renewal of the lease, 0.4 s on
+/// average, for three requests a second.
+pub const VIEW_HOLD_S: f64 = 0.3;
+/// s before a watch, or a read of what it showed, that failed is tried again.
+pub const WATCH_AGAIN_S: f64 = 0.2;
+/// s for which a leader renews its lease while its view is too old: some tries of the
+/// watch (an outage ends for both alike), before another may see more.
+pub const BLIND_S: f64 = 4.0;
 /// s between two watches, so that bursts of jobs share one answer.
 pub const WATCH_GAP_S: f64 = 0.08;
 /// s that a refused user is asked to stay away.
--- a/crates/net/src/state.rs
+++ b/crates/net/src/state.rs
@@ -282,16 +282,17 @@
             .map(|_| ())
     }
 
-    /// Changes after `from`; None if the service no longer has them.
+    /// All changes after `from`, up to some moment after the request was sent; None if
+    /// the service no longer has them.
     pub async fn watch<V: DeserializeOwned>(
         &self,
         prefix: &str,
         from: u64,
     ) -> Result<Option<Events<V>>, NetError> {
         self.admit(&self.reads, Class::First, 1.0).await?;
-        let hold_ms = (limits::WATCH_HOLD_S * 1000.0) as u64;
+        let hold_ms = (limits::VIEW_HOLD_S * 1000.0) as u64;
         let path = format!("/watch?starts={prefix}&from={from}&hold_ms={hold_ms}");
-        let wait = limits::WATCH_HOLD_S + limits::STATE_WAIT_S;
+        let wait = limits::VIEW_HOLD_S + limits::STATE_WAIT_S;
         let answer = self.watches.send("GET", &path, None, wait).await?;
         match answer.status {
             200 => Self::body(&answer.body).map(Some),
--- a/crates/node/src/api.rs
+++ b/crates/node/src/api.rs
@@ -584,7 +584,9 @@
             let mut core = node.core();
             core.leader = Some(leader);
             core.known = Some(node.me().to_string());
-            core.leader_until = node.now() + 60.0;
+            let now = node.now();
+            core.leadership.won(5, now, &node.timing);
+            core.leadership.viewed(5, now);
         }
         let frame = |seq| Ask::Reports {
             from: "n1".into(),
@@ -609,7 +611,8 @@
         assert_eq!(leads(wait(node.peer(hello()))), (true, 1));
         assert!(wait(node.report(beat_of("vm-2", 1))).is_some());
         // Longer: the lease ended while it stood, with these in its sockets.
-        node.core().leader_until = node.now();
+        let since = node.now() - node.timing.leader_s;
+        node.core().leadership.won(5, since, &node.timing);
         assert!(!answers(wait(node.peer(frame(2)))));
         assert_eq!(leads(wait(node.peer(hello()))), (false, 0));
         let counts = Ask::Counts { jobs: vec![] };
--- a/crates/node/src/loops/lead.rs
+++ b/crates/node/src/loops/lead.rs
@@ -11,8 +11,8 @@
 use cherrywood_net::retry::Policy;
 use cherrywood_net::state::{Read, TxnResult};
 use cherrywood_wire::state::{
-    Change, EpochValue, Guard, JobValue, LeaderValue, LogValue, MemberValue, ProgressValue, Txn,
-    Value,
+    Change, EpochValue, Event, Events, Guard, JobValue, LeaderValue, LogValue, MemberValue,
+    ProgressValue, Txn, Value,
 };
 use serde::de::IgnoredAny;
 use std::collections::{BTreeSet, HashMap, HashSet};
@@ -96,8 +96,8 @@
     info!(epoch, "elected");
     {
         let mut core = node.core();
-        core.lease = lease;
-        core.leader_until = sent + node.timing.leader_s * (1.0 - limits::DRIFT);
+        core.leadership.won(lease, sent, &node.timing);
+        core.apart.clear();
         core.known = Some(node.me().to_string());
     }
     node.state.set_leading(true);
@@ -112,11 +112,11 @@
 
 fn depose(node: &Node, why: &str) {
     let mut core = node.core();
-    if core.leader.take().is_some() || core.lease != 0 {
+    if core.leader.take().is_some() || core.leadership.lease() != 0 {
         warn!(why, "no longer leading");
     }
-    core.lease = 0;
-    core.leader_until = 0.0;
+    core.leadership.lost();
+    core.apart.clear();
     if core.known.as_deref() == Some(node.me()) {
         core.known = None;
     }
@@ -142,7 +142,7 @@
                 Err(e) => {
                     let chance = $node.host.between(0.0, 1.0);
                     let pause = tries.again(&$node.state.retries, None, chance, $node.now());
-                    match pause.filter(|_| $node.now() <= $node.core().leader_until) {
+                    match pause.filter(|_| $node.core().leadership.holds($node.now())) {
                         Some(pause) => $node.host.sleep(pause).await,
                         None => return Err(e),
                     }
@@ -175,7 +175,13 @@
     from.images = insist!(node, parts::read(node, keys::IMAGES));
     from.admission = insist!(node, parts::read(node, keys::ADMISSION));
     let left = insist!(node, node.state.list::<IgnoredAny>(keys::SUBMISSIONS)).0;
-    let rows = insist!(node, node.state.list::<JobValue>(keys::JOBS)).0;
+    // What is committed before this request is sent is in its answer.
+    let listed = async || {
+        let sent = node.now();
+        let rows = node.state.list::<JobValue>(keys::JOBS).await?.0;
+        Ok::<_, NetError>((rows, sent))
+    };
+    let (rows, viewed) = insist!(node, listed());
     for row in rows {
         if let Some(value) = insist!(node, parts::job(node, row.value.clone())) {
             from.jobs.push((value, row.version));
@@ -198,11 +204,12 @@
     leader.found_garbage(left);
     info!(epoch, "took over: {}", leader.summary());
     let mut core = node.core();
-    if core.lease != lease {
+    if core.leadership.lease() != lease {
         // Deposed meanwhile: the next election is open to this node again.
         return Ok(());
     }
     core.leader = Some(leader);
+    core.leadership.viewed(lease, viewed);
     drop(core);
     node.ledger_due.notify_one();
     Ok(())
@@ -213,9 +220,11 @@
         node.host
             .sleep(limits::LEADER_RENEW_S.min(node.timing.leader_s / 4.0))
             .await;
-        let (lease, deposed) = {
+        let (lease, deposed, blind) = {
             let core = node.core();
-            (core.lease, core.leader.as_ref().is_some_and(|l| l.deposed))
+            let deposed = core.leader.as_ref().is_some_and(|l| l.deposed);
+            let blind = core.leadership.blind_s(node.now()) > limits::BLIND_S;
+            (core.leadership.lease(), deposed, blind)
         };
         if lease == 0 {
             continue;
@@ -224,14 +233,17 @@
             depose(&node, "another leader holds the key");
             continue;
         }
+        if blind {
+            depose(&node, "what is cancelled can't be seen from here");
+            let _ = node.state.end_lease(lease).await;
+            continue;
+        }
         let sent = node.now();
         match node.state.touch(lease).await {
             Ok(true) => {
                 let mut core = node.core();
                 core.state_ok = core.state_ok.max(sent);
-                if core.lease == lease {
-                    core.leader_until = sent + node.timing.leader_s * (1.0 - limits::DRIFT);
-                }
+                core.leadership.renewed(lease, sent, &node.timing);
             }
             Ok(false) => depose(&node, "the lease is over"),
             // In an outage the lease stands still; grants run on meanwhile.
@@ -242,73 +254,131 @@
 
 // --- jobs that come and go ---
 
+/// Keeps the leader's view of the jobs. Each answer that is taken in whole proves that
+/// nothing cancelled before its request was sent is unknown here, and on that rests the
+/// right to answer workers: nothing that can wait stands between an answer and its use.
 pub(super) async fn watch(node: Arc<Node>) {
+    // The lease under which, and up to which revision, everything was taken in.
     let mut seen: Option<(u64, u64)> = None;
     loop {
         node.host.sleep(limits::WATCH_GAP_S).await;
-        let epoch = node.core().leader.as_ref().map(Leader::epoch);
-        let Some(epoch) = epoch else {
+        let term = {
+            let core = node.core();
+            let leader = core.leader.as_ref();
+            leader.map(|l| (l.epoch(), core.leadership.lease()))
+        };
+        let Some((epoch, lease)) = term else {
             seen = None;
             node.host.sleep(limits::WATCH_GAP_S).await;
             continue;
         };
-        let from = match seen {
-            Some((e, revision)) if e == epoch => revision,
-            _ => match reconcile(&node, epoch).await {
-                Ok(revision) => {
-                    seen = Some((epoch, revision));
-                    revision
-                }
-                Err(_) => {
-                    node.host.sleep(0.2).await;
-                    continue;
-                }
-            },
+        let from = seen.filter(|(of, _)| *of == lease).map(|(_, from)| from);
+        let sent = node.now();
+        let news = match from {
+            None => node
+                .state
+                .list::<JobValue>(keys::JOBS)
+                .await
+                .map(|(rows, revision)| {
+                    let rows = rows.into_iter().map(|r| (r.key, Some(r.value), r.version));
+                    Some((rows.collect::<Vec<_>>(), revision))
+                }),
+            Some(from) => {
+                let events = node.state.watch::<Read<JobValue>>(keys::JOBS, from).await;
+                events.map(|events| events.map(changes))
+            }
         };
-        match node.state.watch::<Read<JobValue>>(keys::JOBS, from).await {
-            Ok(Some(events)) => {
+        match news {
+            Ok(Some((changes, revision))) => {
                 node.state_answered();
-                let mut news = Vec::new();
-                for e in events.events {
-                    match (e.value, e.delete) {
-                        (Some(v), _) => {
-                            let key = e.put.unwrap_or_default();
-                            news.extend(whole(&node, &key, v).await.map(|v| Ok((v, e.version))));
-                        }
-                        (None, Some(key)) => news.push(Err(key[keys::JOBS.len()..].to_string())),
-                        _ => {}
-                    }
+                let taken = take_in(&node, epoch, changes, from.is_none());
+                seen = taken.then_some((lease, revision));
+                if taken {
+                    node.core().leadership.viewed(lease, sent);
                 }
-                let now = node.now();
-                let mut core = node.core();
-                if let Some(leader) = core.leader.as_mut().filter(|l| l.epoch() == epoch) {
-                    for job in news {
-                        match job {
-                            Ok((value, version)) => leader.add_job(value, version, now),
-                            Err(id) => leader.remove_job(&id),
-                        }
-                    }
-                    seen = Some((epoch, events.revision));
-                }
-                drop(core);
                 node.ledger_due.notify_one();
                 node.jobs_due.notify_one();
             }
+            // Too old for the state service: all is read again.
             Ok(None) => seen = None,
-            Err(_) => node.host.sleep(0.2).await,
+            Err(_) => node.host.sleep(limits::WATCH_AGAIN_S).await,
         }
     }
 }
 
-/// A job's record with its submission, read until it is known whether it can be.
-async fn whole(node: &Node, key: &str, value: Read<JobValue>) -> Option<JobValue> {
-    let value = value.ok(key)?;
+/// A job's key, its record (None: it is over), and the version of that.
+type News = (String, Option<JobValue>, u64);
+
+fn changes(events: Events<Read<JobValue>>) -> (Vec<News>, u64) {
+    let of = |e: Event<Read<JobValue>>| match (e.value, e.put, e.delete) {
+        (Some(v), Some(key), _) => Some((key.clone(), Some(v.ok(&key)?), e.version)),
+        (_, _, Some(key)) => Some((key, None, e.version)),
+        _ => None,
+    };
+    let changes = events.events.into_iter().filter_map(of).collect();
+    (changes, events.revision)
+}
+
+/// Gives the leader of this epoch what has changed, or, if it is `all`, what there is.
+/// False if it leads no more.
+fn take_in(node: &Arc<Node>, epoch: u64, changes: Vec<News>, all: bool) -> bool {
+    let now = node.now();
+    let mut core = node.core();
+    let core = &mut *core;
+    let Some(leader) = core.leader.as_mut().filter(|l| l.epoch() == epoch) else {
+        return false;
+    };
+    if all {
+        let live: HashSet<&str> = changes.iter().map(|c| &c.0[keys::JOBS.len()..]).collect();
+        let over = leader.live_jobs().into_iter();
+        for id in over.filter(|id| !live.contains(id.as_str())) {
+            leader.remove_job(&id);
+        }
+        core.apart.retain(|id, _| live.contains(id.as_str()));
+    }
+    for (key, value, version) in changes {
+        let id = &key[keys::JOBS.len()..];
+        match value {
+            None => {
+                core.apart.remove(id);
+                leader.remove_job(id);
+            }
+            // Its submission is read beside the watch: one that can't be read, or not
+            // yet, must not keep the cancellations that come after it.
+            Some(value) if value.parts().is_some() && !leader.knows(id) => {
+                core.apart.insert(id.to_string(), version);
+                node.host.spawn(whole(node.clone(), epoch, value, version));
+            }
+            Some(value) => leader.add_job(value, version, now),
+        }
+    }
+    true
+}
+
+/// Reads a submission that stands apart from its record, and gives the job to the leader
+/// unless it is over by then.
+async fn whole(node: Arc<Node>, epoch: u64, value: JobValue, version: u64) {
+    let id = value.job.id.clone();
     loop {
-        match parts::job(node, value.clone()).await {
-            Ok(value) => return value,
-            Err(_) => node.host.sleep(0.2).await,
+        let read = parts::job(&node, value.clone()).await;
+        let now = node.now();
+        {
+            let mut core = node.core();
+            let core = &mut *core;
+            let leader = core.leader.as_mut().filter(|l| l.epoch() == epoch);
+            let (Some(leader), true) = (leader, core.apart.get(&id) == Some(&version)) else {
+                return;
+            };
+            if let Ok(value) = read {
+                core.apart.remove(&id);
+                if let Some(value) = value {
+                    leader.add_job(value, version, now);
+                }
+                node.ledger_due.notify_one();
+                return;
+            }
         }
-        node.core().leader.as_ref()?;
+        node.host.sleep(limits::WATCH_AGAIN_S).await;
     }
 }
 
@@ -358,7 +428,7 @@
     loop {
         if !said {
             said = say(&node).await.is_ok();
-        } else if !all_new && node.core().lease != 0 {
+        } else if !all_new && node.core().leadership.lease() != 0 {
             let rows = node.state.list::<MemberValue>(keys::MEMBERS).await;
             let rows = rows.map(|r| r.0).unwrap_or_default();
             let new = |label: &String| {
@@ -398,34 +468,3 @@
     };
     node.state.txn(&txn, Class::First).await.map(|_| ())
 }
-
-/// Reads all live jobs again.
-async fn reconcile(node: &Node, epoch: u64) -> Result<u64, NetError> {
-    let before = node
-        .core()
-        .leader_of(epoch)
-        .map(|l| l.live_jobs())
-        .unwrap_or_default();
-    let (rows, revision) = node.state.list::<JobValue>(keys::JOBS).await?;
-    let mut found = Vec::new();
-    for row in rows {
-        let version = row.version;
-        let value = parts::job(node, row.value).await?;
-        found.extend(value.map(|v| (v, version)));
-    }
-    let now = node.now();
-    let mut core = node.core();
-    let Some(leader) = core.leader_of(epoch) else {
-        return Ok(revision);
-    };
-    let live: HashSet<&str> = found.iter().map(|r| r.0.job.id.as_str()).collect();
-    for id in before {
-        if !live.contains(id.as_str()) {
-            leader.remove_job(&id);
-        }
-    }
-    for (value, version) in found {
-        leader.add_job(value, version, now);
-    }
-    Ok(revision)
-}
--- a/crates/node/src/loops/write.rs
+++ b/crates/node/src/loops/write.rs
@@ -118,7 +118,8 @@
                 }
                 let now = node.now();
                 let mut core = node.core();
-                let leader = core.leading(now).filter(|l| l.epoch() == epoch);
+                let leader = core.speaking(now, &node.timing);
+                let leader = leader.filter(|l| l.epoch() == epoch);
                 leader.map(|l| l.orders(now)).unwrap_or_default()
             });
             for (holder, orders) in orders {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -6,7 +6,7 @@
 use crate::parts::Slots;
 use crate::polls::Polls;
 use crate::settings::Settings;
-use cherrywood_control::{Holder, Leader, Timing};
+use cherrywood_control::{Holder, Leader, Leadership, Timing};
 use cherrywood_limits as limits;
 use cherrywood_net::client::Client;
 use cherrywood_net::cloud::CloudClient;
@@ -25,11 +25,13 @@
 #[derive(Debug, Default)]
 pub struct Core {
     pub leader: Option<Leader>,
-    /// On this node's clock, counted from the sending of the last renewal.
-    pub leader_until: f64,
+    /// May this node speak for the controllers?
+    pub leadership: Leadership,
     /// Until when an earlier process of this name may think that it leads.
     pub earlier_until: f64,
-    pub lease: u64,
+    /// Jobs whose record was seen and whose submission is still to be read, with the
+    /// record's version; of this term only.
+    pub apart: HashMap<String, u64>,
     pub holder: Holder,
     /// The node that leads, as far as this one knows.
     pub known: Option<String>,
@@ -50,13 +52,17 @@
 }
 
 impl Core {
-    /// The leader, while its lease holds for certain.
+    /// The leader, while its lease holds for certain: it may write, since every write is
+    /// guarded.
     pub fn leading(&mut self, now: f64) -> Option<&mut Leader> {
-        if now < self.leader_until {
-            self.leader.as_mut().filter(|l| !l.deposed)
-        } else {
-            None
-        }
+        let holds = self.leadership.holds(now);
+        self.leader.as_mut().filter(|l| holds && !l.deposed)
+    }
+
+    /// The leader, while it may also answer workers, grant blocks and send commands.
+    pub fn speaking(&mut self, now: f64, timing: &Timing) -> Option<&mut Leader> {
+        let speaks = self.leadership.speaks(now, timing);
+        self.leader.as_mut().filter(|l| speaks && !l.deposed)
     }
 
     /// Others can reach the leader, this node can't: workers are better off
@@ -242,7 +248,7 @@
         let (finished, known, here) = {
             let mut core = self.core();
             let finished = core.holder.observe(&report, sent);
-            let here = core.leading(sent).is_some();
+            let here = core.speaking(sent, &self.timing).is_some();
             (finished, core.known.clone(), here)
         };
         let machine = report.machine.clone();
@@ -258,6 +264,16 @@
                 if !here {
                     core.leader_ok = now;
                 }
+                let over =
+                    |c: &Command| matches!(c, Command::Stop { grace_s, .. } if *grace_s <= 0.0);
+                if commands.iter().any(over) {
+                    // It has work that may not go on: this answer may still be given, and
+                    // the block lasts no longer for it. If the answer is lost and the
+                    // leader with it, that work ends with the lease.
+                    core.holder.owed(&machine, token);
+                    let mine = core.holder.newest(&machine, token);
+                    return (mine && now < sent + self.timing.grant_s).then_some((token, commands));
+                }
                 core.holder
                     .granted(&machine, token, sent, self.timing.grant_s);
                 (core.holder.token(&machine, now) == Some(token)).then_some((token, commands))
@@ -372,7 +388,7 @@
     ) -> Option<(u64, Vec<Command>)> {
         let now = self.now();
         let mut core = self.core();
-        let leader = core.leading(now)?;
+        let leader = core.speaking(now, &self.timing)?;
         let token = leader.report(holder, report, finished, now)?;
         let commands = leader.commands(report, now);
         drop(core);
@@ -399,10 +415,9 @@
                     core.peers_state_ok = now;
                 }
                 let mine = core.state_here(now);
-                let (leads, block) = match core.leading(now) {
-                    Some(l) => (Some(l.epoch()), l.block(&from, now)),
-                    None => (None, Vec::new()),
-                };
+                let leads = core.leading(now).map(|l| l.epoch());
+                let block = core.speaking(now, &self.timing);
+                let block = block.map(|l| l.block(&from, now)).unwrap_or_default();
                 Reply::Hello {
                     from: self.me().to_string(),
                     life: self.life,
