--- a/crates/emulator/src/state.rs
+++ b/crates/emulator/src/state.rs
@@ -24,6 +24,8 @@
 const LEASE_LATE_S: f64 = 0.1;
 /// s after which a connection whose answer was lost is closed.
 const LOST_S: f64 = 30.0;
+/// s after which a late transaction is executed.
+const LATE_WRITE_S: (f64, f64) = (2.0, 12.0);
 /// Connections from one controller.
 const CONNECTIONS: usize = 2000;
 
@@ -177,6 +179,26 @@
         hit.map(|(_, when, late_s)| (when, late_s))
     }
 
+    /// s by which this request is executed after its sender gave up, if it is.
+    fn late(&self, request: &Request) -> Option<f64> {
+        if request.path != "/txn" {
+            return None;
+        }
+        let late = |t: &Trouble| match t {
+            Trouble::LateWrites(t) => Some(t.share),
+            _ => None,
+        };
+        let all = self.world.now_in(late);
+        let hit = all.into_iter().any(|share| self.chance() < share);
+        hit.then(|| LATE_WRITE_S.0 + self.chance() * (LATE_WRITE_S.1 - LATE_WRITE_S.0))
+    }
+
+    /// Are watches left waiting?
+    fn lags(&self) -> bool {
+        let lag = |t: &Trouble| matches!(t, Trouble::WatchLag(_)).then_some(());
+        !self.world.now_in(lag).is_empty()
+    }
+
     async fn answer(self: &Arc<Self>, node: usize, request: Request) -> Response {
         if self.turns_away(node) {
             return Response::empty(503);
@@ -186,7 +208,11 @@
         if self.turns_away(node) {
             return Response::empty(503);
         }
-        match self.loses() {
+        let lost = match self.late(&request) {
+            Some(late_s) => Some((Lost::Late, late_s)),
+            None => self.loses(),
+        };
+        match lost {
             None => {}
             Some((when, late_s)) => {
                 match when {
@@ -210,6 +236,9 @@
                 };
             }
         }
+        while request.path.starts_with("/watch") && self.lags() {
+            self.host.sleep(LEASE_LATE_S).await;
+        }
         let answer = match self.execute(&request) {
             Reply::Now(answer) => answer,
             Reply::Hold(watch) => self.hold(node, &watch).await,
@@ -233,7 +262,7 @@
         let until = self.host.now() + watch.hold_ms as f64 / 1000.0;
         loop {
             let changed = self.changed.notified();
-            let away = self.turns_away(node);
+            let away = self.turns_away(node) || self.lags();
             let over = self.host.now() >= until;
             if !away && let Some(answer) = lock(&self.service).resume(watch, over) {
                 return answer;
--- a/crates/emulator/src/troubles.rs
+++ b/crates/emulator/src/troubles.rs
@@ -319,6 +319,8 @@
             Trouble::StateSlow(_)
             | Trouble::ReportCopies(_)
             | Trouble::StateLoses(_)
+            | Trouble::LateWrites(_)
+            | Trouble::WatchLag(_)
             | Trouble::CloudOutage(_)
             | Trouble::CloudFull(_)
             | Trouble::CloudLate(_)
--- a/crates/night/src/draw.rs
+++ b/crates/night/src/draw.rs
@@ -33,6 +33,8 @@
     StateSlow,
     StateBehind,
     StateLoses,
+    LateWrites,
+    WatchLag,
     CloudOutage,
     CloudFull,
     CloudLate,
@@ -43,6 +45,8 @@
     MachineSlow,
     MachineFaulty,
     MachineCut,
+    MachineDeaf,
+    ReportCopies,
     SpotWave,
     ZoneCut,
     JobBurst,
@@ -161,10 +165,11 @@
         let class = classes[rng.random_range(0..classes.len())].name.clone();
         let machines: u32 = d.capacity.iter().map(|c| c.count + c.spot).sum();
         let count = rng.random_range(1..=(machines / 8).max(1));
-        let from = match rng.random_range(0..4) {
+        let from = match rng.random_range(0..5) {
             0 => Side::ALL.to_vec(),
             1 => vec![Side::State],
             2 => vec![Side::Workers],
+            3 => vec![Side::State, Side::Peers],
             _ => vec![Side::Peers],
         };
         let late_s = for_s / 2.0;
@@ -218,6 +223,12 @@
                 when,
                 late_s,
             }),
+            Kind::LateWrites => Trouble::LateWrites(LateWrites {
+                at_s,
+                for_s,
+                share: share / 2.0,
+            }),
+            Kind::WatchLag => Trouble::WatchLag(WatchLag { at_s, for_s }),
             Kind::CloudOutage => Trouble::CloudOutage(CloudOutage { at_s, for_s }),
             Kind::CloudFull => Trouble::CloudFull(CloudFull {
                 at_s,
@@ -262,6 +273,18 @@
                 for_s,
                 mode,
             }),
+            Kind::MachineDeaf => Trouble::MachineDeaf(MachineDeaf {
+                at_s,
+                for_s,
+                count,
+                zone: None,
+            }),
+            Kind::ReportCopies => Trouble::ReportCopies(ReportCopies {
+                at_s,
+                for_s,
+                share,
+                late_s: for_s,
+            }),
             Kind::SpotWave => Trouble::SpotWave(SpotWave {
                 at_s,
                 share: share / 2.0,
--- a/crates/night/src/trouble.rs
+++ b/crates/night/src/trouble.rs
@@ -197,6 +197,19 @@
         #[garde(range(min = 0.1, max = 600.0))]
         late_s: f64,
     }
+    /// A share of the transactions gets no answer and is executed 2 to 12 s later, after
+    /// newer ones.
+    LateWrites {
+        #[garde(range(min = 0.1, max = 3600.0))]
+        for_s: f64,
+        #[garde(range(min = 0.0, max = 1.0))]
+        share: f64,
+    }
+    /// Watches are answered when this is over, while all else is served.
+    WatchLag {
+        #[garde(range(min = 0.1, max = 3600.0))]
+        for_s: f64,
+    }
     /// The cloud answers 503 to all.
     CloudOutage {
         #[garde(range(min = 0.1, max = 3600.0))]
@@ -376,6 +389,8 @@
             T::StateSlow(t) => Some(t.for_s),
             T::StateBehind(t) => Some(t.for_s),
             T::StateLoses(t) => Some(t.for_s),
+            T::LateWrites(t) => Some(t.for_s),
+            T::WatchLag(t) => Some(t.for_s),
             T::CloudOutage(t) => Some(t.for_s),
             T::CloudFull(t) => Some(t.for_s),
             T::CloudLate(t) => Some(t.for_s),
@@ -410,6 +425,8 @@
             T::StateBehind(_) => "state_behind",
             T::StateLimits(_) => "state_limits",
             T::StateLoses(_) => "state_loses",
+            T::LateWrites(_) => "late_writes",
+            T::WatchLag(_) => "watch_lag",
             T::CloudOutage(_) => "cloud_outage",
             T::CloudFull(_) => "cloud_full",
             T::CloudLate(_) => "cloud_late",
