--- a/crates/emulator/src/worker.rs
+++ b/crates/emulator/src/worker.rs
@@ -20,6 +20,8 @@
 use std::sync::{Arc, Mutex};
 use tokio::sync::Notify;
 
+/// s; the clock of a rehearsal counts in these.
+const LEAST_WAIT_S: f64 = 0.001;
 /// s that a worker waits for an answer, and before it tries the next node.
 const ANSWER_WAIT_S: f64 = 4.0;
 const NEXT_NODE_S: f64 = 1.0;
@@ -207,7 +209,7 @@
             self.tick.notified().await;
             let _ = self
                 .host
-                .timeout(due.max(0.001), self.tick.notified())
+                .timeout(due.max(LEAST_WAIT_S), self.tick.notified())
                 .await;
         }
     }
@@ -259,7 +261,9 @@
                 if now >= due {
                     break;
                 }
-                let _ = self.host.timeout(due - now, changed).await;
+                // A wait below a nanosecond is none: time stood still here for good.
+                let wait = (due - now).max(LEAST_WAIT_S);
+                let _ = self.host.timeout(wait, changed).await;
             }
             let sent = self.host.now();
             let (body, session) = self.with(|m, now| {
--- a/crates/rehearsal/tests/nights.rs
+++ b/crates/rehearsal/tests/nights.rs
@@ -53,6 +53,19 @@
     assert!(all_good("", 1) >= 8);
 }
 
+/// One night for each of the operators' meetings of troubles (docs/design.md).
+#[test]
+fn every_meeting_of_troubles_settles_and_breaks_no_rule() {
+    assert!(all_good("meetings", 2) >= 18);
+}
+
+/// With this seed a worker was due in less than a nanosecond, and time stood still.
+#[test]
+fn a_night_goes_on_when_something_is_due_at_once() {
+    let o = rehearse(night("meetings/late-writes.yaml"), 33);
+    assert!(o.good(), "{}", summary::text(&o));
+}
+
 /// Each is a fault that a rehearsal found, and that was mended.
 #[test]
 fn what_rehearsals_found_stays_mended() {
