--- a/crates/node/tests/waits.rs
+++ b/crates/node/tests/waits.rs
@@ -3,161 +3,15 @@
 
 use cherrywood_control::keys;
 use cherrywood_limits::kept::Rates;
-use cherrywood_net::Host;
 use cherrywood_net::budget::Class;
-use cherrywood_net::server::{self, Request, Response};
-use cherrywood_node::node::Node;
-use cherrywood_node::settings::{Operator, Settings};
-use cherrywood_node::{api, parts};
-use cherrywood_store::service::Allowed;
-use cherrywood_store::{Reply, Service};
-use cherrywood_wire::cloud::MachineType;
-use cherrywood_wire::state::{
-    Change, FinalValue, Guard, HistogramsValue, JobValue, LeaderValue, Txn, Value,
-};
-use cherrywood_wire::user::{JobState, JobStatus, Kind, Priority, Refusal, Submission};
-use cherrywood_wire::{decode, encode};
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
+use cherrywood_node::parts;
+use cherrywood_wire::encode;
+use cherrywood_wire::state::{FinalValue, Guard, HistogramsValue, JobValue, LeaderValue, Value};
+use cherrywood_wire::user::{JobState, Kind, Submission};
 
-const PLATFORM: &str = r#"
-label = "n0"
-zone = "z0"
-serve_on = "127.0.0.1:0"
-internal_addr = "127.0.0.1:0"
-[services]
-cloud = "127.0.0.1:9"
-state = "STATE"
-[deployment]
-nodes = 1
-teams = [{ name = "t", cpus = 8.0, cpus_max = 16.0 }, { name = "u" }]
-workers = { report_s = 1.0, lease_s = 10.0, cancel_s = 40.0 }
-state = { rps = 9000.0, write_rps = 9000.0, value_kb = 32.0, txn_ops = 48, next = { value_kb = 2.0, txn_ops = 16 } }
-cloud = { rps = 3.0, list_lag_s = 10.0 }
-limits = { sockets = 700 }
-"#;
+mod common;
 
-struct World {
-    node: Arc<Node>,
-    service: Arc<Mutex<Service>>,
-    /// The state service answers 503.
-    down: Arc<AtomicBool>,
-}
-
-fn allowed(value_kb: f64, txn_ops: usize) -> Allowed {
-    Allowed {
-        rps: 9000.0,
-        write_rps: 9000.0,
-        value_kb,
-        txn_ops,
-    }
-}
-
-impl World {
-    async fn new() -> World {
-        let host = Host::machine();
-        let service = Arc::new(Mutex::new(Service::new(allowed(32.0, 48))));
-        let down = Arc::new(AtomicBool::new(false));
-        let listener = host.bind(([127, 0, 0, 1], 0).into()).await.unwrap();
-        let at = listener.local_addr().unwrap();
-        let (own, refuses, clock) = (service.clone(), down.clone(), host.clone());
-        let answer = move |r: Request, _| {
-            let reply = match refuses.load(Ordering::Relaxed) {
-                true => Response::busy(),
-                false => match own.lock().unwrap().answer(&r, clock.now()) {
-                    Reply::Now(response) => response,
-                    Reply::Hold(_) => Response::empty(503),
-                },
-            };
-            async move { reply }
-        };
-        let serve = server::serve(host.clone(), listener, 100, Arc::new(answer));
-        tokio::spawn(serve);
-        let platform = Settings::platform(&PLATFORM.replace("STATE", &at.to_string())).unwrap();
-        let operator = Operator::default();
-        let node = Arc::new(Node::new(host, Settings { platform, operator }));
-        node.core().types = vec![MachineType {
-            name: "m8".into(),
-            cpus: 8.0,
-            gpus: 0.0,
-            memory_gb: 32.0,
-            cache_gb: 10.0,
-            fetch_gb_per_s: 1.0,
-            price: 1.0,
-            spot_price: None,
-            boot_s: 30.0,
-            zones: vec!["a".into()],
-        }];
-        World {
-            node,
-            service,
-            down,
-        }
-    }
-
-    async fn post(&self, path: &str, body: Vec<u8>) -> Response {
-        let (method, path) = ("POST".to_string(), path.to_string());
-        api::answer(&self.node, Request { method, path, body }).await
-    }
-
-    /// Status, and the state told or the reason given.
-    async fn submit(&self, job: &Submission) -> (u16, String) {
-        said(&self.post("/submissions", encode(job)).await)
-    }
-
-    async fn cancel(&self, id: &str) -> u16 {
-        let path = format!("/submissions/{id}/cancel");
-        self.post(&path, Vec::new()).await.status
-    }
-
-    async fn put(&self, key: &str, value: Value) {
-        let (key, lease) = (key.to_string(), None);
-        let changes = vec![Change::Put { key, value, lease }];
-        let guards = Vec::new();
-        let txn = Txn { guards, changes };
-        self.node.state.txn(&txn, Class::First).await.unwrap();
-    }
-}
-
-fn said(r: &Response) -> (u16, String) {
-    let state = decode::<JobStatus>(&r.body).map(|s| format!("{:?}", s.state));
-    let why = decode::<Refusal>(&r.body).map(|r| r.error);
-    (r.status, state.or(why).unwrap_or_default())
-}
-
-fn job(id: &str, needs: &[&str]) -> Submission {
-    Submission {
-        id: id.into(),
-        class: "c".into(),
-        team: "t".into(),
-        kind: Kind::Array,
-        priority: Priority::Normal,
-        tasks: 1,
-        cpus: 2.0,
-        gpus: 0.0,
-        memory_gb: 1.0,
-        image: "i".into(),
-        image_gb: 1.0,
-        types: None,
-        zone: None,
-        one_zone: false,
-        spread: false,
-        spot: true,
-        estimate_s: 1.0,
-        checkpoint_s: 0.0,
-        save_s: 0.0,
-        deadline_s: None,
-        needs: needs.iter().map(|n| (*n).to_string()).collect(),
-    }
-}
-
-fn run<T>(of: impl Future<Output = T>) -> T {
-    let rt = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .unwrap();
-    rt.block_on(of)
-}
+use common::*;
 
 #[test]
 fn a_job_may_name_only_what_was_accepted_and_can_end() {
@@ -201,9 +55,9 @@
         assert_eq!(w.submit(&long_after).await, queued);
         // If it can't be asked nothing is refused for good, and a repeat of what was
         // accepted is that before anything else is looked at.
-        w.down.store(true, Ordering::Relaxed);
+        w.script.refuse(&["/"]);
         assert_eq!(w.submit(&job("wk-000008", &["wk-000009"])).await.0, 503);
-        w.down.store(false, Ordering::Relaxed);
+        w.script.refuse(&[]);
         assert_eq!(w.submit(&long_after).await, (200, "Queued".into()));
     });
 }
