--- a/crates/control/src/leader/jobs.rs
+++ b/crates/control/src/leader/jobs.rs
@@ -137,7 +137,7 @@
                 let id = value.job.id.clone();
                 let mut there: Vec<(String, u32)> = Vec::new();
                 for (name, m) in &self.machines {
-                    let lost = |p: &&Placement| p.job.is_none_or(|no| !self.jobs.contains_key(&no));
+                    let lost = |p: &&Placement| p.over(&self.jobs);
                     let own = |p: &&Placement| split_task(&p.id).is_some_and(|(j, _)| j == id);
                     let rows = m.placed.iter().filter(lost).filter(own);
                     there.extend(rows.map(|p| (name.clone(), p.task)));
--- a/crates/control/src/leader/ledger.rs
+++ b/crates/control/src/leader/ledger.rs
@@ -536,7 +536,7 @@
                     return true;
                 }
                 p.stage = Stage::Planned;
-                let live = p.job.is_some_and(|no| self.jobs.contains_key(&no));
+                let live = !p.over(&self.jobs);
                 if !live {
                     dropped.push((p.clone(), zone.clone()));
                 }
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -162,6 +162,13 @@
     stop: Stop,
 }
 
+impl Placement {
+    /// Is its job over, or unknown? Then it may not go on.
+    fn over(&self, jobs: &Jobs) -> bool {
+        self.job.is_none_or(|no| !jobs.contains_key(&no))
+    }
+}
+
 /// Has a task been told to save and end?
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum Stop {
--- a/crates/control/src/leader/reports.rs
+++ b/crates/control/src/leader/reports.rs
@@ -11,6 +11,15 @@
     }
 }
 
+/// Told to end at once: it may not go on.
+fn end(task: &str, attempt: u64) -> Command {
+    Command::Stop {
+        task: task.to_string(),
+        attempt,
+        grace_s: 0.0,
+    }
+}
+
 impl Leader {
     /// Takes a worker's report that `holder` received. Returns the token for
     /// the answer; None if the report is old and must not be answered.
@@ -359,11 +368,7 @@
             let wanted = at.is_some() && job.is_some_and(|j| !j.done.get(n));
             if !wanted {
                 m.unwanted = true;
-                out.push(Command::Stop {
-                    task: t.task.clone(),
-                    attempt: t.attempt,
-                    grace_s: 0.0,
-                });
+                out.push(end(&t.task, t.attempt));
                 continue;
             }
             // A machine that is about to be taken: save what can be saved. One
@@ -404,7 +409,7 @@
             }
         }
         for p in m.placed.iter_mut() {
-            let over = p.job.is_none_or(|no| !self.jobs.contains_key(&no));
+            let over = p.over(&self.jobs);
             if p.stage == Stage::Durable
                 && !p.inherited
                 && !p.seen
@@ -424,11 +429,7 @@
                 // successor doesn't list it either, it is freed as absent. Its start may
                 // have come after this report was sent, so its stop follows it.
                 if p.inherited || p.sent > 0 {
-                    out.push(Command::Stop {
-                        task: p.id.clone(),
-                        attempt: p.attempt,
-                        grace_s: 0.0,
-                    });
+                    out.push(end(&p.id, p.attempt));
                 }
                 p.sent = limits::START_TRIES;
                 p.sent_seq.get_or_insert(r.seq);
@@ -520,12 +521,11 @@
         let until = now + self.timing.grant_bound_s();
         let mut block = Vec::new();
         for (name, m) in &mut self.machines {
-            let over = |p: &Placement| p.job.is_none_or(|no| !self.jobs.contains_key(&no));
             if m.holder == holder
                 && m.token > 0
                 && now - m.heard <= fresh
                 && !m.unwanted
-                && !m.placed.iter().any(over)
+                && !m.placed.iter().any(|p| p.over(&self.jobs))
             {
                 m.granted_until = m.granted_until.max(until);
                 block.push((name.clone(), m.token));
