--- a/crates/control/tests/compound_failures.rs
+++ b/crates/control/tests/compound_failures.rs
@@ -7,7 +7,7 @@
 
 mod common;
 
-use cherrywood_control::leader::{CloudCall, Outcome};
+use cherrywood_control::leader::{CloudCall, LedgerBatch, Outcome};
 use cherrywood_control::{Leader, Settings, Team, keys};
 use cherrywood_wire::agent::{Command, Orders, Report, Why};
 use cherrywood_wire::cloud::{MachineType, Rent};
@@ -110,6 +110,8 @@
     late_writes: Vec<(f64, Txn)>,
     late_orders: Vec<(f64, String, Orders)>,
     late_reports: Vec<(f64, Report)>,
+    /// The leader's ledger write whose answer is on its way, and when it comes.
+    in_flight: Option<(f64, LedgerBatch, Outcome)>,
     /// Until when the state service refuses everything, and no controller is there.
     outage: f64,
     away: f64,
@@ -139,6 +141,7 @@
             late_writes: Vec::new(),
             late_orders: Vec::new(),
             late_reports: Vec::new(),
+            in_flight: None,
             outage: 0.0,
             away: 0.0,
             restless: seed.is_multiple_of(3),
@@ -171,6 +174,7 @@
 
     fn elect(&mut self) {
         self.epoch += 1;
+        self.in_flight = None;
         self.leader = self.store.elect_with(limited(), self.epoch, self.now);
         self.leader.set_types(equipped());
         self.viewed.clone_from(&self.truth.cancelled);
@@ -206,11 +210,7 @@
 
     fn write(&mut self, troubled: bool) {
         for _ in 0..3 {
-            if let Some(batch) = self.leader.ledger_batch() {
-                let outcome = self.execute(&batch.txn, troubled);
-                self.leader.ledger_done(batch, &outcome);
-                self.reread();
-            }
+            self.write_ledger(troubled);
             if let Some(batch) = self.leader.job_batch(true, self.now) {
                 let outcome = self.execute(&batch.txn, troubled);
                 self.leader.job_done(batch, &outcome, self.now);
@@ -226,6 +226,29 @@
         }
     }
 
+    /// One ledger write at a time, as the node has it; some are answered seconds later.
+    fn write_ledger(&mut self, troubled: bool) {
+        if let Some((_, batch, outcome)) = self.in_flight.take_if(|w| w.0 <= self.now) {
+            self.leader.ledger_done(batch, &outcome);
+            self.reread();
+        }
+        if self.in_flight.is_some() {
+            return;
+        }
+        let Some(batch) = self.leader.ledger_batch() else {
+            return;
+        };
+        let outcome = self.execute(&batch.txn, troubled);
+        if troubled && self.chance(0.2) {
+            let at = self.now + self.rng.random_range(0.5..4.0);
+            self.in_flight = Some((at, batch, outcome));
+            self.meet("ledger write answered late");
+            return;
+        }
+        self.leader.ledger_done(batch, &outcome);
+        self.reread();
+    }
+
     /// What the sender of direct commands learns of them.
     fn send(&mut self, machine: &str, orders: &Orders, troubled: bool) -> Option<bool> {
         let at = self.machines.iter().find(|m| m.worker.name == machine);
@@ -715,6 +738,7 @@
     for (what, least) in [
         ("late write applied", 10),
         ("late write turned away", 10),
+        ("ledger write answered late", 10),
         ("late order executed", 10),
         ("late order fenced", 10),
         ("old report taken", 10),
