Limits on accelerators count in what is rented and stopped; deaf machines carry nothing

Cause 1: demand() and ranked_waiting() looked at a team's limit on CPUs alone. Work that its team's limit on accelerators kept from running had machines rented for it, stood as the first waiting job before work of other zones and types that could run, and had filling tasks stopped for room that it may not use. Cause 2: retire() counted machines that hear no answer, or are silent, as capacity, while plan() places nothing there. With more than a third deaf (none is deleted then) the one that hears was emptied, and work waited beside it for as long as that lasted.

Change: leader/team_room.rs holds a team's room in both dimensions, for demand(), ranked_waiting() and give_way(); Machine::reachable() is the one answer to which machines take work, for plan() and retire().

--- a/crates/control/src/leader/fleet.rs
+++ b/crates/control/src/leader/fleet.rs
@@ -76,7 +76,7 @@
         // are shorter than what returning them and booting others would cost.
         let filled = all - wanted;
         let kept = wanted.max(fast);
-        self.retire(kept.max(held.min(kept + filled)), all.max(fast));
+        self.retire(kept.max(held.min(kept + filled)), all.max(fast), now);
         let mut calls = Vec::new();
         self.mark_doomed(now);
         let doomed: Vec<String> = self
@@ -129,17 +129,13 @@
             placed: self.machines.values().map(|m| m.placed.sums().cpus).sum(),
             ..Demand::default()
         };
-        let teams = &self.settings.teams;
-        demand.teams = teams
-            .iter()
-            .map(|t| {
-                let used = self.usage.get(&t.name).map_or(0.0, |u| u.0);
-                Waiting {
-                    room: (t.cpus_max - used).max(0.0),
-                    ..Waiting::default()
-                }
-            })
-            .collect();
+        let rooms = self.team_rooms();
+        let mut gpu_rooms = rooms.clone();
+        let waiting = rooms.iter().map(|room| Waiting {
+            room: room.cpus(),
+            ..Waiting::default()
+        });
+        demand.teams = waiting.collect();
         let mut ranked = Demand {
             placed: self.ranked_cpus(),
             teams: demand.teams.clone(),
@@ -153,7 +149,7 @@
             let Some(at) = job.team else {
                 continue;
             };
-            if demand.teams[at].room < job.spec.cpus {
+            if !rooms[at].takes(&job.spec) {
                 continue;
             }
             // One task of a job that may carry a mistake, whatever waits of it.
@@ -162,6 +158,11 @@
                 true => 1.0,
                 false => f64::from(run.len()),
             };
+            // What the limit on accelerators keeps from running needs no machine.
+            let count = gpu_rooms[at].take_gpus(&job.spec, count);
+            if count <= 0.0 {
+                continue;
+            }
             let run_s = self.run_estimate(job);
             for d in std::iter::once(&mut demand).chain((!job.fill).then_some(&mut ranked)) {
                 if job.spec.kind == Kind::Array {
@@ -188,13 +189,15 @@
     /// Empties the machines that cost most for what they do, while the others
     /// can carry what is wanted; takes machines back when they can't. Dear ones
     /// are kept for `ranked` work only, cheap ones for all of it.
-    pub(super) fn retire(&mut self, ranked: f64, all: f64) {
+    pub(super) fn retire(&mut self, ranked: f64, all: f64, now: f64) {
         let wanted = |spot: bool| if spot { all } else { ranked };
         let mut active = 0.0;
         let mut retiring = Vec::new();
         let mut others = Vec::new();
         for (name, m) in &self.machines {
-            if !m.up || m.draining || m.deleting {
+            // What can't be reached carries nothing: a machine that hears no answer once
+            // had the one beside it returned, for which work waited.
+            if !m.up || m.draining || m.deleting || !m.reachable(now, &self.settings) {
                 continue;
             }
             let all = self.cpus_of(&m.kind);
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -37,6 +37,7 @@
 mod progress;
 mod reports;
 mod rows;
+mod team_room;
 mod yielding;
 
 pub use admitting::work_by;
@@ -244,6 +245,13 @@
         (s.cpus, s.gpus, s.mem)
     }
 
+    /// Was it heard of late, and does it hear what it is answered? Only such a machine
+    /// takes work.
+    fn reachable(&self, now: f64, settings: &Settings) -> bool {
+        let fresh = limits::MISSED_REPORTS * settings.workers.report_s;
+        now - self.heard <= fresh && !self.deaf(now, settings)
+    }
+
     /// Have answers not reached its worker for so long that none may? One report late
     /// shows the token of the answer to the one before, and a higher token counts as
     /// news at most once in half a lease (protocol).
--- a/crates/control/src/leader/placing.rs
+++ b/crates/control/src/leader/placing.rs
@@ -5,6 +5,7 @@
 //! the level's clock is charged for each. Work depends on what waits and on
 //! the machines that have room, not on all that runs.
 
+use super::team_room::TeamRoom;
 use super::*;
 use cherrywood_sched::queue::{Pick, Place};
 
@@ -120,7 +121,7 @@
 pub(super) fn ranked_waiting(
     queue: &Queue<JobNo>,
     jobs: &Jobs,
-    mut room: Vec<f64>,
+    mut rooms: Vec<TeamRoom>,
     now: f64,
 ) -> Vec<(JobNo, f64)> {
     let mut waiting = Vec::new();
@@ -129,14 +130,13 @@
             continue;
         };
         let s = &job.spec;
-        let Some(room) = job.team.and_then(|t| room.get_mut(t)) else {
+        let Some(room) = job.team.and_then(|t| rooms.get_mut(t)) else {
             continue;
         };
-        if job.fill || job.suspect() || job.retry_at > now || *room < s.cpus {
+        if job.fill || job.suspect() || job.retry_at > now || !room.takes(s) {
             continue;
         }
-        let cpus = (s.cpus * f64::from(run.len())).min(*room);
-        *room -= cpus;
+        let cpus = room.take(s, f64::from(run.len()));
         waiting.push((run.job, cpus));
     }
     waiting
@@ -180,11 +180,10 @@
         let spare = self.ranked_cpus() * limits::FILL_SPARE;
         let behind = self.behind(now);
         let fetching = self.fetching(&team_no);
-        let fresh = limits::MISSED_REPORTS * self.settings.workers.report_s;
         let mut sites = Vec::new();
         for (name, m) in &mut self.machines {
-            let deaf = m.deaf(now, &self.settings);
-            if !m.up || m.draining || m.retiring || m.deleting || now - m.heard > fresh || deaf {
+            let leaves = m.draining || m.retiring || m.deleting;
+            if !m.up || leaves || !m.reachable(now, &self.settings) {
                 continue;
             }
             let Some(kind) = self.types.iter().find(|t| t.name == m.kind) else {
@@ -327,8 +326,8 @@
     /// CPUs for which work waits that doesn't just fill idle room.
     fn ranked_need(&self, queue: &Queue<JobNo>) -> f64 {
         let teams = self.settings.teams.iter().zip(&self.used);
-        let room = teams.map(|(t, u)| t.cpus_max - u.0).collect();
-        ranked_waiting(queue, self.jobs, room, self.now)
+        let rooms = teams.map(|(t, u)| TeamRoom::beside(t, *u)).collect();
+        ranked_waiting(queue, self.jobs, rooms, self.now)
             .iter()
             .map(|(_, cpus)| cpus)
             .sum()
--- a/crates/control/src/leader/yielding.rs
+++ b/crates/control/src/leader/yielding.rs
@@ -25,8 +25,7 @@
     pub(super) fn give_way(&mut self, now: f64) {
         let teams = &self.settings.teams;
         let used = |name: &str| self.usage.get(name).map_or(0.0, |u| u.0);
-        let room = teams.iter().map(|t| t.cpus_max - used(&t.name)).collect();
-        let waiting = ranked_waiting(&self.queue, &self.jobs, room, now);
+        let waiting = ranked_waiting(&self.queue, &self.jobs, self.team_rooms(), now);
         let mut short: f64 = waiting.iter().map(|(_, cpus)| cpus).sum();
         let mut least = (f64::INFINITY, f64::INFINITY);
         let mut wanted: BTreeSet<JobNo> = BTreeSet::new();
