--- /dev/null
+++ b/crates/control/tests/new_machines.rs
@@ -0,0 +1,262 @@
+//! Machines that are up within two seconds of their rental and get work at once, while the
+//! ledger's writes lag or lose their answers, and the leader ends: the next one knows what
+//! may run there, or nothing does, although no list names the machine yet.
+
+mod common;
+
+use cherrywood_control::Leader;
+use cherrywood_control::leader::{CloudCall, LedgerBatch, Outcome};
+use cherrywood_wire::agent::{Command, Orders};
+use cherrywood_wire::cloud::Rent;
+use cherrywood_wire::state::Txn;
+use common::*;
+
+const NEW: &str = "vm-9";
+
+/// What becomes of the write that names the new machine.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Write {
+    Answered,
+    AnswerLost,
+    /// Carried out before the next leader is elected, when the last one had ended.
+    LateBeforeElection,
+    LateAfterElection,
+    Never,
+}
+
+const WRITES: [Write; 5] = [
+    Write::Answered,
+    Write::AnswerLost,
+    Write::LateBeforeElection,
+    Write::LateAfterElection,
+    Write::Never,
+];
+
+fn rent(leader: &mut Leader, now: f64) {
+    let rent = Rent {
+        request: "r-1".into(),
+        kind: "m8".into(),
+        zone: "a".into(),
+        spot: true,
+        count: 1,
+    };
+    leader.rented(&rent, Some(&[NEW.to_string()]), now);
+}
+
+/// All that the leader has to say to the machine, carried out there.
+fn start_all(leader: &mut Leader, w: &mut Worker, now: f64) {
+    for (_, orders) in leader.orders(now) {
+        for (_, _, orders) in orders {
+            w.obey(orders.token, &orders.commands);
+        }
+    }
+    let report = w.report();
+    if let Some(token) = leader.report("n", &report, &[], now) {
+        let commands = leader.commands(&report, now);
+        w.obey(token, &commands);
+    }
+}
+
+/// The first leader's write: carried out now or returned, and what its leader is told.
+fn write(leader: &mut Leader, s: &mut Store, batch: LedgerBatch, how: Write) -> Option<Txn> {
+    let txn = batch.txn.clone();
+    let (outcome, late) = match how {
+        Write::Answered => (s.apply(&txn), None),
+        Write::AnswerLost => {
+            s.apply(&txn);
+            (Outcome::Unknown, None)
+        }
+        _ => (Outcome::Unknown, Some(txn)),
+    };
+    leader.ledger_done(batch, &outcome);
+    late
+}
+
+/// A full team's tasks go to a machine that came up two seconds ago, and the leader ends.
+/// Returns the machine and the next leader, elected at 4 s.
+fn taken_over(s: &mut Store, how: Write) -> (Worker, Leader) {
+    let mut w = Worker::new(NEW);
+    let mut first = s.elect(1, 0.0);
+    submit(&mut first, s, &job("wk-000001", 8), 0.0);
+    rent(&mut first, 0.5);
+    let report = w.report();
+    first.report("n", &report, &[], 2.0);
+    first.plan(2.0);
+    let batch = first.ledger_batch().unwrap();
+    let late = write(&mut first, s, batch, how);
+    start_all(&mut first, &mut w, 2.5);
+    let started = if how == Write::Answered { 4 } else { 0 };
+    assert_eq!(w.running(), started, "{how:?}");
+    let late_at_once = late.clone().filter(|_| how == Write::LateBeforeElection);
+    if let Some(txn) = late_at_once {
+        assert!(matches!(s.apply(&txn), Outcome::Applied(_)));
+    }
+    let next = s.elect(2, 4.0);
+    if let Some(txn) = late.filter(|_| how == Write::LateAfterElection) {
+        assert!(matches!(s.apply(&txn), Outcome::Conflict(_)));
+    }
+    (w, next)
+}
+
+fn usage(leader: &Leader) -> f64 {
+    leader.teams()[0].1
+}
+
+#[test]
+fn the_next_leader_knows_what_a_new_machine_holds_or_it_holds_nothing() {
+    for how in WRITES {
+        let mut s = Store::default();
+        let (w, next) = taken_over(&mut s, how);
+        let held = next.held();
+        for (task, attempt, _) in &w.tasks {
+            let row = (NEW.to_string(), task.clone(), *attempt);
+            assert!(held.contains(&row), "{how:?}: {task} is unknown");
+        }
+        assert!(usage(&next) >= 2.0 * w.running() as f64, "{how:?}");
+        next.audit().unwrap();
+    }
+}
+
+/// Rents and returns as asked, but can't reach the machine that the list lacks.
+fn cloud(leader: &mut Leader, machines: &mut Vec<Worker>, now: f64) {
+    for call in leader.fleet(now) {
+        match call {
+            CloudCall::Delete(mut names) => {
+                names.retain(|n| n != NEW);
+                machines.retain(|m| !names.contains(&m.name));
+                leader.deleted(&names, now);
+            }
+            CloudCall::Rent(rent) => {
+                let names: Vec<String> = (0..rent.count).map(|n| format!("vm-{now}-{n}")).collect();
+                machines.extend(names.iter().map(|n| Worker::new(n)));
+                leader.rented(&rent, Some(&names), now);
+            }
+        }
+    }
+}
+
+/// It is silent to the next leader, and no list names it: its tasks start nowhere else and
+/// count for their team until every grant and lease is over, and then they do start.
+#[test]
+fn a_new_machine_that_no_list_names_is_waited_for() {
+    for how in WRITES {
+        let mut s = Store::default();
+        let (mut lost, mut next) = taken_over(&mut s, how);
+        let over = 4.0 + next.timing.grant_bound_s() + next.timing.worker_gone_s();
+        let mut others = vec![Worker::new("vm-1")];
+        let mut now = 4.0;
+        while now < over + 20.0 {
+            now += 0.5;
+            if now > over {
+                lost.tasks.clear();
+            }
+            next.listed(&[], now);
+            cloud(&mut next, &mut others, now);
+            for w in &mut others {
+                beat(&mut next, &mut s, w, "n", now);
+            }
+            let all = others.iter().chain([&lost]);
+            let running: usize = all.clone().map(Worker::running).sum();
+            assert!(running <= 8, "{how:?}: {running} run at {now}");
+            let mut tasks: Vec<&str> = all.flat_map(|w| &w.tasks).map(|t| t.0.as_str()).collect();
+            tasks.sort_unstable();
+            let before = tasks.len();
+            tasks.dedup();
+            assert_eq!(tasks.len(), before, "{how:?}: ran twice at {now}");
+        }
+        let running: usize = others.iter().map(Worker::running).sum();
+        assert_eq!(running, 8, "{how:?}: the limit leaks: {}", next.summary());
+        next.audit().unwrap();
+    }
+}
+
+/// The same machine reports to the next leader, which had never heard of it: it is used.
+#[test]
+fn a_new_machine_that_only_the_last_leader_met_is_taken_into_use() {
+    for how in WRITES {
+        let mut s = Store::default();
+        let (mut w, mut next) = taken_over(&mut s, how);
+        let mut now = 4.0;
+        while now < 12.0 {
+            now += 0.5;
+            beat(&mut next, &mut s, &mut w, "n", now);
+            next.listed(&[], now);
+            next.fleet(now);
+            next.audit().unwrap();
+        }
+        assert_eq!(w.running(), 4, "{how:?}");
+        let held = next.held();
+        assert!(
+            held.iter().all(|(on, ..)| on == NEW) && held.len() == 4,
+            "{how:?}"
+        );
+    }
+}
+
+/// Two leaders in a row end like that, each after a machine of its own was up at once.
+#[test]
+fn new_machines_of_two_leaders_stay_under_the_limit() {
+    for (first, second) in WRITES.iter().flat_map(|a| WRITES.map(|b| (*a, b))) {
+        let mut s = Store::default();
+        let (one, mut next) = taken_over(&mut s, first);
+        let mut two = Worker::new("vm-8");
+        let report = two.report();
+        next.report("n", &report, &[], 5.0);
+        next.plan(5.0);
+        let late = next
+            .ledger_batch()
+            .and_then(|batch| write(&mut next, &mut s, batch, second));
+        start_all(&mut next, &mut two, 5.5);
+        if let Some(txn) = late.clone().filter(|_| second == Write::LateBeforeElection) {
+            s.apply(&txn);
+        }
+        let mut last = s.elect(3, 7.0);
+        if let Some(txn) = late.filter(|_| second == Write::LateAfterElection) {
+            assert!(matches!(s.apply(&txn), Outcome::Conflict(_)));
+        }
+        let mut three = Worker::new("vm-7");
+        for n in 0..10 {
+            let now = 7.0 + f64::from(n);
+            beat(&mut last, &mut s, &mut three, "n", now);
+            let running = one.running() + two.running() + three.running();
+            assert!(
+                running <= 8,
+                "{first:?}, {second:?}: {running} run at {now}"
+            );
+        }
+        last.audit().unwrap();
+    }
+}
+
+/// A start that the first leader sent straight to the new machine arrives when the next
+/// one leads and has placed the task elsewhere, or has not: the token decides.
+#[test]
+fn a_late_start_at_a_new_machine_is_fenced_before_its_task_is_placed_again() {
+    let (mut s, mut w) = (Store::default(), Worker::new(NEW));
+    let mut first = s.elect(1, 0.0);
+    submit(&mut first, &mut s, &job("wk-000001", 1), 0.0);
+    rent(&mut first, 0.5);
+    first.report("n", &w.report(), &[], 2.0);
+    first.plan(2.0);
+    flush(&mut first, &mut s);
+    let orders: Vec<Orders> = first
+        .orders(2.5)
+        .into_values()
+        .flatten()
+        .map(|o| o.2)
+        .collect();
+    let start = |c: &Command| matches!(c, Command::Start { .. });
+    assert!(orders.iter().any(|o| o.commands.iter().any(start)));
+    let mut next = s.elect(2, 4.0);
+    let mut other = Worker::new("vm-1");
+    for n in 0..4 {
+        let now = 5.0 + f64::from(n);
+        beat(&mut next, &mut s, &mut w, "n", now);
+        beat(&mut next, &mut s, &mut other, "n", now);
+        for o in &orders {
+            w.obey(o.token, &o.commands);
+        }
+        assert!(w.running() + other.running() <= 1, "ran twice at {now}");
+    }
+    assert_eq!(w.running() + other.running(), 1);
+}
