Tests: the one-zone array of a takeover leaves tasks waiting beside room elsewhere

The array was small enough for all of its tasks to be on the lost machine: a variant that took inherited tasks for none of the zone's wasn't noticed.

--- a/crates/control/tests/takeover_counts.rs
+++ b/crates/control/tests/takeover_counts.rs
@@ -44,9 +44,9 @@
     Deaf,
 }
 
-/// Tasks of a one-zone array run in zone a, all but one end, and the leader changes twice
-/// while the last one's machine can't be asked: the rest waits, and goes to zone b only when
-/// that one is proven gone.
+/// Four of a one-zone array's ten tasks run in zone a and the leader changes twice while
+/// their machine can't be asked: the rest waits beside room in zone b, and goes there only
+/// when those are proven gone.
 #[test]
 fn an_array_kept_to_one_zone_restarts_elsewhere_only_when_its_old_task_is_gone() {
     for lost in [Lost::Silent, Lost::Deaf] {
@@ -55,7 +55,7 @@
         let mut l = s.elect(1, 0.0);
         let array = Submission {
             one_zone: true,
-            ..wide("wk-000001", 6)
+            ..wide("wk-000001", 10)
         };
         submit(&mut l, &mut s, &array, 0.0);
         beat(&mut l, &mut s, &mut a, "n", 1.0);
@@ -99,8 +99,8 @@
     }
 }
 
-/// A spread array has two of its three tasks in zone a when the leader changes twice and the
-/// machine there is silent: no third one goes there, and zone b gets just the one.
+/// A spread array has two of its four tasks in zone a when the leader changes twice and the
+/// machine there is silent: no third one goes there, and zone b gets the other two.
 #[test]
 fn a_spread_array_counts_the_tasks_of_silent_machines_zone_by_zone() {
     let mut s = Store::default();
