A service bound to a zone by its own replicas has a machine rented where it may run

A spread service had all CPUs that it needs in one zone, or lost the other zone with half of its replicas, and the rest waited for good; a one-zone service waited beside room in other zones. Change: stranded() also looks at services whose replicas decide where the others may run and whose team has room, asks whether a machine in such a zone takes one more, and the offers are of those zones.

Tests, crates/control/tests/zones.rs, all three failing on the code before: a_spread_service_has_a_machine_rented_where_the_rest_of_it_may_run, a_spread_service_that_lost_a_zone_has_a_machine_rented_there, a_one_zone_service_gets_room_in_the_zone_that_it_is_bound_to.

--- a/crates/control/src/leader/fleet.rs
+++ b/crates/control/src/leader/fleet.rs
@@ -1,6 +1,6 @@
 //! Renting, emptying and returning machines.
 
-use super::placing::allowed;
+use super::placing::{allowed, zone_room};
 use super::*;
 
 fn boot_s(types: &[MachineType], kind: &str) -> f64 {
@@ -378,7 +378,7 @@
     /// A waiting job that no machine which is there could take. What is wanted is
     /// counted in CPUs, of which there may be enough of the wrong kind, or too few
     /// to be worth a dear machine: it would wait for good.
-    fn stranded(&self, now: f64) -> Option<&Submission> {
+    fn stranded(&self, now: f64) -> Option<&Job> {
         let waiting = self.queue.runs().filter_map(|r| self.jobs.get(&r.job));
         let mut stuck = waiting.filter(|j| {
             let patience = if j.fill {
@@ -386,16 +386,42 @@
             } else {
                 limits::STRANDED_S
             };
-            now - j.born > patience && j.on.is_empty() && j.retry_at <= now && !j.suspect()
+            let stuck = j.on.is_empty() || self.bound_elsewhere(j);
+            now - j.born > patience && stuck && j.retry_at <= now && !j.suspect()
         });
         let could = |job: &Job, (name, m): (&String, &Machine)| {
             !m.draining
                 && !m.deleting
                 && allowed(&job.spec, &m.kind, &m.zone, m.spot)
                 && !job.failed_on.contains_key(name)
+                && zone_room(job, &m.zone) > 0
+                // A replica doesn't end, so nothing makes room for the next one.
+                && (job.on.is_empty() || self.has_room(&job.spec, m))
         };
-        let job = stuck.find(|j| !self.machines.iter().any(|m| could(j, m)))?;
-        Some(&job.spec)
+        stuck.find(|j| !self.machines.iter().any(|m| could(j, m)))
+    }
+
+    /// Do tasks of the job that go on for good decide where its others may run? Room in
+    /// other zones is of no use to those: a service that lost a zone never got it back.
+    fn bound_elsewhere(&self, job: &Job) -> bool {
+        let bound = job.spec.one_zone || job.spec.spread;
+        if !bound || job.spec.kind == Kind::Array {
+            return false;
+        }
+        let rooms = self.team_rooms();
+        let room = job.team.and_then(|t| rooms.get(t));
+        room.is_some_and(|r| r.takes(&job.spec))
+    }
+
+    /// Is there room for one more task of this shape?
+    fn has_room(&self, spec: &Submission, m: &Machine) -> bool {
+        let used = m.placed.sums();
+        let kind = self.types.iter().find(|t| t.name == m.kind);
+        kind.is_some_and(|t| {
+            used.cpus + spec.cpus <= t.cpus + 1e-6
+                && used.gpus + spec.gpus <= t.gpus + 1e-6
+                && used.mem + spec.memory_gb <= t.memory_gb + 1e-6
+        })
     }
 
     pub(super) fn rentals(&mut self, now: f64) -> Vec<CloudCall> {
@@ -403,10 +429,12 @@
         if !calls.is_empty() {
             return calls;
         }
-        let Some(spec) = self.stranded(now).cloned() else {
+        let Some(spec) = self.stranded(now).map(|job| job.spec.clone()) else {
             return calls;
         };
         let mut offers = self.offers(&spec, now);
+        let job = self.ids.get(&spec.id).and_then(|no| self.jobs.get(no));
+        offers.retain(|o| job.is_some_and(|job| zone_room(job, &o.zone) > 0));
         let one = shop(spec.cpus, &mut offers);
         if let Some((i, _)) = one.first() {
             info!(
--- a/crates/control/src/leader/placing.rs
+++ b/crates/control/src/leader/placing.rs
@@ -106,7 +106,7 @@
 
 /// Tasks that the rules about zones leave for `zone`, given all tasks of the
 /// job that may be anywhere.
-fn zone_room(job: &Job, zone: &str) -> u32 {
+pub(super) fn zone_room(job: &Job, zone: &str) -> u32 {
     let here = job.zones.get(zone).copied().unwrap_or(0);
     if job.spec.one_zone && here != job.placed {
         0
