--- /dev/null
+++ b/crates/control/src/leader/fleet/renting.rs
@@ -0,0 +1,206 @@
+//! Renting machines: for what waits in all, and for a job that none there could take.
+
+use crate::leader::placing::{allowed, zone_room};
+use crate::leader::*;
+
+impl Leader {
+    /// A waiting job that no machine which is there could take. What is wanted is
+    /// counted in CPUs, of which there may be enough of the wrong kind, or too few
+    /// to be worth a dear machine: it would wait for good.
+    fn stranded(&self, now: f64) -> Option<&Job> {
+        let waiting = self.queue.runs().filter_map(|r| self.jobs.get(&r.job));
+        let mut stuck = waiting.filter(|j| {
+            let patience = if j.fill {
+                limits::STRANDED_FILL_S
+            } else {
+                limits::STRANDED_S
+            };
+            let stuck = j.on.is_empty() || self.bound_elsewhere(j);
+            now - j.born > patience && stuck && j.retry_at <= now && !j.suspect()
+        });
+        let could = |job: &Job, (name, m): (&String, &Machine)| {
+            !m.draining
+                && !m.deleting
+                && allowed(&job.spec, &m.kind, &m.zone, m.spot)
+                && !job.failed_on.contains_key(name)
+                && zone_room(job, &m.zone) > 0
+                // A replica doesn't end, so nothing makes room for the next one.
+                && (job.on.is_empty() || self.has_room(&job.spec, m))
+        };
+        stuck.find(|j| !self.machines.iter().any(|m| could(j, m)))
+    }
+
+    /// Do tasks of the job that go on for good decide where its others may run? Room in
+    /// other zones is of no use to those: a service that lost a zone never got it back.
+    fn bound_elsewhere(&self, job: &Job) -> bool {
+        let bound = job.spec.one_zone || job.spec.spread;
+        if !bound || job.spec.kind == Kind::Array {
+            return false;
+        }
+        let rooms = self.team_rooms();
+        let room = job.team.and_then(|t| rooms.get(t));
+        room.is_some_and(|r| r.takes(&job.spec))
+    }
+
+    /// Is there room for one more task of this shape?
+    fn has_room(&self, spec: &Submission, m: &Machine) -> bool {
+        let used = m.placed.sums();
+        let kind = self.types.iter().find(|t| t.name == m.kind);
+        kind.is_some_and(|t| {
+            used.cpus + spec.cpus <= t.cpus + 1e-6
+                && used.gpus + spec.gpus <= t.gpus + 1e-6
+                && used.mem + spec.memory_gb <= t.memory_gb + 1e-6
+        })
+    }
+
+    pub(in crate::leader) fn rentals(&mut self, now: f64) -> Vec<CloudCall> {
+        let calls = self.rentals_for_demand(now);
+        if !calls.is_empty() {
+            return calls;
+        }
+        let Some(spec) = self.stranded(now).map(|job| job.spec.clone()) else {
+            return calls;
+        };
+        let mut offers = self.offers(&spec, now);
+        let job = self.ids.get(&spec.id).and_then(|no| self.jobs.get(no));
+        offers.retain(|o| job.is_some_and(|job| zone_room(job, &o.zone) > 0));
+        let one = shop(spec.cpus, &mut offers);
+        if let Some((i, _)) = one.first() {
+            info!(
+                job = spec.id,
+                "no machine there could take it: one is rented"
+            );
+            return vec![self.order_of(&offers[*i], 1)];
+        }
+        calls
+    }
+
+    fn rentals_for_demand(&mut self, now: f64) -> Vec<CloudCall> {
+        let (demand, ranked, first) = self.demand();
+        let Some(spec) = first.cloned() else {
+            return Vec::new();
+        };
+        let spec = &spec;
+        let have: f64 = self
+            .machines
+            .values()
+            .filter(|m| !m.draining && !m.deleting && allowed(spec, &m.kind, &m.zone, m.spot))
+            .map(|m| self.cpus_of(&m.kind))
+            .sum();
+        let short = demand.wanted(limits::DRAIN_S) - have;
+        if short <= 0.0 {
+            return Vec::new();
+        }
+        let offers = self.offers(spec, now);
+        // Dear machines only for what cheap ones can't be had for, and only
+        // if it would wait for long.
+        let dear = |o: &Offer| spec.spot && !o.spot;
+        let (mut dear, mut cheap): (Vec<_>, Vec<_>) = offers.into_iter().partition(dear);
+        let mut buy = shop(short, &mut cheap);
+        let bought: f64 = buy
+            .iter()
+            .map(|(i, n)| cheap[*i].cpus * f64::from(*n))
+            .sum();
+        let wanted = ranked.wanted(limits::DRAIN_DEAR_S);
+        let lasting = self.wanted.map_or(wanted, |w| w.0.min(wanted));
+        let short = lasting - have - bought;
+        let least = dear.iter().map(|o| o.cpus).fold(f64::INFINITY, f64::min);
+        if short >= least / 2.0 {
+            buy.extend(
+                shop(short, &mut dear)
+                    .into_iter()
+                    .map(|(i, n)| (i + cheap.len(), n)),
+            );
+        }
+        cheap.append(&mut dear);
+        let offers = cheap;
+        let calls = buy
+            .into_iter()
+            .map(|(i, count)| self.order_of(&offers[i], count));
+        calls.collect()
+    }
+
+    fn order_of(&mut self, o: &Offer, count: u32) -> CloudCall {
+        self.rent_counter += 1;
+        CloudCall::Rent(Rent {
+            // The epoch never repeats, so neither does the name.
+            request: format!("r-{}-{}", self.epoch, self.rent_counter),
+            kind: o.kind.clone(),
+            zone: o.zone.clone(),
+            spot: o.spot,
+            count,
+        })
+    }
+
+    /// Where a machine for this job can be rented, as far as is known.
+    fn offers(&mut self, spec: &Submission, now: f64) -> Vec<Offer> {
+        self.refused.retain(|_, until| *until > now);
+        let mut offers = Vec::new();
+        for t in &self.types {
+            let s = spec;
+            if s.cpus > t.cpus || s.gpus > t.gpus || s.memory_gb > t.memory_gb {
+                continue;
+            }
+            for zone in &t.zones {
+                for spot in [true, false] {
+                    if self.settings.policy.cheap_only && !spot {
+                        continue;
+                    }
+                    let price = if spot { t.spot_price } else { Some(t.price) };
+                    let Some(price) = price else { continue };
+                    if !allowed(spec, &t.name, zone, spot)
+                        || self
+                            .refused
+                            .contains_key(&(t.name.clone(), zone.clone(), spot))
+                    {
+                        continue;
+                    }
+                    let have = self
+                        .machines
+                        .values()
+                        .filter(|m| m.kind == t.name && m.zone == *zone && m.spot == spot)
+                        .count() as u32;
+                    offers.push(Offer {
+                        kind: t.name.clone(),
+                        zone: zone.clone(),
+                        spot,
+                        cpus: t.cpus,
+                        price,
+                        boot_s: t.boot_s,
+                        have,
+                        late: self.bad_boots.contains(&(t.name.clone(), zone.clone())),
+                    });
+                }
+            }
+        }
+        offers
+    }
+
+    /// A rental was answered: the names, or None for "no capacity".
+    pub fn rented(&mut self, rent: &Rent, names: Option<&[String]>, now: f64) {
+        let got = names.map_or(0, <[String]>::len);
+        if got as u32 >= (rent.count / 2).max(limits::admission::GROWS_BY) {
+            self.grew = now;
+        }
+        if got < rent.count as usize {
+            let key = (rent.kind.clone(), rent.zone.clone(), rent.spot);
+            self.refused.insert(key, now + limits::REFUSAL_S);
+        }
+        info!(
+            kind = rent.kind,
+            zone = rent.zone,
+            spot = rent.spot,
+            want = rent.count,
+            got,
+            "rented"
+        );
+        for name in names.unwrap_or_default() {
+            if self.gone.contains_key(name) || self.machines.contains_key(name) {
+                continue;
+            }
+            let mut m = self.machine(&rent.kind, &rent.zone, rent.spot, now);
+            m.rented = true;
+            self.machines.insert(name.clone(), m);
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/leader/ledger/draft.rs
@@ -0,0 +1,153 @@
+//! Entries of the ledger being put together, within the sizes that the state service takes.
+
+use super::{Freed, LogJob, LogPlace, LogRow, LogValue, Row, size};
+use crate::leader::*;
+
+/// An entry being put together.
+#[derive(Default)]
+pub(super) struct Page {
+    pub(super) value: LogValue,
+    pub(super) rows: Vec<Row>,
+    bytes: usize,
+}
+
+/// Entries being put together, each within the size of a value.
+pub(super) struct Draft {
+    pub(super) pages: Vec<Page>,
+    /// Bytes of one entry, and of all; entries.
+    most: usize,
+    pub(super) left: usize,
+    pub(super) pages_max: usize,
+}
+
+impl Draft {
+    pub(super) fn new(most: usize, pages_max: usize) -> Draft {
+        Draft {
+            pages: vec![Page::default()],
+            most: most.saturating_sub(limits::ENTRY_AROUND),
+            left: limits::TXN_BYTES,
+            pages_max: pages_max.max(1),
+        }
+    }
+
+    /// The page that takes so many bytes more, a new one if the last is full; None if
+    /// the transaction is full.
+    fn room(&mut self, bytes: usize) -> Option<&mut Page> {
+        if bytes > self.left {
+            return None;
+        }
+        let last = self.pages.last().map_or(0, |p| p.bytes);
+        if last > 0 && last + bytes > self.most {
+            if self.pages.len() >= self.pages_max {
+                return None;
+            }
+            self.pages.push(Page::default());
+        }
+        self.pages.last_mut()
+    }
+
+    /// Adds what was freed, as far as there is room; returns how many.
+    pub(super) fn free(&mut self, freed: &[Freed]) -> usize {
+        let half = self.left / 2;
+        for (n, f) in freed.iter().enumerate() {
+            let row = (f.attempt, f.task);
+            let bytes = size(&row) + 1;
+            if self.left < half {
+                return n;
+            }
+            let Some(page) = self.room(bytes) else {
+                return n;
+            };
+            page.value.freed.push(row);
+            page.bytes += bytes;
+            self.left = self.left.saturating_sub(bytes);
+        }
+        freed.len()
+    }
+
+    /// Adds one placement; neighbours under one attempt share a row. False if the
+    /// transaction is full.
+    pub(super) fn add(&mut self, machine: &str, m: &Machine, p: &Placement) -> bool {
+        let id = split_task(&p.id).map_or("", |(job, _)| job);
+        if let Some(page) = self.pages.last_mut() {
+            let joined = page
+                .rows
+                .last_mut()
+                .filter(|r| r.machine == machine && r.attempt == p.attempt)
+                .filter(|r| r.first + r.n == p.task);
+            if let (Some(row), Some(LogRow(.., n))) = (joined, page.value.rows.last_mut()) {
+                row.n += 1;
+                *n += 1;
+                return true;
+            }
+        }
+        let place = LogPlace {
+            kind: m.kind.clone(),
+            zone: m.zone.clone(),
+            spot: m.spot,
+        };
+        let job = LogJob {
+            id: id.to_string(),
+            team: p.team.clone(),
+            cpus: p.cpus,
+            gpus: p.gpus,
+            mem: p.mem,
+        };
+        let row = LogRow(
+            machine.to_string(),
+            usize::from(u16::MAX),
+            p.session,
+            usize::from(u16::MAX),
+            p.attempt,
+            p.task,
+            p.task,
+        );
+        let (of_place, of_job, of_row) = (size(&place) + 1, size(&job) + 1, size(&row) + 3);
+        // Where the last page has its job and place already, a row is all it takes.
+        let known = self.pages.last().map_or((false, false), |page| {
+            let jobs = page.value.jobs.iter().any(|j| j.id == id);
+            (page.value.places.contains(&place), jobs)
+        });
+        let of = |known: bool, bytes: usize| if known { 0 } else { bytes };
+        let bytes = of_row + of(known.0, of_place) + of(known.1, of_job);
+        let before = self.pages.len();
+        if self.room(bytes).is_none() {
+            return false;
+        }
+        let fresh = self.pages.len() > before;
+        let bytes = if fresh {
+            of_row + of_place + of_job
+        } else {
+            bytes
+        };
+        let Some(page) = self.pages.last_mut() else {
+            return false;
+        };
+        let v = &mut page.value;
+        let at = v.places.iter().position(|l| *l == place);
+        let at = at.unwrap_or_else(|| {
+            v.places.push(place);
+            v.places.len() - 1
+        });
+        let no = v.jobs.iter().position(|j| j.id == id);
+        let no = no.unwrap_or_else(|| {
+            v.jobs.push(job);
+            v.jobs.len() - 1
+        });
+        v.rows
+            .push(LogRow(row.0, at, p.session, no, p.attempt, p.task, 1));
+        page.rows.push(Row {
+            machine: machine.to_string(),
+            attempt: p.attempt,
+            first: p.task,
+            n: 1,
+        });
+        page.bytes += bytes;
+        self.left = self.left.saturating_sub(bytes);
+        true
+    }
+
+    pub(super) fn rows(&self) -> usize {
+        self.pages.iter().map(|p| p.rows.len()).sum()
+    }
+}
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -37,6 +37,7 @@
 mod progress;
 mod reports;
 mod rows;
+mod summary;
 mod team_room;
 mod yielding;
 
