--- a/crates/control/tests/compound_failures.rs
+++ b/crates/control/tests/compound_failures.rs
@@ -12,7 +12,7 @@
 use cherrywood_wire::agent::{Command, Orders, Report, Why};
 use cherrywood_wire::cloud::{MachineType, Rent};
 use cherrywood_wire::state::Txn;
-use cherrywood_wire::user::{JobState, Submission};
+use cherrywood_wire::user::{JobState, Kind, Submission};
 use common::*;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -27,6 +27,8 @@
 /// Troubles last so many steps, and then as many as all work takes.
 const TROUBLED_STEPS: u32 = 240;
 const SETTLED_STEPS: u32 = 900;
+/// Then services, which never end, are cancelled.
+const SERVICES_STEPS: u32 = 300;
 const STEP_S: f64 = 0.5;
 /// s for which no job may wait beside room once troubles are over, and until when machines
 /// may still be replaced after the last of them.
@@ -482,6 +484,9 @@
         for m in &mut self.machines {
             for t in &mut m.worker.tasks {
                 let (id, n) = t.0.split_once('/').unwrap();
+                if self.truth.jobs[id].kind == Kind::Service {
+                    continue;
+                }
                 let n: u32 = n.parse().unwrap();
                 let p = if troubled && n > 0 { 0.004 } else { 0.03 };
                 if self.rng.random_bool(p) && t.2.is_none() {
@@ -610,7 +615,9 @@
         }
         let team = if self.chance(0.5) { "t" } else { "u" };
         let bound = self.rng.random_range(0..4);
+        let service = self.chance(0.1);
         let job = Submission {
+            kind: if service { Kind::Service } else { Kind::Array },
             team: team.into(),
             tasks: self.rng.random_range(2..=3),
             cpus: [1.0, 2.0][self.rng.random_range(0..2)],
@@ -644,6 +651,19 @@
         }
     }
 
+    fn cancel_services(&mut self) {
+        let jobs = self.truth.jobs.values();
+        let services: Vec<String> = jobs
+            .filter(|j| j.kind == Kind::Service && self.store.ended(&j.id).is_none())
+            .map(|j| j.id.clone())
+            .collect();
+        for id in services {
+            self.store.cancel(&id);
+            self.truth.cancelled.insert(id);
+            self.meet("service outlives all troubles");
+        }
+    }
+
     /// Once troubles are over: does a job wait although a machine has room for it and its
     /// team is under its limit?
     fn check_waiting(&mut self) {
@@ -703,7 +723,10 @@
             self.step(true);
         }
         // Troubles are over: every job that was accepted ends, as it should.
-        for _ in 0..SETTLED_STEPS {
+        for n in 0..SETTLED_STEPS {
+            if n == SERVICES_STEPS {
+                self.cancel_services();
+            }
             self.step(false);
             self.check_waiting();
         }
@@ -751,6 +774,7 @@
         ("machine up at once", 10),
         ("machine deleted", 10),
         ("cancelled on a machine out of reach", 10),
+        ("service outlives all troubles", 10),
         ("outage", 10),
         ("all controllers away", 10),
         ("ten changes of leader in two minutes", 3),
