Drawn compound failures: stranded controllers, clouds that delete nothing, long terms

Machines may be cut off together with the controller that holds their grant and goes on answering them until it ends; the cloud refuses deletions or loses their answers, so that time alone must prove a machine empty; and leaders end ten times in two minutes, now and then, or hardly ever, by seed.

--- a/crates/control/tests/compound_failures.rs
+++ b/crates/control/tests/compound_failures.rs
@@ -30,6 +30,7 @@
 /// Then services, which never end, are cancelled.
 const SERVICES_STEPS: u32 = 300;
 const STEP_S: f64 = 0.5;
+const LEADER_ENDS: [f64; 3] = [0.09, 0.02, 0.004];
 /// s for which no job may wait beside room once troubles are over, and until when machines
 /// may still be replaced after the last of them.
 const WAIT_MOST_S: f64 = 90.0;
@@ -74,12 +75,16 @@
     Deaf,
     /// Reports reach nobody, direct commands arrive.
     Mute,
+    /// Cut off together with the controller that holds its grant and goes on answering.
+    Stranded,
 }
 
 struct Machine {
     worker: Worker,
     /// When the last answered report was sent.
     leased: f64,
+    /// Until when the controller that it reports to may answer it by itself.
+    granted: f64,
     link: Link,
     until: f64,
     /// Before that its worker doesn't report.
@@ -93,6 +98,7 @@
         Machine {
             worker,
             leased: up_at,
+            granted: 0.0,
             link: Link::Open,
             until: 0.0,
             up_at,
@@ -117,8 +123,9 @@
     /// Until when the state service refuses everything, and no controller is there.
     outage: f64,
     away: f64,
-    /// The leaders change every few seconds.
-    restless: bool,
+    /// Chance of a step that the leader ends in it: ten times in two minutes, now and
+    /// then, or hardly ever, so that a term outlasts grants and leases.
+    leader_ends: f64,
     /// Cancelled jobs that the leader's view holds.
     viewed: BTreeSet<String>,
     /// Since when a job has waited beside room for it.
@@ -146,7 +153,7 @@
             in_flight: None,
             outage: 0.0,
             away: 0.0,
-            restless: seed.is_multiple_of(3),
+            leader_ends: LEADER_ENDS[(seed % 3) as usize],
             viewed: BTreeSet::new(),
             beside_room: BTreeMap::new(),
             truth: Truth::default(),
@@ -257,7 +264,7 @@
         let (link, until) = at.map_or((Link::Open, 0.0), |m| (m.link, m.until));
         match self.rng.random_range(0..10) {
             _ if link == Link::Deaf => None,
-            _ if link == Link::Cut => {
+            _ if matches!(link, Link::Cut | Link::Stranded) => {
                 // Held back on the way, and delivered in the end.
                 let held = (until, machine.to_string(), orders.clone());
                 self.late_orders.push(held);
@@ -317,6 +324,7 @@
         if token >= m.worker.token {
             m.worker.obey(token, &commands);
             m.leased = sent;
+            m.granted = sent + self.leader.timing.grant_s;
         }
         self.check();
     }
@@ -501,6 +509,9 @@
     fn leases(&mut self) {
         let mut ended = 0;
         for m in self.machines.iter_mut().filter(|m| m.up_at <= self.now) {
+            if m.link == Link::Stranded && self.now < m.granted {
+                m.leased = self.now;
+            }
             if self.now - m.leased > LEASE_S {
                 m.worker.session += 1;
                 m.worker.tasks.clear();
@@ -518,13 +529,16 @@
             if self.machines[at].link != Link::Open || !self.chance(0.012) {
                 continue;
             }
-            let link = [Link::Cut, Link::Deaf, Link::Mute][self.rng.random_range(0..3)];
-            let until = self.now + self.rng.random_range(3.0..30.0);
+            let links = [Link::Cut, Link::Deaf, Link::Mute, Link::Stranded];
+            let link = links[self.rng.random_range(0..links.len())];
+            let most = if link == Link::Stranded { 70.0 } else { 30.0 };
+            let until = self.now + self.rng.random_range(3.0..most);
             let m = &mut self.machines[at];
             (m.link, m.until) = (link, until);
             self.meet(match link {
                 Link::Cut => "machine cut off",
                 Link::Deaf => "machine deaf",
+                Link::Stranded => "machine stranded with its controller",
                 _ => "machine mute",
             });
         }
@@ -557,16 +571,25 @@
     fn fleet(&mut self, troubled: bool) {
         for call in self.leader.fleet(self.now) {
             match call {
-                CloudCall::Delete(names) => {
-                    self.machines.retain(|m| !names.contains(&m.worker.name));
-                    self.leader.deleted(&names, self.now);
-                    self.meet("machine deleted");
-                }
+                CloudCall::Delete(names) => self.delete(&names, troubled),
                 CloudCall::Rent(rent) => self.rent(&rent, troubled),
             }
         }
     }
 
+    /// A cloud in trouble deletes nothing for a while, or its answer is lost.
+    fn delete(&mut self, names: &[String], troubled: bool) {
+        if troubled && self.chance(0.98) {
+            self.meet("deletion refused");
+            return;
+        }
+        self.machines.retain(|m| !names.contains(&m.worker.name));
+        if !troubled || self.chance(0.7) {
+            self.leader.deleted(names, self.now);
+        }
+        self.meet("machine deleted");
+    }
+
     /// New machines are up within two seconds, and the answer that names them may be lost.
     fn rent(&mut self, rent: &Rent, troubled: bool) {
         let room = MACHINES_MOST.saturating_sub(self.machines.len());
@@ -587,9 +610,8 @@
         if self.now < self.outage {
             return;
         }
-        let p = if self.restless { 0.09 } else { 0.02 };
         let returns = self.away > 0.0;
-        if returns || self.chance(p) {
+        if returns || self.chance(self.leader_ends) {
             self.away = 0.0;
             self.meet("leader ended");
             self.elect();
@@ -748,7 +770,7 @@
         for (team, used, _) in w.leader.teams() {
             assert!(used.abs() < 1e-6, "seed {seed}: {team} uses {used}");
         }
-        if w.restless {
+        if w.leader_ends == LEADER_ENDS[0] {
             let changes = w.met.get("leader ended").copied().unwrap_or(0);
             *met.entry("ten changes of leader in two minutes")
                 .or_default() += u32::from(changes >= 10);
@@ -771,8 +793,10 @@
         ("machine cut off", 10),
         ("machine deaf", 10),
         ("machine mute", 10),
+        ("machine stranded with its controller", 10),
         ("machine up at once", 10),
         ("machine deleted", 10),
+        ("deletion refused", 10),
         ("cancelled on a machine out of reach", 10),
         ("service outlives all troubles", 10),
         ("outage", 10),
