--- a/crates/judge/src/breach.rs
+++ b/crates/checker/src/breach.rs
@@ -18,7 +18,7 @@
     TooEarly,
     /// Still called queued or running after a job before it was cancelled.
     Orphaned,
-    /// Not on the protocol page: the operators' own, if the night asks for it.
+    /// Not on the protocol page: the operators' own, if the scenario asks for it.
     Starved,
 }
 
--- a/crates/judge/src/history.rs
+++ b/crates/checker/src/history.rs
@@ -2,25 +2,25 @@
 //! that made trouble. One line of JSON an event; the digest is over these lines,
 //! so `b3sum history.jsonl` repeats it.
 
-pub use cherrywood_night::deployment::{Aim, MachineType, Served, Team};
+pub use cherrywood_scenario::deployment::{Aim, MachineType, Served, Team};
 use serde::{Deserialize, Serialize};
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Event {
-    /// ms since the night began.
+    /// ms since the scenario began.
     pub at_ms: u64,
     #[serde(flatten)]
     pub what: What,
 }
 
-/// What the judge must know of the deployment.
+/// What the checker must know of the deployment.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Facts {
     pub cancel_s: f64,
     pub teams: Vec<Team>,
     pub kinds: Vec<MachineType>,
     pub aims: Vec<Aim>,
-    /// What every class and team must have of its jobs, if the night asks for it.
+    /// What every class and team must have of its jobs, if the scenario asks for it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub served: Option<Served>,
 }
@@ -86,7 +86,7 @@
 pub enum What {
     /// The first event.
     Begins {
-        night: String,
+        scenario: String,
         seed: u64,
         facts: Facts,
     },
@@ -178,7 +178,7 @@
     Ends,
 }
 
-/// The events of a night and their digest.
+/// The events of a scenario and their digest.
 #[derive(Debug, Default)]
 pub struct History {
     pub events: Vec<Event>,
--- a/crates/judge/src/rules.rs
+++ b/crates/checker/src/rules.rs
@@ -51,7 +51,7 @@
 }
 
 #[derive(Debug, Default)]
-pub struct Judge {
+pub struct Checker {
     facts: Option<Facts>,
     jobs: BTreeMap<String, Known>,
     machines: HashMap<String, Machine>,
@@ -63,14 +63,14 @@
     starts: u64,
     submitted: u64,
     starved: Starved,
-    /// At the end, if the night asks how its classes are served.
+    /// At the end, if the scenario asks how its classes are served.
     pub least: Option<Least>,
     pub breaches: Vec<Breach>,
 }
 
-impl Judge {
-    pub fn new() -> Judge {
-        Judge::default()
+impl Checker {
+    pub fn new() -> Checker {
+        Checker::default()
     }
 
     fn breach(&mut self, b: Breach) {
@@ -451,11 +451,11 @@
         counts
     }
 
-    pub fn of(events: &[Event]) -> Judge {
-        let mut judge = Judge::new();
+    pub fn of(events: &[Event]) -> Checker {
+        let mut checker = Checker::new();
         for e in events {
-            judge.feed(e);
+            checker.feed(e);
         }
-        judge
+        checker
     }
 }
--- a/crates/judge/src/starved.rs
+++ b/crates/checker/src/starved.rs
@@ -1,9 +1,9 @@
-//! Who starves: a class or a team of which less than the night asks was done in time,
+//! Who starves: a class or a team of which less than the scenario asks was done in time,
 //! although what the others got beyond that would have been enough.
 
 use crate::breach::{Breach, Rule};
 use crate::history::{Event, Job, MachineType, Off, What, job_of};
-use cherrywood_night::deployment::Served;
+use cherrywood_scenario::deployment::Served;
 use std::collections::{BTreeMap, BTreeSet};
 
 #[derive(Debug)]
@@ -155,7 +155,7 @@
         Some(ends?.into_iter().fold(s.at, u64::max))
     }
 
-    /// The largest tenth of each class, by their work, if the night asks for their
+    /// The largest tenth of each class, by their work, if the scenario asks for their
     /// beginning; all of a class of fewer than ten jobs is no tenth.
     fn largest(&self) -> BTreeSet<&str> {
         if self.asked.is_none_or(|a| a.begin_s.is_none()) {
@@ -213,7 +213,7 @@
             ];
             for (what, name, within_ms) in all.into_iter().chain(tenth) {
                 let served = s.done_at.is_some_and(|d| d - from <= within_ms);
-                // Too late in the night for its time to be over.
+                // Too late in the scenario for its time to be over.
                 if !served && at < from + within_ms {
                     continue;
                 }
@@ -231,7 +231,7 @@
         groups
     }
 
-    /// The least served, if the night says in what time.
+    /// The least served, if the scenario says in what time.
     pub fn least(&self, at: u64) -> Option<Least> {
         let within_ms = (self.asked?.within_s * 1000.0) as u64;
         let groups = self.groups(within_ms, at);
@@ -273,7 +273,7 @@
         })
     }
 
-    /// At the end of the night.
+    /// At the end of the scenario.
     pub fn ends(&self, at: u64) -> Vec<Breach> {
         let Some(asked) = self.asked else {
             return Vec::new();
--- a/crates/judge/tests/judge.rs
+++ b/crates/checker/tests/checker.rs
@@ -1,9 +1,9 @@
-//! A judge that can't find a breach proves nothing: each rule is broken once by
-//! a written history, and the judge must name rule, job, machine and both times.
+//! A checker that can't find a breach proves nothing: each rule is broken once by
+//! a written history, and the checker must name rule, job, machine and both times.
 
-use cherrywood_judge::history::{Aim, Ask, Facts, Job, MachineType, Off, Served, State, Team};
-use cherrywood_judge::settle::{self, End};
-use cherrywood_judge::{History, Judge, Rule, What, aims};
+use cherrywood_checker::history::{Aim, Ask, Facts, Job, MachineType, Off, Served, State, Team};
+use cherrywood_checker::settle::{self, End};
+use cherrywood_checker::{Checker, History, Rule, What, aims};
 
 const CANCEL_S: f64 = 40.0;
 
@@ -49,22 +49,22 @@
 }
 
 /// A history under construction.
-struct Night(History, u64);
+struct Scenario(History, u64);
 
-impl Night {
-    fn new() -> Night {
+impl Scenario {
+    fn new() -> Scenario {
         let mut h = History::default();
-        let night = "test".to_string();
+        let scenario = "test".to_string();
         let facts = facts();
         h.record(
             0,
             What::Begins {
-                night,
+                scenario,
                 seed: 1,
                 facts,
             },
         );
-        let mut n = Night(h, 0);
+        let mut n = Scenario(h, 0);
         for (name, zone, spot) in [("vm-1", "a", true), ("vm-2", "b", false)] {
             n.0.record(
                 0,
@@ -81,22 +81,22 @@
     }
 
     /// Sets the time, in s.
-    fn at(&mut self, s: u64) -> &mut Night {
+    fn at(&mut self, s: u64) -> &mut Scenario {
         self.1 = s * 1000;
         self
     }
 
-    fn add(&mut self, what: What) -> &mut Night {
+    fn add(&mut self, what: What) -> &mut Scenario {
         self.0.record(self.1, what);
         self
     }
 
-    fn submit(&mut self, job: Job) -> &mut Night {
+    fn submit(&mut self, job: Job) -> &mut Scenario {
         self.add(What::Submitted { job })
     }
 
     /// Told this much later than asked.
-    fn told(&mut self, ask: Ask, job: &str, status: u16, state: Option<State>) -> &mut Night {
+    fn told(&mut self, ask: Ask, job: &str, status: u16, state: Option<State>) -> &mut Scenario {
         let sent_ms = self.1.saturating_sub(100);
         self.add(What::Told {
             ask,
@@ -108,13 +108,13 @@
         })
     }
 
-    fn accepted(&mut self, job: Job) -> &mut Night {
+    fn accepted(&mut self, job: Job) -> &mut Scenario {
         let id = job.id.clone();
         self.submit(job)
             .told(Ask::Submit, &id, 201, Some(State::Queued))
     }
 
-    fn on(&mut self, machine: &str, task: &str) -> &mut Night {
+    fn on(&mut self, machine: &str, task: &str) -> &mut Scenario {
         self.add(What::On {
             machine: machine.into(),
             task: task.into(),
@@ -122,7 +122,7 @@
         })
     }
 
-    fn off(&mut self, machine: &str, task: &str, why: Off, kept_s: f64) -> &mut Night {
+    fn off(&mut self, machine: &str, task: &str, why: Off, kept_s: f64) -> &mut Scenario {
         self.add(What::Off {
             machine: machine.into(),
             task: task.into(),
@@ -132,35 +132,35 @@
         })
     }
 
-    fn poll(&mut self, job: &str, state: State) -> &mut Night {
+    fn poll(&mut self, job: &str, state: State) -> &mut Scenario {
         self.told(Ask::Poll, job, 200, Some(state))
     }
 
     /// The only breach, as its message.
     fn only(&mut self, rule: Rule) -> String {
         self.add(What::Ends);
-        let judge = Judge::of(&self.0.events);
-        let rules: Vec<Rule> = judge.breaches.iter().map(|b| b.rule).collect();
-        assert_eq!(rules, [rule], "{:#?}", judge.breaches);
-        judge.breaches[0].to_string()
+        let checker = Checker::of(&self.0.events);
+        let rules: Vec<Rule> = checker.breaches.iter().map(|b| b.rule).collect();
+        assert_eq!(rules, [rule], "{:#?}", checker.breaches);
+        checker.breaches[0].to_string()
     }
 }
 
 #[test]
-fn a_quiet_night_breaks_nothing() {
-    let mut n = Night::new();
+fn a_quiet_scenario_breaks_nothing() {
+    let mut n = Scenario::new();
     n.at(1).accepted(job("wk-000001", 1));
     n.at(2).on("vm-1", "wk-000001/0");
     n.at(9).off("vm-1", "wk-000001/0", Off::Done, 7.0);
     n.at(10).poll("wk-000001", State::Done).add(What::Ends);
-    assert!(Judge::of(&n.0.events).breaches.is_empty());
+    assert!(Checker::of(&n.0.events).breaches.is_empty());
     let ends = settle::settle(&n.0.events);
     assert_eq!(ends["wk-000001"].end, End::Done);
 }
 
 #[test]
 fn ran_twice_names_task_machines_and_times() {
-    let mut n = Night::new();
+    let mut n = Scenario::new();
     n.at(1).accepted(job("wk-000001", 2));
     n.at(5).on("vm-1", "wk-000001/0");
     n.at(8).on("vm-2", "wk-000001/0");
@@ -169,17 +169,17 @@
         assert!(told.contains(part), "{told}");
     }
     // After it is off, another machine may have it.
-    let mut n = Night::new();
+    let mut n = Scenario::new();
     n.at(1).accepted(job("wk-000001", 2));
     n.at(5).on("vm-1", "wk-000001/0");
     n.at(6).off("vm-1", "wk-000001/0", Off::Lease, 0.0);
     n.at(8).on("vm-2", "wk-000001/0").add(What::Ends);
-    assert!(Judge::of(&n.0.events).breaches.is_empty());
+    assert!(Checker::of(&n.0.events).breaches.is_empty());
 }
 
 #[test]
 fn quota_counts_what_is_on_machines() {
-    let mut n = Night::new();
+    let mut n = Scenario::new();
     n.at(1).accepted(job("wk-000001", 4));
     for (s, task) in [(2, 0), (3, 1), (4, 2)] {
         n.at(s).on("vm-1", &format!("wk-000001/{task}"));
@@ -192,7 +192,7 @@
         assert!(told.contains(part), "{told}");
     }
     // A guest has no limit.
-    let mut n = Night::new();
+    let mut n = Scenario::new();
     let guest = Job {
         team: "guest".into(),
         ..job("wk-000001", 9)
@@ -202,7 +202,7 @@
         n.at(2).on("vm-1", &format!("wk-000001/{i}"));
     }
     n.add(What::Ends);
-    assert!(Judge::of(&n.0.events).breaches.is_empty());
+    assert!(Checker::of(&n.0.events).breaches.is_empty());
 }
 
 #[test]
@@ -210,7 +210,7 @@
     let with = |change: &dyn Fn(&mut Job)| {
         let mut j = job("wk-000001", 3);
         change(&mut j);
-        let mut n = Night::new();
+        let mut n = Scenario::new();
         n.at(1).accepted(j);
         n.at(4).on("vm-1", "wk-000001/0");
         n
@@ -234,7 +234,7 @@
 #[test]
 fn ran_cancelled_counts_from_the_telling() {
     let cancelled = || {
-        let mut n = Night::new();
+        let mut n = Scenario::new();
         n.at(1).accepted(job("wk-000001", 2));
         n.at(3).on("vm-1", "wk-000001/0");
         n.at(10).add(What::Unwanted {
@@ -249,7 +249,7 @@
         .off("vm-1", "wk-000001/0", Off::Stopped, 0.0)
         .add(What::Ends);
     assert!(
-        Judge::of(&n.0.events).breaches.is_empty(),
+        Checker::of(&n.0.events).breaches.is_empty(),
         "at 40 s it is gone"
     );
     let mut n = cancelled();
@@ -272,7 +272,7 @@
 
 #[test]
 fn forgotten_is_a_404_a_refused_repeat_or_silence_for_one() {
-    let mut n = Night::new();
+    let mut n = Scenario::new();
     n.at(1).accepted(job("wk-000001", 1));
     n.at(2).on("vm-1", "wk-000001/0");
     let told = n
@@ -283,14 +283,14 @@
         told.contains("n1 at 9.000") && told.contains("1.000"),
         "{told}"
     );
-    let mut n = Night::new();
+    let mut n = Scenario::new();
     n.at(1).accepted(job("wk-000001", 1));
     n.at(2).on("vm-1", "wk-000001/0");
     n.at(9).told(Ask::Submit, "wk-000001", 422, None);
     n.only(Rule::Forgotten);
     // Silence for 90 s counts while most others are answered, and not else.
     for others in [true, false] {
-        let mut n = Night::new();
+        let mut n = Scenario::new();
         n.at(1).accepted(job("wk-000001", 1));
         n.at(1).accepted(job("wk-000002", 1));
         n.at(2).on("vm-1", "wk-000001/0");
@@ -309,14 +309,14 @@
             n.only(Rule::Forgotten);
         } else {
             n.add(What::Ends);
-            assert!(Judge::of(&n.0.events).breaches.is_empty());
+            assert!(Checker::of(&n.0.events).breaches.is_empty());
         }
     }
 }
 
 #[test]
 fn invented_not_done_and_went_back() {
-    let mut n = Night::new();
+    let mut n = Scenario::new();
     n.at(1).accepted(job("wk-000001", 1));
     n.at(2).on("vm-1", "wk-000001/0");
     let told = n
@@ -328,7 +328,7 @@
         "{told}"
     );
 
-    let mut n = Night::new();
+    let mut n = Scenario::new();
     n.at(1).accepted(job("wk-000001", 2));
     n.at(2).on("vm-1", "wk-000001/0");
     n.at(3).off("vm-1", "wk-000001/0", Off::Done, 1.0);
@@ -336,7 +336,7 @@
     assert!(told.contains("1 of 2"), "{told}");
 
     let done = || {
-        let mut n = Night::new();
+        let mut n = Scenario::new();
         n.at(1).accepted(job("wk-000001", 1));
         n.at(2).on("vm-1", "wk-000001/0");
         n.at(3).off("vm-1", "wk-000001/0", Off::Done, 1.0);
@@ -359,8 +359,8 @@
         node: "n2".into(),
     });
     n.add(What::Ends);
-    assert!(Judge::of(&n.0.events).breaches.is_empty());
-    let mut n = Night::new();
+    assert!(Checker::of(&n.0.events).breaches.is_empty());
+    let mut n = Scenario::new();
     n.at(1).accepted(job("wk-000001", 1));
     n.at(2).on("vm-1", "wk-000001/0");
     n.at(3).off("vm-1", "wk-000001/0", Off::Stopped, 0.0);
@@ -371,14 +371,14 @@
 
 #[test]
 fn nothing_ran_is_a_breach_of_its_own() {
-    let mut n = Night::new();
+    let mut n = Scenario::new();
     n.at(1).accepted(job("wk-000001", 1));
     n.at(300).only(Rule::NothingRan);
 }
 
 #[test]
 fn every_job_settles_in_exactly_one_way() {
-    let mut n = Night::new();
+    let mut n = Scenario::new();
     n.at(1).submit(job("wk-000001", 1));
     n.told(Ask::Submit, "wk-000001", 422, None);
     n.submit(job("wk-000002", 1));
@@ -406,7 +406,7 @@
 
 #[test]
 fn aims_price_and_useful_work_are_counted_as_the_page_says() {
-    let mut n = Night::new();
+    let mut n = Scenario::new();
     let mut f = facts();
     f.aims = vec![
         Aim::Wait {
@@ -427,7 +427,7 @@
         Aim::Price { most: 3.0 },
     ];
     n.add(What::Begins {
-        night: "test".into(),
+        scenario: "test".into(),
         seed: 1,
         facts: f,
     });
@@ -466,7 +466,7 @@
 
 #[test]
 fn a_history_reads_back_with_its_digest() {
-    let mut n = Night::new();
+    let mut n = Scenario::new();
     n.at(1)
         .accepted(job("wk-000001", 1))
         .on("vm-1", "wk-000001/0");
@@ -484,8 +484,8 @@
 
 /// Two classes want ten jobs each of 10 CPU seconds; one gets `first`, the other
 /// `second` of them in time, and the rest late or never.
-fn served(first: u32, second: u32, asked: Option<Served>) -> Night {
-    let mut n = Night::new();
+fn served(first: u32, second: u32, asked: Option<Served>) -> Scenario {
+    let mut n = Scenario::new();
     if let What::Begins { facts, .. } = &mut n.0.events[0].what {
         facts.served = asked;
     }
@@ -527,9 +527,9 @@
         begin_s: None,
     };
     let asked = Some(half);
-    let starved = |mut n: Night| {
+    let starved = |mut n: Scenario| {
         n.add(What::Ends);
-        let all = Judge::of(&n.0.events).breaches;
+        let all = Checker::of(&n.0.events).breaches;
         let all = all.into_iter().filter(|b| b.rule == Rule::Starved);
         all.map(|b| b.to_string()).collect::<Vec<_>>()
     };
@@ -567,7 +567,7 @@
 
 #[test]
 fn too_early_names_the_job_that_is_not_done() {
-    let mut n = Night::new();
+    let mut n = Scenario::new();
     n.at(1).accepted(job("wk-000001", 2));
     n.at(2).accepted(after("wk-000002", &["wk-000001"]));
     for task in ["wk-000001/0", "wk-000001/1"] {
@@ -580,21 +580,21 @@
         told.contains("wk-000002/0") && told.contains("before wk-000001"),
         "{told}"
     );
-    let mut n = Night::new();
+    let mut n = Scenario::new();
     n.at(1).accepted(job("wk-000001", 1));
     n.at(2).accepted(after("wk-000002", &["wk-000001"]));
     n.at(3).on("vm-1", "wk-000001/0");
     n.at(9).off("vm-1", "wk-000001/0", Off::Done, 6.0);
     n.at(9).on("vm-2", "wk-000002/0").add(What::Ends);
-    assert!(Judge::of(&n.0.events).breaches.is_empty());
+    assert!(Checker::of(&n.0.events).breaches.is_empty());
 }
 
 /// Told cancelled at 10 s, with 20 s to be gone: what is after it, directly or not, may be
 /// called queued until then, and cancelled although its own user never asked.
 #[test]
 fn orphaned_counts_from_when_a_job_before_it_was_told_cancelled() {
-    let night = || {
-        let mut n = Night::new();
+    let scenario = || {
+        let mut n = Scenario::new();
         n.at(1).accepted(job("wk-000001", 1));
         n.at(2).accepted(after("wk-000002", &["wk-000001"]));
         n.at(3).accepted(after("wk-000003", &["wk-000002"]));
@@ -608,12 +608,12 @@
         n
     };
     let cancel_s = facts().cancel_s as u64;
-    let mut n = night();
+    let mut n = scenario();
     n.at(9 + cancel_s).poll("wk-000003", State::Queued);
     n.at(12 + cancel_s).poll("wk-000003", State::Cancelled);
     n.add(What::Ends);
-    assert!(Judge::of(&n.0.events).breaches.is_empty());
-    let mut n = night();
+    assert!(Checker::of(&n.0.events).breaches.is_empty());
+    let mut n = scenario();
     n.at(11 + cancel_s).poll("wk-000003", State::Queued);
     let told = n.only(Rule::Orphaned);
     assert!(
@@ -631,7 +631,7 @@
         within_s: 300.0,
         begin_s: Some(240.0),
     };
-    let mut n = Night::new();
+    let mut n = Scenario::new();
     if let What::Begins { facts, .. } = &mut n.0.events[0].what {
         facts.served = Some(asked);
     }
@@ -661,8 +661,8 @@
         }
     }
     n.at(900).add(What::Ends);
-    let judge = Judge::of(&n.0.events);
-    let told: Vec<String> = judge.breaches.iter().map(|b| b.to_string()).collect();
+    let checker = Checker::of(&n.0.events);
+    let told: Vec<String> = checker.breaches.iter().map(|b| b.to_string()).collect();
     let starved: Vec<&String> = told.iter().filter(|b| b.starts_with("starved")).collect();
     assert_eq!(starved.len(), 2, "{told:?}");
     assert!(starved[0].contains("wk-000001") && starved[0].contains("240 s"));
@@ -670,7 +670,7 @@
         starved[1].contains("the largest tenth of c on"),
         "{starved:?}"
     );
-    let least = judge.least.unwrap();
+    let least = checker.least.unwrap();
     assert_eq!(
         (least.name.as_str(), least.share),
         ("the largest tenth of c", 0.0)
--- a/crates/cherrywood/src/cli.rs
+++ b/crates/cherrywood/src/cli.rs
@@ -3,7 +3,7 @@
 use anyhow::{Context as _, bail};
 use cherrywood_net::Host;
 use cherrywood_net::client::Client;
-use cherrywood_rehearsal::command::{ExperimentArgs, RehearseArgs, Schema};
+use cherrywood_simulation::command::{ExperimentArgs, Schema, SimulateArgs};
 use cherrywood_wire::user::{JobStatus, Refusal, Submission};
 use clap::{Parser, Subcommand};
 use std::net::SocketAddr;
@@ -31,7 +31,8 @@
 
 #[derive(Debug, Subcommand)]
 pub enum Command {
-    Rehearse(RehearseArgs),
+    #[command(alias = "rehearse")]
+    Simulate(SimulateArgs),
     Experiment(ExperimentArgs),
     /// Print the JSON Schema of a file.
     Schema {
--- a/crates/cherrywood/src/main.rs
+++ b/crates/cherrywood/src/main.rs
@@ -2,7 +2,7 @@
 
 use cherrywood_net::Host;
 use cherrywood_node::settings::Settings;
-use cherrywood_rehearsal::command::{experiment, rehearse, schema};
+use cherrywood_simulation::command::{experiment, schema, simulate};
 use clap::Parser as _;
 use cli::{Args, Command, client};
 use std::process::ExitCode;
@@ -21,7 +21,7 @@
     };
     if let Some(command) = args.command {
         let command = match command {
-            Command::Rehearse(args) => return ExitCode::from(rehearse(&args)),
+            Command::Simulate(args) => return ExitCode::from(simulate(&args)),
             Command::Experiment(args) => return ExitCode::from(experiment(&args)),
             Command::Schema { of } => {
                 println!("{}", schema(of));
--- a/crates/cherrywood/tests/rehearse.rs
+++ b/crates/cherrywood/tests/simulate.rs
@@ -1,4 +1,4 @@
-//! The command line of rehearsals, as a user meets it.
+//! The command line of simulations, as a user meets it.
 
 use rustix::process::{Pid, Signal, kill_process};
 use std::io::Write as _;
@@ -58,18 +58,18 @@
 
 /// A search plays every seed, names those that are not good and says how to play them.
 #[test]
-fn a_search_counts_its_nights_and_names_the_bad_ones() {
+fn a_search_counts_its_scenarios_and_names_the_bad_ones() {
     let dir = tempfile::tempdir().unwrap();
     let good = file(dir.path(), "good.yaml", SHORT);
-    let (code, out, err) = run(&["rehearse", &good, "--search", "3", "--seed", "5"]);
+    let (code, out, err) = run(&["simulate", &good, "--search", "3", "--seed", "5"]);
     assert_eq!(code, 0, "{out}{err}");
     assert!(
-        out.contains("3 of 3 nights played") && out.contains(" 0 not good"),
+        out.contains("3 of 3 scenarios played") && out.contains(" 0 not good"),
         "{out}"
     );
     let early = SHORT.replace("settle_s: 60", "settle_s: 0");
     let bad = file(dir.path(), "bad.yaml", &early);
-    let (code, out, _) = run(&["rehearse", &bad, "--search", "2", "--seed", "5"]);
+    let (code, out, _) = run(&["simulate", &bad, "--search", "2", "--seed", "5"]);
     assert_eq!(code, 1, "{out}");
     let named = |seed: &str| {
         out.lines()
@@ -77,7 +77,7 @@
     };
     assert!(named("5") || named("6"), "{out}");
     assert!(!out.contains(" 0 not good"), "{out}");
-    let (code, _, err) = run(&["rehearse", &good, "--search", "0"]);
+    let (code, _, err) = run(&["simulate", &good, "--search", "0"]);
     assert_eq!((code, err.lines().count()), (2, 1), "{err}");
 }
 
@@ -85,7 +85,7 @@
 fn a_newcomer_s_first_command_settles_everything() {
     let dir = tempfile::tempdir().unwrap();
     let out = dir.path().join("out").display().to_string();
-    let (code, stdout, stderr) = run(&["rehearse", "--report", &out]);
+    let (code, stdout, stderr) = run(&["simulate", "--report", &out]);
     let last = stdout.lines().last().unwrap();
     assert_eq!(code, 0, "{stdout}{stderr}");
     assert!(
@@ -106,13 +106,13 @@
 #[test]
 fn the_life_of_a_job_is_told_across_controllers() {
     let dir = tempfile::tempdir().unwrap();
-    let night = file(dir.path(), "short.yaml", SHORT);
+    let scenario = file(dir.path(), "short.yaml", SHORT);
     let out = dir.path().display().to_string();
-    run(&["rehearse", &night, "--report", &out]);
+    run(&["simulate", &scenario, "--report", &out]);
     let history = std::fs::read_to_string(dir.path().join("history.jsonl")).unwrap();
     let at = history.find("\"id\":\"wk-").unwrap();
     let id = &history[at + 6..at + 15];
-    let (code, stdout, _) = run(&["rehearse", &night, "--trace", id]);
+    let (code, stdout, _) = run(&["simulate", &scenario, "--trace", id]);
     assert_eq!(code, 0);
     for step in [
         "submits",
@@ -128,7 +128,7 @@
     ] {
         assert!(stdout.contains(step), "{step:?} not in\n{stdout}");
     }
-    let (_, _, stderr) = run(&["rehearse", &night, "--trace", "wk-0"]);
+    let (_, _, stderr) = run(&["simulate", &scenario, "--trace", "wk-0"]);
     assert!(stderr.contains("no job wk-0"), "{stderr}");
 }
 
@@ -150,29 +150,30 @@
     );
     let arms = at(
         "e.yaml",
-        "name: e\nseeds: 1\nagainst: x\narms: {a: {}, b: {}}\nnight: {name: n, play_s: 60}\n",
+        "name: e\nseeds: 1\nagainst: x\narms: {a: {}, b: {}}\nscenario: {name: n, play_s: 60}\n",
     );
     let (op, blocked) = (at("op.yaml", "cheap_onyl: true"), at("blocked", ""));
     let below = format!("{blocked}/out");
-    let cases: [(&[&str], &[&str]); 9] = [
+    let cases: [(&[&str], &[&str]); 10] = [
+        (&["simulate", "no-such.yaml"], &["no-such.yaml"]),
         (&["rehearse", "no-such.yaml"], &["no-such.yaml"]),
         (
-            &["rehearse", &zero],
+            &["simulate", &zero],
             &["zero.yaml, line 4", "controllers", "found 0"],
         ),
         (
-            &["rehearse", &late],
+            &["simulate", &late],
             &["late.yaml, line 4", "after the end of play"],
         ),
         (
-            &["rehearse", &big],
+            &["simulate", &big],
             &["big.yaml, line 5", "fits no machine type"],
         ),
-        (&["rehearse", "--report", &below], &["report directory"]),
-        (&["rehearse", "--scale", "0"], &["--scale", "found 0"]),
-        (&["rehearse", "--play", "5"], &["--play", "found 5"]),
+        (&["simulate", "--report", &below], &["report directory"]),
+        (&["simulate", "--scale", "0"], &["--scale", "found 0"]),
+        (&["simulate", "--play", "5"], &["--play", "found 5"]),
         (
-            &["rehearse", "--operator", &op],
+            &["simulate", "--operator", &op],
             &["op.yaml, line 1", "cheap_onyl"],
         ),
         (&["experiment", &arms], &["against", "found x", "a, b"]),
@@ -190,6 +191,7 @@
 #[test]
 fn schemas_describe_the_files() {
     for (which, part) in [
+        ("scenario", "state_outage"),
         ("night", "state_outage"),
         ("experiment", "against"),
         ("operator", "cheap_only"),
@@ -201,7 +203,7 @@
     }
 }
 
-/// Ports of a night with two controllers more than any test uses.
+/// Ports of a scenario with two controllers more than any test uses.
 const PORTS: u16 = 16;
 
 /// A base whose ports are free now.
@@ -215,28 +217,28 @@
 }
 
 #[test]
-fn real_processes_settle_a_night_in_which_the_leader_is_killed() {
+fn real_processes_settle_a_scenario_in_which_the_leader_is_killed() {
     let dir = tempfile::tempdir().unwrap();
-    let night = file(dir.path(), "short.yaml", SHORT);
+    let scenario = file(dir.path(), "short.yaml", SHORT);
     let port = free_ports(23_000).to_string();
-    let (code, stdout, stderr) = run(&["rehearse", &night, "--processes", "--port", &port]);
+    let (code, stdout, stderr) = run(&["simulate", &scenario, "--processes", "--port", &port]);
     assert_eq!(code, 0, "{stdout}{stderr}");
     assert!(stdout.lines().last().unwrap().contains("rules broken 0"));
     // A port that is taken is told at once.
     let _taken = TcpListener::bind(("127.0.0.1", port.parse().unwrap())).unwrap();
-    let (code, _, stderr) = run(&["rehearse", &night, "--processes", "--port", &port]);
+    let (code, _, stderr) = run(&["simulate", &scenario, "--processes", "--port", &port]);
     assert_eq!((code, stderr.lines().count()), (2, 1), "{stderr}");
     assert!(stderr.contains(&format!("127.0.0.1:{port}")), "{stderr}");
 }
 
 #[test]
-fn an_interrupted_night_reports_what_was_played_and_leaves_nothing_behind() {
+fn an_interrupted_scenario_reports_what_was_played_and_leaves_nothing_behind() {
     let dir = tempfile::tempdir().unwrap();
-    let night = file(dir.path(), "short.yaml", SHORT);
+    let scenario = file(dir.path(), "short.yaml", SHORT);
     let port = free_ports(26_000);
     let args = [
-        "rehearse",
-        &night,
+        "simulate",
+        &scenario,
         "--processes",
         "--port",
         &port.to_string(),
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,7 +1,7 @@
 //! The controller as a pure state machine: events and the time go in,
 //! commands, transactions and cloud requests come out. No I/O, no clock.
 
-/// A step in the life of a job: off unless a rehearsal traces it.
+/// A step in the life of a job: off unless a simulation traces it.
 #[macro_export]
 macro_rules! life {
     ($job:expr, $($rest:tt)*) => {
--- a/crates/emulator/src/cloud.rs
+++ b/crates/emulator/src/cloud.rs
@@ -7,11 +7,11 @@
 use crate::state::named;
 use crate::worker::{Worker, up};
 use crate::world::World;
-use cherrywood_judge::What;
+use cherrywood_checker::What;
 use cherrywood_net::Host;
 use cherrywood_net::server::{self, Request, Response};
-use cherrywood_night::Trouble;
-use cherrywood_night::deployment::MachineType;
+use cherrywood_scenario::Trouble;
+use cherrywood_scenario::deployment::MachineType;
 use cherrywood_store::service::Rate;
 use cherrywood_wire::cloud::{
     Listed, ListedState, MachineList, MachineType as WireType, MachineTypes, Names, Rent,
@@ -57,7 +57,7 @@
     kind: MachineType,
     zone: String,
     spot: bool,
-    /// s of the night; None while it isn't so.
+    /// s of the scenario; None while it isn't so.
     rented: f64,
     up: Option<f64>,
     died: Option<f64>,
@@ -100,7 +100,7 @@
 impl Cloud {
     pub async fn start(world: &Arc<World>) -> io::Result<Arc<Cloud>> {
         let proc = world.region("cloud", Role::Cloud);
-        let d = &world.night.deployment;
+        let d = &world.scenario.deployment;
         let prices = d.machine_types.iter();
         let me = Arc::new(Cloud {
             world: world.clone(),
@@ -142,7 +142,7 @@
     async fn move_prices(&self) {
         loop {
             self.host.sleep(PRICE_EVERY_S).await;
-            let most = self.world.night.deployment.cloud.price_moves;
+            let most = self.world.scenario.deployment.cloud.price_moves;
             let now = self.world.now_s();
             let core = &mut *lock(&self.core);
             for steps in core.prices.values_mut() {
@@ -157,7 +157,7 @@
     // --- requests ---
 
     async fn answer(self: &Arc<Self>, request: Request) -> Response {
-        let d = &self.world.night.deployment.cloud;
+        let d = &self.world.scenario.deployment.cloud;
         let (path, query) = request.path.split_once('?').unwrap_or((&request.path, ""));
         let half = d.latency_ms / 2000.0 * (0.5 + self.chance());
         self.host.sleep(half).await;
@@ -205,7 +205,7 @@
     }
 
     fn types(&self) -> Response {
-        let d = &self.world.night.deployment;
+        let d = &self.world.scenario.deployment;
         let core = lock(&self.core);
         let of = |t: &MachineType| WireType {
             name: t.name.clone(),
@@ -240,7 +240,7 @@
         let limit: usize = field("limit")
             .and_then(|l| l.parse().ok())
             .unwrap_or(PAGE_MOST);
-        let mut lag = self.world.night.deployment.cloud.list_lag_s;
+        let mut lag = self.world.scenario.deployment.cloud.list_lag_s;
         if self.chance() < LIST_OLD {
             lag *= 1.0 + self.chance();
         }
@@ -290,7 +290,7 @@
             let machines = names.clone();
             return Response::new(200, encode(&Names { machines }));
         }
-        let d = &self.world.night.deployment;
+        let d = &self.world.scenario.deployment;
         let kind = d.machine_types.iter().find(|t| t.name == rent.kind);
         let place = d
             .capacity
@@ -335,7 +335,7 @@
     }
 
     fn add(&self, kind: &str, zone: &str, spot: bool, request: &str) -> String {
-        let types = &self.world.night.deployment.machine_types;
+        let types = &self.world.scenario.deployment.machine_types;
         let found = types.iter().find(|t| t.name == kind);
         let machine = Rented {
             kind: found.cloned().unwrap_or_default(),
@@ -408,7 +408,7 @@
     }
 
     async fn come_up(self: &Arc<Self>, name: &str) {
-        let w = &self.world.night.deployment.workers;
+        let w = &self.world.scenario.deployment.workers;
         let (kind, zone, spot, traits) = {
             let core = &mut *lock(&self.core);
             let Some(m) = core.machines.get(name).filter(|m| m.held()) else {
@@ -441,14 +441,14 @@
             };
             m.up = Some(self.world.now_s());
             m.worker = Some(worker);
-            let per_s = self.world.night.deployment.spot.per_hour / 3600.0;
+            let per_s = self.world.scenario.deployment.spot.per_hour / 3600.0;
             (m.spot && per_s > 0.0).then(|| -libm::log(1.0 - chance) / per_s)
         };
         if let Some(s) = reclaim {
             let (own, name) = (self.clone(), name.to_string());
             self.host.spawn(async move {
                 own.host.sleep(s).await;
-                let spot = &own.world.night.deployment.spot;
+                let spot = &own.world.scenario.deployment.spot;
                 let silent = own.chance() < spot.silent;
                 let notice = if silent { 0.0 } else { spot.notice_s };
                 own.reclaim(&name, notice).await;
@@ -555,7 +555,7 @@
         self.gone(name, "died", cost);
     }
 
-    /// Everything is returned at the end of the night.
+    /// Everything is returned at the end of the scenario.
     pub fn close(&self) {
         let names: Vec<String> = {
             let core = lock(&self.core);
@@ -563,7 +563,7 @@
             held.map(|(name, _)| name.clone()).collect()
         };
         for name in names {
-            self.take(&name, "the night is over");
+            self.take(&name, "the scenario is over");
         }
     }
 
--- a/crates/emulator/src/fabric.rs
+++ b/crates/emulator/src/fabric.rs
@@ -6,7 +6,7 @@
 //! Virtual time moves in steps of a millisecond, as the runtime's timers do.
 
 use cherrywood_net::host::{Accept, Listener, Stream};
-use cherrywood_night::Cut;
+use cherrywood_scenario::Cut;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 use std::collections::{BTreeMap, VecDeque};
--- a/crates/emulator/src/jobs.rs
+++ b/crates/emulator/src/jobs.rs
@@ -1,9 +1,9 @@
-//! What users order: jobs drawn from the night's classes.
+//! What users order: jobs drawn from the scenario's classes.
 
 use crate::machine::Sheet;
 use crate::world::{Upload, World};
-use cherrywood_judge::history::Job;
-use cherrywood_night::workload::{Class, JobKind, Rank, Spread};
+use cherrywood_checker::history::Job;
+use cherrywood_scenario::workload::{Class, JobKind, Rank, Spread};
 use cherrywood_wire::user::{Kind, MAX_TASKS, Priority, Submission};
 use rand::Rng;
 use rand_distr::StandardNormal;
@@ -69,7 +69,7 @@
     /// Of each class, and of each class of each pipeline: what one draws shifts nothing
     /// in another.
     pub fn all(world: &World) -> (Vec<Shop>, Vec<Vec<Shop>>) {
-        let w = &world.night.workload;
+        let w = &world.scenario.workload;
         let number = |name: &str| w.classes.iter().position(|c| c.name == name);
         let mut slots = w.classes.len();
         let stages: Vec<Vec<(usize, usize, String)>> = w
@@ -124,7 +124,7 @@
     }
 
     fn team(&mut self, world: &World, class: &Class) -> String {
-        let teams = &world.night.deployment.teams;
+        let teams = &world.scenario.deployment.teams;
         if let Some(team) = &class.team {
             return team.clone();
         }
@@ -140,8 +140,8 @@
     }
 
     pub fn order(&mut self, world: &World) -> Order {
-        let c = &world.night.workload.classes[self.class];
-        let w = &world.night.workload;
+        let c = &world.scenario.workload.classes[self.class];
+        let w = &world.scenario.workload;
         let id = self.id();
         let team = self.team(world, c);
         let images = &self.images;
--- a/crates/emulator/src/machine.rs
+++ b/crates/emulator/src/machine.rs
@@ -1,8 +1,8 @@
 //! One rented machine and its worker's state: tasks, images, lease, token. A
 //! state machine without I/O; the time is its own clock's, in seconds.
 
-use cherrywood_judge::history::Off;
-use cherrywood_night::deployment::MachineType;
+use cherrywood_checker::history::Off;
+use cherrywood_scenario::deployment::MachineType;
 use cherrywood_wire::agent::{Command, Orders, Report, ReportAnswer, TaskReport, TaskState, Why};
 use std::collections::BTreeMap;
 
--- a/crates/emulator/src/proc.rs
+++ b/crates/emulator/src/proc.rs
@@ -1,6 +1,6 @@
 //! An emulated process: its own clocks and chance, tasks that can stand still
 //! and be killed, and a way to the network, which is the fabric or, in a
-//! rehearsal with real processes, loopback.
+//! simulation with real processes, loopback.
 
 use crate::fabric::{Fabric, lock};
 use cherrywood_net::host::{Boxed, Host, Listener, Stream, Surroundings};
@@ -56,7 +56,7 @@
     next: u64,
 }
 
-/// Unix time at which every emulated night begins: 2026-01-01.
+/// Unix time at which every emulated scenario begins: 2026-01-01.
 const DAWN_MS: u64 = 1_767_225_600_000;
 
 pub struct Proc {
@@ -65,7 +65,7 @@
     medium: Medium,
     clocks: Clocks,
     start: Instant,
-    night: Instant,
+    scenario: Instant,
     rng: Mutex<Pcg64>,
     tasks: Mutex<Tasks>,
     me: Weak<Proc>,
@@ -78,13 +78,13 @@
 }
 
 impl Proc {
-    /// `night` is the instant at which the night began.
+    /// `scenario` is the instant at which the scenario began.
     pub fn new(
         name: &str,
         ip: IpAddr,
         medium: Medium,
         clocks: Clocks,
-        night: Instant,
+        scenario: Instant,
         seed: u64,
     ) -> Arc<Proc> {
         Arc::new_cyclic(|me| Proc {
@@ -93,7 +93,7 @@
             medium,
             clocks,
             start: Instant::now(),
-            night,
+            scenario,
             rng: Mutex::new(Pcg64::seed_from_u64(seed)),
             tasks: Mutex::default(),
             me: me.clone(),
@@ -162,7 +162,7 @@
     }
 
     fn wall_ms(&self) -> u64 {
-        let since = self.night.elapsed().as_millis() as u64;
+        let since = self.scenario.elapsed().as_millis() as u64;
         DAWN_MS + (since as f64 + self.clocks.wall_off_ms).max(0.0) as u64
     }
 
--- a/crates/emulator/src/state.rs
+++ b/crates/emulator/src/state.rs
@@ -7,8 +7,8 @@
 use crate::world::World;
 use cherrywood_net::Host;
 use cherrywood_net::server::{self, Request, Response};
-use cherrywood_night::trouble::Lost;
-use cherrywood_night::{Trouble, Who};
+use cherrywood_scenario::trouble::Lost;
+use cherrywood_scenario::{Trouble, Who};
 use cherrywood_store::service::{Allowed, Watch};
 use cherrywood_store::{Reply, Service};
 use rand::Rng;
@@ -44,7 +44,7 @@
 impl StateHost {
     pub async fn start(world: &Arc<World>) -> io::Result<Arc<StateHost>> {
         let proc = world.region("state", Role::State);
-        let s = &world.night.deployment.state;
+        let s = &world.scenario.deployment.state;
         let allowed = Allowed {
             rps: s.rps,
             write_rps: s.write_rps,
@@ -132,7 +132,7 @@
 
     /// It has its next limits from now on.
     pub fn next_limits(&self) {
-        let s = &self.world.night.deployment.state;
+        let s = &self.world.scenario.deployment.state;
         let next = s.next.unwrap_or_default();
         lock(&self.service).set_limits(Allowed {
             rps: next.rps.unwrap_or(s.rps),
@@ -152,7 +152,7 @@
 
     /// s that this request takes, before and after it is executed.
     fn latency(&self) -> f64 {
-        let s = &self.world.night.deployment.state;
+        let s = &self.world.scenario.deployment.state;
         let mut ms = s.latency_ms * (0.5 + self.chance());
         if self.chance() < s.slow {
             ms += SLOW_MS.0 + self.chance() * (SLOW_MS.1 - SLOW_MS.0);
--- a/crates/emulator/src/troubles.rs
+++ b/crates/emulator/src/troubles.rs
@@ -1,18 +1,18 @@
-//! Makes the night's troubles, each at its time.
+//! Makes the scenario's troubles, each at its time.
 
 use crate::cloud::Cloud;
 use crate::fabric::{Break, Group, Role, lock};
 use crate::proc::Medium;
 use crate::state::{StateHost, who};
 use crate::world::World;
-use cherrywood_judge::What;
-use cherrywood_night::trouble::Side;
-use cherrywood_night::{Trouble, Who};
+use cherrywood_checker::What;
+use cherrywood_scenario::trouble::Side;
+use cherrywood_scenario::{Trouble, Who};
 use rand_pcg::Pcg64;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-/// Controllers, which whoever plays the night starts and ends: as tasks in
+/// Controllers, which whoever plays the scenario starts and ends: as tasks in
 /// virtual time, or as processes.
 pub trait Nodes: Send + Sync {
     fn start(&self, node: usize);
@@ -50,7 +50,7 @@
         cloud: &Arc<Cloud>,
         nodes: Arc<dyn Nodes>,
     ) -> Arc<Troubles> {
-        let count = world.night.deployment.controllers as usize;
+        let count = world.scenario.deployment.controllers as usize;
         Arc::new(Troubles {
             world: world.clone(),
             state: state.clone(),
@@ -67,7 +67,7 @@
         for node in 0..count {
             self.node_up(node);
         }
-        for t in self.world.night.all_troubles(self.world.seed) {
+        for t in self.world.scenario.all_troubles(self.world.seed) {
             let own = self.clone();
             tokio::spawn(async move {
                 wait(t.at_s() - own.world.now_s()).await;
@@ -105,7 +105,7 @@
     fn restart(self: &Arc<Self>, node: usize) {
         let own = self.clone();
         tokio::spawn(async move {
-            wait(own.world.night.deployment.node.restart_s).await;
+            wait(own.world.scenario.deployment.node.restart_s).await;
             own.node_up(node);
         });
     }
--- a/crates/emulator/src/users.rs
+++ b/crates/emulator/src/users.rs
@@ -6,11 +6,11 @@
 use crate::jobs::{Order, Shop};
 use crate::proc::Proc;
 use crate::world::World;
-use cherrywood_judge::What;
-use cherrywood_judge::history::{Ask, State};
+use cherrywood_checker::What;
+use cherrywood_checker::history::{Ask, State};
 use cherrywood_net::client::{Answer, exchange};
 use cherrywood_net::{Host, Stream};
-use cherrywood_night::Trouble;
+use cherrywood_scenario::Trouble;
 use cherrywood_wire::user::{JobState, JobStatus};
 use cherrywood_wire::{decode, encode};
 use rand::Rng;
@@ -99,15 +99,15 @@
             let own = me.clone();
             me.host.spawn(async move { own.probe(node).await });
         }
-        for class in 0..world.night.workload.classes.len() {
+        for class in 0..world.scenario.workload.classes.len() {
             let own = me.clone();
             me.host.spawn(async move { own.arrivals(class).await });
         }
-        for n in 0..world.night.workload.pipelines.len() {
+        for n in 0..world.scenario.workload.pipelines.len() {
             let own = me.clone();
             me.host.spawn(async move { own.pipelines(n).await });
         }
-        if world.night.workload.strangers_per_minute > 0.0 {
+        if world.scenario.workload.strangers_per_minute > 0.0 {
             let own = me.clone();
             me.host.spawn(async move { own.strangers().await });
         }
@@ -123,7 +123,7 @@
     }
 
     fn playing(&self) -> bool {
-        self.world.now_s() < self.world.night.play_s
+        self.world.now_s() < self.world.scenario.play_s
     }
 
     // --- the load balancer ---
@@ -244,7 +244,7 @@
     /// What comes and when is drawn apart from all else: the same seed brings
     /// the same jobs, whatever the controllers do.
     async fn arrivals(self: Arc<Self>, class: usize) {
-        let c = self.world.night.workload.classes[class].clone();
+        let c = self.world.scenario.workload.classes[class].clone();
         let mut rng = self.world.rng(&format!("arrivals of {}", c.name));
         self.host.sleep(OPENS_S).await;
         for _ in 0..c.at_start {
@@ -301,7 +301,7 @@
         let id = order.submission.id.clone();
         let now = self.host.now();
         let between = |(least, most)| self.host.between(least, most);
-        let left = (self.world.night.play_s - self.world.now_s()).max(0.0);
+        let left = (self.world.scenario.play_s - self.world.now_s()).max(0.0);
         let cancel_at = order.cancel_after_s.map(|s| match order.job_stands {
             true => now + s.min(left),
             false => now + s,
@@ -321,7 +321,7 @@
     // --- pipelines ---
 
     async fn pipelines(self: Arc<Self>, n: usize) {
-        let p = self.world.night.workload.pipelines[n].clone();
+        let p = self.world.scenario.workload.pipelines[n].clone();
         let mut rng = self.world.rng(&format!("arrivals of {}", p.name));
         if p.per_minute <= 0.0 {
             return;
@@ -340,7 +340,7 @@
 
     /// Submits the jobs of one pipeline, each when those that it needs are accepted.
     async fn pipeline(self: Arc<Self>, n: usize, [late, cancels, which]: [f64; 3]) {
-        let p = self.world.night.workload.pipelines[n].clone();
+        let p = self.world.scenario.workload.pipelines[n].clone();
         let mut orders: Vec<Vec<Order>> = Vec::new();
         // Of each stage: s of the longest path up to its end, by its owners' estimates.
         let mut path: Vec<f64> = Vec::new();
@@ -401,8 +401,8 @@
     /// Submits until it is accepted (true), refused, or given up.
     async fn submit(self: &Arc<Self>, line: &mut Option<Line>, id: &str, body: &[u8]) -> bool {
         let first = self.host.now();
-        // Drawn only where a night has such users, so that others replay as before.
-        let impatient = self.world.night.workload.impatient;
+        // Drawn only where a scenario has such users, so that others replay as before.
+        let impatient = self.world.scenario.workload.impatient;
         let impatient = impatient > 0.0 && self.host.between(0.0, 1.0) < impatient;
         loop {
             let told = self.ask(line, Ask::Submit, id, Some(body)).await;
@@ -426,7 +426,7 @@
 
     /// Polls until the job is over, and cancels it when its time has come.
     async fn watch(self: &Arc<Self>, line: &mut Option<Line>, id: &str, cancel_at: Option<f64>) {
-        let every = self.world.night.workload.poll_s;
+        let every = self.world.scenario.workload.poll_s;
         let mut unwanted = false;
         loop {
             let storm = |t: &Trouble| match t {
@@ -468,7 +468,7 @@
 
     async fn strangers(self: Arc<Self>) {
         let mut rng = self.world.rng("strangers");
-        let every = 60.0 / self.world.night.workload.strangers_per_minute;
+        let every = 60.0 / self.world.scenario.workload.strangers_per_minute;
         while self.playing() {
             self.host.sleep(every * self.host.between(0.5, 1.5)).await;
             // Seven digits: no user's id.
--- a/crates/emulator/src/worker.rs
+++ b/crates/emulator/src/worker.rs
@@ -6,12 +6,12 @@
 use crate::proc::{Medium, Proc};
 use crate::state::named;
 use crate::world::{GONE, World};
-use cherrywood_judge::What;
+use cherrywood_checker::What;
 use cherrywood_net::client::{Answer, exchange};
 use cherrywood_net::server::{self, Request, Response};
 use cherrywood_net::{Host, NetError, Stream};
-use cherrywood_night::Trouble;
-use cherrywood_night::deployment::MachineType;
+use cherrywood_scenario::Trouble;
+use cherrywood_scenario::deployment::MachineType;
 use cherrywood_wire::agent::{Orders, Redirect, ReportAnswer};
 use cherrywood_wire::{decode, encode};
 use std::io;
@@ -20,7 +20,7 @@
 use std::sync::{Arc, Mutex};
 use tokio::sync::Notify;
 
-/// s; the clock of a rehearsal counts in these.
+/// s; the clock of a simulation counts in these.
 const LEAST_WAIT_S: f64 = 0.001;
 /// s that a worker waits for an answer, and before it tries the next node.
 const ANSWER_WAIT_S: f64 = 4.0;
@@ -85,7 +85,7 @@
         let at = SocketAddr::new(ip, port);
         let listener = host.bind(at).await.map_err(|e| named(at, &e))?;
         let addr = listener.local_addr()?.to_string();
-        let lease_s = world.night.deployment.workers.lease_s;
+        let lease_s = world.scenario.deployment.workers.lease_s;
         let now = host.now();
         let machine = Machine::new(name, addr, kind.clone(), zone, spot, traits, lease_s, now);
         let me = Arc::new(Worker {
@@ -176,7 +176,7 @@
     pub async fn hang(self: Arc<Self>, for_s: f64) {
         self.with(|m, now| m.advance(now));
         self.proc.freeze();
-        // The night's own clock: this process doesn't run.
+        // The scenario's own clock: this process doesn't run.
         let until = self.host.now() + for_s;
         let lease = lock(&self.machine).lease_until();
         if lease < until {
@@ -241,7 +241,7 @@
 
     async fn report(&self) {
         let nodes = self.world.addresses.nodes.len();
-        let every = self.world.night.deployment.workers.report_s;
+        let every = self.world.scenario.deployment.workers.report_s;
         let mut node = (self.host.random() % nodes as u64) as usize;
         let mut kept: Option<Stream> = None;
         let mut next = self.host.now();
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -1,12 +1,12 @@
-//! What all emulated systems share: the night, its clock and chance, what users
+//! What all emulated systems share: the scenario, its clock and chance, what users
 //! uploaded, progress kept outside machines, troubles now, and the history.
 
 use crate::fabric::{Delays, Fabric, Role, lock};
 use crate::machine::{Note, Sheet};
 use crate::proc::{Clocks, Medium, Proc};
-use cherrywood_judge::history::{Facts, Job, Off};
-use cherrywood_judge::{History, Judge, What};
-use cherrywood_night::{Night, Trouble};
+use cherrywood_checker::history::{Facts, Job, Off};
+use cherrywood_checker::{Checker, History, What};
+use cherrywood_scenario::{Scenario, Trouble};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 use std::collections::BTreeMap;
@@ -72,7 +72,7 @@
 #[derive(Debug)]
 struct Core {
     history: History,
-    judge: Judge,
+    checker: Checker,
     uploads: BTreeMap<String, Upload>,
     /// Progress of tasks that is kept outside machines, and whether they are
     /// finished.
@@ -87,7 +87,7 @@
 
 #[derive(Debug)]
 pub struct World {
-    pub night: Night,
+    pub scenario: Scenario,
     pub seed: u64,
     pub medium: Medium,
     pub fabric: Arc<Fabric>,
@@ -97,9 +97,9 @@
 }
 
 impl World {
-    /// A night in virtual time, or on loopback from a port on.
-    pub fn new(night: Night, seed: u64, port: Option<u16>) -> Arc<World> {
-        let n = &night.deployment.network;
+    /// A scenario in virtual time, or on loopback from a port on.
+    pub fn new(scenario: Scenario, seed: u64, port: Option<u16>) -> Arc<World> {
+        let n = &scenario.deployment.network;
         let delays = Delays {
             same_zone_ms: n.same_zone_ms,
             cross_zone_ms: n.cross_zone_ms,
@@ -107,16 +107,16 @@
             loss: n.loss,
         };
         let fabric = Fabric::new(stream_seed(seed, "network"), delays);
-        let count = night.deployment.controllers;
+        let count = scenario.deployment.controllers;
         let (medium, addresses) = match port {
             None => (Medium::Fabric(fabric.clone()), Addresses::emulated(count)),
             Some(port) => (Medium::Loopback, Addresses::loopback(count, port)),
         };
         let mut history = History::default();
-        let mut judge = Judge::new();
-        let d = &night.deployment;
+        let mut checker = Checker::new();
+        let d = &scenario.deployment;
         let begins = What::Begins {
-            night: night.name.clone(),
+            scenario: scenario.name.clone(),
             seed,
             facts: Facts {
                 cancel_s: d.workers.cancel_s,
@@ -126,7 +126,7 @@
                 served: d.served,
             },
         };
-        judge.feed(history.record(0, begins));
+        checker.feed(history.record(0, begins));
         Arc::new(World {
             seed,
             medium,
@@ -135,7 +135,7 @@
             start: Instant::now(),
             core: Mutex::new(Core {
                 history,
-                judge,
+                checker,
                 uploads: BTreeMap::new(),
                 progress: BTreeMap::new(),
                 active: Vec::new(),
@@ -143,11 +143,11 @@
                 open: 0,
                 stopped: None,
             }),
-            night,
+            scenario,
         })
     }
 
-    /// s since the night began.
+    /// s since the scenario began.
     pub fn now_s(&self) -> f64 {
         self.start.elapsed().as_secs_f64()
     }
@@ -167,7 +167,7 @@
             self.fabric.join(ip, role, zone);
         }
         let mut rng = self.rng(&format!("{name} at {}", self.now_ms()));
-        let n = &self.night.deployment.node;
+        let n = &self.scenario.deployment.node;
         // On loopback all share the machine's clock.
         let clocks = match self.medium {
             Medium::Fabric(_) => Clocks {
@@ -195,7 +195,7 @@
     }
 
     pub fn node_zone(&self, node: usize) -> String {
-        let zones = &self.night.deployment.zones;
+        let zones = &self.scenario.deployment.zones;
         zones[node % zones.len()].clone()
     }
 
@@ -206,7 +206,7 @@
         let mut core = lock(&self.core);
         let core = &mut *core;
         let event = core.history.record(at, what);
-        core.judge.feed(event);
+        core.checker.feed(event);
     }
 
     /// Takes the history, at the end.
@@ -217,13 +217,13 @@
 
     /// Rules broken so far.
     pub fn broken(&self) -> usize {
-        lock(&self.core).judge.breaches.len()
+        lock(&self.core).checker.breaches.len()
     }
 
     /// Calls with the events so far; for those who watch.
-    pub fn look<T>(&self, at: impl FnOnce(&History, &Judge) -> T) -> T {
+    pub fn look<T>(&self, at: impl FnOnce(&History, &Checker) -> T) -> T {
         let core = lock(&self.core);
-        at(&core.history, &core.judge)
+        at(&core.history, &core.checker)
     }
 
     // --- troubles ---
@@ -338,7 +338,7 @@
         }
     }
 
-    /// Ends the night early.
+    /// Ends the scenario early.
     pub fn stop(&self, why: &str) {
         lock(&self.core).stopped.get_or_insert(why.to_string());
     }
--- a/crates/emulator/tests/fabric.rs
+++ b/crates/emulator/tests/fabric.rs
@@ -1,10 +1,10 @@
-//! The network that rehearsals believe in: delay, order, broken paths, power.
+//! The network that simulations believe in: delay, order, broken paths, power.
 
 use cherrywood_emulator::fabric::{Break, Delays, Group, Role};
 use cherrywood_emulator::{Clocks, Fabric, Medium, Proc};
 use cherrywood_net::Host;
 use cherrywood_net::host::{Listener, Stream};
-use cherrywood_night::Cut;
+use cherrywood_scenario::Cut;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
--- a/crates/emulator/tests/machine.rs
+++ b/crates/emulator/tests/machine.rs
@@ -1,8 +1,8 @@
 //! A worker by the protocol page: tasks, leases, tokens, sessions, saves.
 
+use cherrywood_checker::history::Off;
 use cherrywood_emulator::machine::{Machine, Note, Sheet, Traits};
-use cherrywood_judge::history::Off;
-use cherrywood_night::deployment::MachineType;
+use cherrywood_scenario::deployment::MachineType;
 use cherrywood_wire::agent::{Command, Orders, ReportAnswer, TaskState, Why};
 
 fn machine() -> Machine {
--- a/crates/net/src/host.rs
+++ b/crates/net/src/host.rs
@@ -1,7 +1,7 @@
 //! What a process finds around it: a steady clock, the time of day, chance,
 //! tasks of its own and the network. Everything in cherrywood that waits, draws
 //! or connects asks its host, so that the same program runs on a machine and in
-//! a rehearsal, where all of this is emulated. On a machine every call goes
+//! a simulation, where all of this is emulated. On a machine every call goes
 //! straight to the runtime; nothing is boxed or counted there.
 
 use std::fmt;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,4 +1,4 @@
-//! The controller process as a library: the daemon runs one of it, a rehearsal
+//! The controller process as a library: the daemon runs one of it, a simulation
 //! several. Arrows point one way: settings, polls, gate < node < lookup, parts < api, loops.
 
 pub mod api;
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -1,7 +1,7 @@
 //! The platform's TOML, and the operators' own YAML.
 
 use anyhow::{Context as _, bail};
-use cherrywood_night::file;
+use cherrywood_scenario::file;
 use garde::Validate;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
--- a/crates/night/src/check.rs
+++ b/crates/scenario/src/check.rs
@@ -1,7 +1,7 @@
 //! Checks across fields: what is possible by itself may be impossible together.
 
 use crate::workload::JobKind;
-use crate::{Aim, Night, Trouble};
+use crate::{Aim, Scenario, Trouble};
 use garde::{Error, Path, Report};
 
 fn list(names: &[&str]) -> String {
@@ -9,13 +9,13 @@
 }
 
 /// Appends what is wrong, each with its path.
-pub fn check(night: &Night, report: &mut Report) {
-    let d = &night.deployment;
+pub fn check(scenario: &Scenario, report: &mut Report) {
+    let d = &scenario.deployment;
     let root = Path::empty;
     let zones: Vec<&str> = d.zones.iter().map(String::as_str).collect();
     let kinds: Vec<&str> = d.machine_types.iter().map(|t| t.name.as_str()).collect();
     let teams: Vec<&str> = d.teams.iter().map(|t| t.name.as_str()).collect();
-    let classes: Vec<&str> = night
+    let classes: Vec<&str> = scenario
         .workload
         .classes
         .iter()
@@ -67,10 +67,10 @@
         bad(path, format!("lower than lease_s and 8 s, {least} s"));
     }
     let lines = root().join("workload").join("pipelines");
-    for (i, p) in night.workload.pipelines.iter().enumerate() {
+    for (i, p) in scenario.workload.pipelines.iter().enumerate() {
         for (n, stage) in p.stages.iter().enumerate() {
             let at = |field| lines.join(i).join("stages").join(n).join(field);
-            let class = night
+            let class = scenario
                 .workload
                 .classes
                 .iter()
@@ -88,7 +88,7 @@
         }
     }
     let work = root().join("workload").join("classes");
-    for (i, c) in night.workload.classes.iter().enumerate() {
+    for (i, c) in scenario.workload.classes.iter().enumerate() {
         let at = |field| work.join(i).join(field);
         if let Some(team) = &c.team
             && !teams.contains(&team.as_str())
@@ -146,7 +146,7 @@
     }
     let aims = root().join("deployment").join("aims");
     for (i, a) in d.aims.iter().enumerate() {
-        // Aims on classes that a night leaves out count nothing, and may stay.
+        // Aims on classes that a scenario leaves out count nothing, and may stay.
         if let Aim::Wait { class, .. } | Aim::Finished { class, .. } = a
             && class.is_empty()
         {
@@ -154,10 +154,10 @@
         }
     }
     let troubles = root().join("troubles");
-    for (i, t) in night.troubles.iter().enumerate() {
+    for (i, t) in scenario.troubles.iter().enumerate() {
         let at = |field| troubles.join(i).join(field);
-        if t.at_s() >= night.play_s {
-            let why = format!("after the end of play, which is at {} s", night.play_s);
+        if t.at_s() >= scenario.play_s {
+            let why = format!("after the end of play, which is at {} s", scenario.play_s);
             bad(at("at_s"), why);
         }
         let zone = match t {
@@ -177,12 +177,12 @@
             bad(at("class"), one_of("class", &classes));
         }
     }
-    for (i, draw) in night.drawn.iter().enumerate() {
+    for (i, draw) in scenario.drawn.iter().enumerate() {
         let at = |field| root().join("drawn").join(i).join(field);
         if draw.to_s <= draw.from_s {
             bad(at("to_s"), format!("not after from_s, {} s", draw.from_s));
-        } else if draw.to_s > night.play_s {
-            let why = format!("after the end of play, which is at {} s", night.play_s);
+        } else if draw.to_s > scenario.play_s {
+            let why = format!("after the end of play, which is at {} s", scenario.play_s);
             bad(at("to_s"), why);
         }
     }
--- a/crates/night/src/deployment.rs
+++ b/crates/scenario/src/deployment.rs
@@ -1,5 +1,5 @@
 //! What is deployed: controllers, the systems they serve, teams and aims.
-//! Every field has a default, so that a night names only what it is about.
+//! Every field has a default, so that a scenario names only what it is about.
 
 use garde::Validate;
 use schemars::JsonSchema;
@@ -381,7 +381,7 @@
     #[serde(default)]
     #[garde(range(max = 100_000))]
     pub spot: u32,
-    /// Ordinary ones that are up when the night begins.
+    /// Ordinary ones that are up when the scenario begins.
     #[serde(default)]
     #[garde(range(max = 100_000))]
     pub up: u32,
--- a/crates/night/src/draw.rs
+++ b/crates/scenario/src/draw.rs
@@ -1,7 +1,7 @@
 //! Troubles drawn from the seed.
 
 use crate::trouble::*;
-use crate::{Night, Trouble};
+use crate::{Scenario, Trouble};
 use garde::Validate;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
@@ -83,7 +83,7 @@
     /// Times the capacity of each type, zone and kind, at least and at most.
     #[garde(inner(range(min = 0.1, max = 10.0)))]
     pub times: [f64; 2],
-    /// Share of nights with machines of one type only.
+    /// Share of scenarios with machines of one type only.
     #[serde(default)]
     #[garde(range(min = 0.0, max = 1.0))]
     pub one_type: f64,
@@ -97,10 +97,10 @@
     Some(d.machine_types.iter().max_by(by_cpus)?.name.clone())
 }
 
-impl Night {
-    /// The night with the deployment that the seed draws, if it asks for one.
+impl Scenario {
+    /// The scenario with the deployment that the seed draws, if it asks for one.
     #[must_use]
-    pub fn with_fleet(mut self, seed: u64) -> Night {
+    pub fn with_fleet(mut self, seed: u64) -> Scenario {
         let Some(fleet) = self.drawn_fleet.take() else {
             return self;
         };
--- a/crates/night/src/file.rs
+++ b/crates/scenario/src/file.rs
@@ -1,7 +1,7 @@
 //! Reading a file, and what its author is told when it can't be used: one line
 //! with file, line, field, what was found and what is allowed.
 
-use crate::Night;
+use crate::Scenario;
 use garde::Validate;
 use serde::de::DeserializeOwned;
 use std::path::Path;
@@ -16,13 +16,13 @@
     }
 }
 
-impl Night {
-    pub fn load(path: &Path) -> Result<Night, FileError> {
+impl Scenario {
+    pub fn load(path: &Path) -> Result<Scenario, FileError> {
         let name = path.display().to_string();
-        Night::parse(&name, &read(path)?)
+        Scenario::parse(&name, &read(path)?)
     }
 
-    pub fn parse(file: &str, text: &str) -> Result<Night, FileError> {
+    pub fn parse(file: &str, text: &str) -> Result<Scenario, FileError> {
         parse::<Checked>(file, text).map(|c| c.0)
     }
 }
@@ -41,10 +41,10 @@
     serde_saphyr::from_str_valid(text).map_err(|e| FileError(explain(file, text, &e)))
 }
 
-/// Night files are also checked across their fields.
+/// Scenario files are also checked across their fields.
 #[derive(serde::Deserialize)]
 #[serde(transparent)]
-struct Checked(Night);
+struct Checked(Scenario);
 
 impl Validate for Checked {
     type Context = ();
--- a/crates/night/src/lib.rs
+++ b/crates/scenario/src/lib.rs
@@ -1,4 +1,4 @@
-//! Night files: what a rehearsal plays. A deployment, what its users do, and
+//! Scenario files: what a simulation plays. A deployment, what its users do, and
 //! troubles at set times or drawn from the seed. Read from YAML, checked, and
 //! described by a JSON Schema.
 
@@ -19,14 +19,14 @@
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
-/// One night: what is deployed, what its users do, and what goes wrong.
+/// One scenario: what is deployed, what its users do, and what goes wrong.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema, Validate)]
 #[serde(deny_unknown_fields)]
-pub struct Night {
+pub struct Scenario {
     /// Letters, digits and dashes; names the report.
     #[garde(length(min = 1, max = 60), custom(plain))]
     pub name: String,
-    /// What the night shows.
+    /// What the scenario shows.
     #[serde(default)]
     #[garde(length(max = 2000))]
     pub about: String,
@@ -72,10 +72,10 @@
     900.0
 }
 
-impl Night {
+impl Scenario {
     /// Only its first so many seconds.
     #[must_use]
-    pub fn first(mut self, s: f64) -> Night {
+    pub fn first(mut self, s: f64) -> Scenario {
         self.play_s = self.play_s.min(s);
         self.troubles.retain(|t| t.at_s() < s);
         self.drawn.retain(|d| d.from_s < s);
@@ -85,9 +85,9 @@
         self
     }
 
-    /// The same night with so many times the traffic, and jobs at its beginning.
+    /// The same scenario with so many times the traffic, and jobs at its beginning.
     #[must_use]
-    pub fn with_traffic(mut self, traffic: f64, at_start: f64) -> Night {
+    pub fn with_traffic(mut self, traffic: f64, at_start: f64) -> Scenario {
         for c in &mut self.workload.classes {
             c.per_minute *= traffic;
             c.at_start = (f64::from(c.at_start) * at_start).round() as u32;
@@ -95,9 +95,9 @@
         self
     }
 
-    /// The same night at another size: machines, teams and traffic times `by`.
+    /// The same scenario at another size: machines, teams and traffic times `by`.
     #[must_use]
-    pub fn scaled(mut self, by: f64) -> Night {
+    pub fn scaled(mut self, by: f64) -> Scenario {
         let whole = |n: u32| (f64::from(n) * by).round() as u32;
         for c in &mut self.deployment.capacity {
             (c.count, c.spot, c.up) = (whole(c.count), whole(c.spot), whole(c.up));
@@ -119,16 +119,16 @@
     use super::*;
 
     fn refused(text: &str) -> String {
-        let err = Night::parse("n.yaml", text).unwrap_err().to_string();
+        let err = Scenario::parse("n.yaml", text).unwrap_err().to_string();
         assert!(!err.contains('\n'), "one line: {err}");
         err
     }
 
     #[test]
     fn an_error_names_file_line_field_what_was_found_and_what_is_allowed() {
-        let night = "name: n\nplay_s: 60\n";
-        assert!(Night::parse("n.yaml", night).is_ok());
-        let of = |rest: &str| refused(&format!("{night}{rest}"));
+        let scenario = "name: n\nplay_s: 60\n";
+        assert!(Scenario::parse("n.yaml", scenario).is_ok());
+        let of = |rest: &str| refused(&format!("{scenario}{rest}"));
         for (rest, parts) in [
             (
                 "deployment:\n  controllers: 0\n",
@@ -171,8 +171,8 @@
     }
 
     #[test]
-    fn an_impossible_night_is_refused_with_the_field_to_blame() {
-        let night = "name: n\nplay_s: 60\n";
+    fn an_impossible_scenario_is_refused_with_the_field_to_blame() {
+        let scenario = "name: n\nplay_s: 60\n";
         for (rest, parts) in [
             (
                 "troubles:\n  - state_outage: {at_s: 60, for_s: 3}\n",
@@ -196,7 +196,7 @@
             ),
             ("deployment:\n  zones: []\n", ["line 4", "zones", ""]),
         ] {
-            let err = refused(&format!("{night}{rest}"));
+            let err = refused(&format!("{scenario}{rest}"));
             for part in parts {
                 assert!(err.contains(part), "{part:?} not in: {err}");
             }
@@ -206,21 +206,21 @@
     #[test]
     fn drawn_troubles_come_from_the_seed_alone() {
         let text = "name: n\nplay_s: 300\ndrawn:\n  - {count: 5, from_s: 60, to_s: 200}\n";
-        let night = Night::parse("n.yaml", text).unwrap();
-        let a = night.all_troubles(7);
+        let scenario = Scenario::parse("n.yaml", text).unwrap();
+        let a = scenario.all_troubles(7);
         assert_eq!(a.len(), 5);
-        assert_eq!(a, night.all_troubles(7));
-        assert_ne!(a, night.all_troubles(8));
+        assert_eq!(a, scenario.all_troubles(7));
+        assert_ne!(a, scenario.all_troubles(8));
         assert!(a.iter().all(|t| (60.0..200.0).contains(&t.at_s())));
         assert!(a.windows(2).all(|w| w[0].at_s() <= w[1].at_s()));
         // Each that can be drawn is drawn by some seed, and is possible.
         let mut kinds = std::collections::BTreeSet::new();
         for seed in 0..200 {
-            for t in night.all_troubles(seed) {
+            for t in scenario.all_troubles(seed) {
                 kinds.insert(t.name());
-                let with = Night {
+                let with = Scenario {
                     troubles: vec![t.clone()],
-                    ..night.clone()
+                    ..scenario.clone()
                 };
                 with.validate().unwrap_or_else(|e| panic!("{t:?}: {e}"));
             }
@@ -232,11 +232,11 @@
     fn a_drawn_fleet_comes_from_the_seed_and_is_possible() {
         let text = "name: n\nplay_s: 300\ndrawn_fleet: {controllers: [3, 7], \
                     restart_s: [0.1, 2], times: [0.5, 2.5], one_type: 0.4}\n";
-        let night = Night::parse("n.yaml", text).unwrap();
+        let scenario = Scenario::parse("n.yaml", text).unwrap();
         let (mut controllers, mut types) = (std::collections::BTreeSet::new(), 0);
         for seed in 0..60 {
-            let drawn = night.clone().with_fleet(seed);
-            assert_eq!(drawn, night.clone().with_fleet(seed));
+            let drawn = scenario.clone().with_fleet(seed);
+            assert_eq!(drawn, scenario.clone().with_fleet(seed));
             drawn.validate().unwrap_or_else(|e| panic!("{seed}: {e}"));
             let d = &drawn.deployment;
             assert!((0.1..=2.0).contains(&d.node.restart_s) && d.controllers <= 7);
@@ -249,13 +249,13 @@
 
     #[test]
     fn a_size_changes_machines_teams_and_traffic_alike() {
-        let night = Night::parse("n.yaml", "name: n\nplay_s: 60\n").unwrap();
-        let ten = night.clone().scaled(10.0);
-        let machines = |n: &Night| -> u32 {
+        let scenario = Scenario::parse("n.yaml", "name: n\nplay_s: 60\n").unwrap();
+        let ten = scenario.clone().scaled(10.0);
+        let machines = |n: &Scenario| -> u32 {
             let all = n.deployment.capacity.iter();
             all.map(|c| c.count + c.spot).sum()
         };
-        assert_eq!(machines(&ten), 10 * machines(&night));
+        assert_eq!(machines(&ten), 10 * machines(&scenario));
         assert!(ten.validate().is_ok());
     }
 }
--- a/crates/night/src/trouble.rs
+++ b/crates/scenario/src/trouble.rs
@@ -63,7 +63,7 @@
             $( $(#[$field_meta:meta])* $field:ident : $ty:ty ),* $(,)?
         }
     )*) => {
-        /// A trouble; `at_s` counts from the beginning of the night.
+        /// A trouble; `at_s` counts from the beginning of the scenario.
         #[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema, Validate)]
         #[serde(rename_all = "snake_case", deny_unknown_fields)]
         pub enum Trouble {
@@ -408,7 +408,7 @@
         }
     }
 
-    /// Its name in a night file.
+    /// Its name in a scenario file.
     pub fn name(&self) -> &'static str {
         use Trouble as T;
         match self {
--- a/crates/night/src/workload.rs
+++ b/crates/scenario/src/workload.rs
@@ -243,7 +243,7 @@
     /// Spread of the owner's estimates around the truth.
     #[garde(range(min = 0.0, max = 3.0))]
     pub estimate_error: f64,
-    /// Factor by which estimates are off on this night.
+    /// Factor by which estimates are off on this scenario.
     #[garde(range(min = 0.01, max = 100.0))]
     pub estimate_bias: f64,
     /// Share of jobs that their user cancels.
--- a/crates/rehearsal/src/command.rs
+++ b/crates/simulation/src/command.rs
@@ -1,4 +1,4 @@
-//! `cherrywood rehearse`, and `cherrywood schema`.
+//! `cherrywood simulate`, and `cherrywood schema`.
 
 use crate::experiment::{self, Experiment, compare};
 use crate::live::Live;
@@ -6,9 +6,9 @@
 use crate::play::{Options, Scene, play};
 use crate::search::search;
 use crate::{report, summary};
-use cherrywood_night::Night;
-use cherrywood_night::file::read;
 use cherrywood_node::settings::Settings;
+use cherrywood_scenario::Scenario;
+use cherrywood_scenario::file::read;
 use clap::{Args, ValueEnum};
 use indicatif::{ProgressBar, ProgressDrawTarget, ProgressStyle};
 use std::path::PathBuf;
@@ -21,15 +21,15 @@
 pub const BROKEN: u8 = 1;
 pub const BAD_INPUT: u8 = 2;
 
-/// The night that is played if none is named.
-pub const QUIET: &str = include_str!("../../../nights/quiet.yaml");
+/// The scenario that is played if none is named.
+pub const QUIET: &str = include_str!("../../../scenarios/quiet.yaml");
 
-/// Play a night: the whole service on this machine, troubles included.
+/// Play a scenario: the whole service on this machine, troubles included.
 #[derive(Debug, Args)]
-pub struct RehearseArgs {
-    /// The night (YAML); a quiet one if it isn't given.
-    pub night: Option<PathBuf>,
-    /// Draws everything; the same seed replays the same night.
+pub struct SimulateArgs {
+    /// The scenario (YAML); a quiet one if it isn't given.
+    pub scenario: Option<PathBuf>,
+    /// Draws everything; the same seed replays the same scenario.
     #[arg(long, default_value_t = 1)]
     pub seed: u64,
     /// Write report.html, report.json, history.jsonl and controllers.log here.
@@ -44,7 +44,7 @@
     /// Run the controllers as processes on loopback, in real time.
     #[arg(long, conflicts_with = "live")]
     pub processes: bool,
-    /// First port on loopback of a night with processes.
+    /// First port on loopback of a scenario with processes.
     #[arg(
         long,
         default_value_t = 21_000,
@@ -88,7 +88,7 @@
     }
 }
 
-/// Set by ctrl-C; a night then ends with the report of what was played.
+/// Set by ctrl-C; a scenario then ends with the report of what was played.
 pub fn interrupted() -> Arc<AtomicBool> {
     let flag = Arc::new(AtomicBool::new(false));
     let set = flag.clone();
@@ -97,10 +97,10 @@
     flag
 }
 
-pub fn load(args: &RehearseArgs) -> anyhow::Result<(Night, Options)> {
-    let night = match &args.night {
-        Some(path) => Night::load(path)?,
-        None => Night::parse("the built-in night", QUIET)?,
+pub fn load(args: &SimulateArgs) -> anyhow::Result<(Scenario, Options)> {
+    let scenario = match &args.scenario {
+        Some(path) => Scenario::load(path)?,
+        None => Scenario::parse("the built-in scenario", QUIET)?,
     };
     if !(args.scale.is_finite() && (0.01..=1000.0).contains(&args.scale)) {
         anyhow::bail!("--scale: 0.01 to 1000 is allowed, found {}", args.scale);
@@ -114,31 +114,31 @@
         operator,
         processes: args.processes.then_some(args.port),
     };
-    let mut night = night.scaled(args.scale);
+    let mut scenario = scenario.scaled(args.scale);
     if let Some(s) = args.play {
-        if !(10.0..=night.play_s).contains(&s) {
-            anyhow::bail!("--play: 10 to {} s is allowed, found {s}", night.play_s);
+        if !(10.0..=scenario.play_s).contains(&s) {
+            anyhow::bail!("--play: 10 to {} s is allowed, found {s}", scenario.play_s);
         }
-        night = night.first(s);
+        scenario = scenario.first(s);
     }
     if options.processes.is_some() {
-        let out = night.all_troubles(options.seed);
+        let out = scenario.all_troubles(options.seed);
         let out = out.iter().filter(|t| !t.on_loopback()).map(|t| t.name());
         for name in out.collect::<std::collections::BTreeSet<_>>() {
             eprintln!("cherrywood: {name} can't be made with processes, and is left out");
         }
     }
-    Ok((night, options))
+    Ok((scenario, options))
 }
 
-pub fn rehearse(args: &RehearseArgs) -> u8 {
+pub fn simulate(args: &SimulateArgs) -> u8 {
     let prepared = load(args).and_then(|loaded| {
         if let Some(dir) = &args.report {
             report::prepare(dir)?;
         }
         Ok(loaded)
     });
-    let (night, options) = match prepared {
+    let (scenario, options) = match prepared {
         Ok(loaded) => loaded,
         Err(e) => {
             eprintln!("cherrywood: {e:#}");
@@ -147,15 +147,15 @@
     };
     let stop = interrupted();
     if let Some(seeds) = args.search {
-        return search(&night, &options, seeds, &stop);
+        return search(&scenario, &options, seeds, &stop);
     }
-    let bar = ProgressBar::new(night.play_s as u64);
+    let bar = ProgressBar::new(scenario.play_s as u64);
     if let Ok(style) = ProgressStyle::with_template("{bar:40} {pos}/{len} s of play  {msg}") {
         bar.set_style(style);
     }
     let level = args.log.map_or(Level::INFO, LogLevel::level);
     let log = Log::new(level, args.trace.clone(), args.log.is_some());
-    let play_s = night.play_s;
+    let play_s = scenario.play_s;
     let mut live = match args.live.then(Live::new).transpose() {
         Ok(live) => live,
         Err(e) => {
@@ -180,7 +180,7 @@
         }
         Ok(())
     };
-    let played = log.around(|| play(night, &options, &log, &mut watch));
+    let played = log.around(|| play(scenario, &options, &log, &mut watch));
     bar.finish_and_clear();
     drop(live);
     let outcome = match played {
@@ -196,7 +196,7 @@
     if let Some(id) = &args.trace
         && !outcome.settled.contains_key(id)
     {
-        eprintln!("cherrywood: --trace: no job {id} on this night");
+        eprintln!("cherrywood: --trace: no job {id} on this scenario");
     }
     print!("{}", summary::text(&outcome));
     if let Some(dir) = &args.report {
@@ -210,7 +210,7 @@
     if outcome.good() { GOOD } else { BROKEN }
 }
 
-/// Play the same nights under different settings, and compare them in pairs.
+/// Play the same scenarios under different settings, and compare them in pairs.
 #[derive(Debug, Args)]
 pub struct ExperimentArgs {
     /// The experiment (YAML).
@@ -236,7 +236,7 @@
     let dir = dir.unwrap_or_else(|| PathBuf::from(format!("{}-experiment", e.name)));
     let stop = interrupted();
     let bar = ProgressBar::new(0);
-    if let Ok(style) = ProgressStyle::with_template("{bar:40} {pos}/{len} nights  {eta} left") {
+    if let Ok(style) = ProgressStyle::with_template("{bar:40} {pos}/{len} scenarios  {eta} left") {
         bar.set_style(style);
     }
     let played = e.run(&dir, &stop, &|n, all| {
@@ -264,7 +264,7 @@
     if stop.load(Ordering::Relaxed) {
         println!("interrupted; the same command goes on where it was");
     }
-    println!("nights {got}/{want}, rules broken {broken}, unsettled {unsettled}");
+    println!("scenarios {got}/{want}, rules broken {broken}, unsettled {unsettled}");
     if got == want && broken == 0 && unsettled == 0 {
         GOOD
     } else {
@@ -275,7 +275,8 @@
 /// Files that a schema describes.
 #[derive(Debug, Clone, Copy, ValueEnum)]
 pub enum Schema {
-    Night,
+    #[value(alias = "night")]
+    Scenario,
     Experiment,
     Operator,
 }
@@ -283,7 +284,7 @@
 /// The JSON Schema of a file, for editors and checks.
 pub fn schema(which: Schema) -> String {
     let schema = match which {
-        Schema::Night => schemars::schema_for!(Night),
+        Schema::Scenario => schemars::schema_for!(Scenario),
         Schema::Experiment => schemars::schema_for!(Experiment),
         Schema::Operator => schemars::schema_for!(cherrywood_node::settings::Operator),
     };
--- a/crates/rehearsal/src/experiment.rs
+++ b/crates/simulation/src/experiment.rs
@@ -1,4 +1,4 @@
-//! Experiments: the same nights under different settings, over seeds and loads,
+//! Experiments: the same scenarios under different settings, over seeds and loads,
 //! compared pair by pair. Finished cells are kept, so that an experiment that
 //! was stopped goes on where it was.
 
@@ -6,9 +6,9 @@
 use crate::play::{Options, play};
 use crate::plot;
 use anyhow::Context as _;
-use cherrywood_judge::ClassFigures;
-use cherrywood_night::{Night, file};
+use cherrywood_checker::ClassFigures;
 use cherrywood_node::settings::Operator;
+use cherrywood_scenario::{Scenario, file};
 use garde::Validate;
 use maud::{DOCTYPE, Markup, PreEscaped, html};
 use rand::{Rng, SeedableRng};
@@ -41,11 +41,11 @@
     /// Seeds 1 to this.
     #[garde(range(min = 1, max = 10_000))]
     pub seeds: u64,
-    /// Times the night's traffic.
+    /// Times the scenario's traffic.
     #[serde(default = "once")]
     #[garde(length(min = 1, max = 50), inner(range(min = 0.001, max = 1000.0)))]
     pub loads: Vec<f64>,
-    /// Times the jobs that wait at the night's beginning, by name.
+    /// Times the jobs that wait at the scenario's beginning, by name.
     #[serde(default = "no_backlogs")]
     #[garde(length(min = 1, max = 20))]
     pub backlogs: BTreeMap<String, f64>,
@@ -56,7 +56,8 @@
     #[garde(skip)]
     pub against: String,
     #[garde(dive)]
-    pub night: Night,
+    #[serde(alias = "night")]
+    pub scenario: Scenario,
 }
 
 fn once() -> Vec<f64> {
@@ -67,7 +68,7 @@
     BTreeMap::from([("as written".to_string(), 1.0)])
 }
 
-/// One night of an experiment.
+/// One scenario of an experiment.
 #[derive(Debug, Clone, PartialEq, PartialOrd, Serialize, Deserialize)]
 pub struct Cell {
     pub load: f64,
@@ -79,7 +80,7 @@
 /// What it came to.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Row {
-    /// Of the night, the settings and the seed: a changed file plays anew.
+    /// Of the scenario, the settings and the seed: a changed file plays anew.
     pub key: String,
     pub cell: Cell,
     pub digest: String,
@@ -102,11 +103,11 @@
                 all.join(", ")
             );
         }
-        // The night inside is checked as any other.
+        // The scenario inside is checked as any other.
         let mut report = garde::Report::new();
-        cherrywood_night::check::check(&e.night, &mut report);
+        cherrywood_scenario::check::check(&e.scenario, &mut report);
         if let Some((path, why)) = report.iter().next() {
-            anyhow::bail!("{name}, night.{path}: {why}");
+            anyhow::bail!("{name}, scenario.{path}: {why}");
         }
         Ok(e)
     }
@@ -130,13 +131,13 @@
         cells
     }
 
-    fn night(&self, cell: &Cell) -> Night {
+    fn scenario(&self, cell: &Cell) -> Scenario {
         let at_start = self.backlogs.get(&cell.backlog).copied().unwrap_or(1.0);
-        self.night.clone().with_traffic(cell.load, at_start)
+        self.scenario.clone().with_traffic(cell.load, at_start)
     }
 
     fn key(&self, cell: &Cell) -> String {
-        let all = (self.night(cell), self.arms.get(&cell.arm), cell.seed);
+        let all = (self.scenario(cell), self.arms.get(&cell.arm), cell.seed);
         let text = serde_json::to_vec(&all).unwrap_or_default();
         let version = env!("CARGO_PKG_VERSION").as_bytes();
         let hash = blake3::hash(&[text.as_slice(), version].concat());
@@ -150,7 +151,7 @@
             processes: None,
         };
         let log = Log::new(Level::ERROR, None, false);
-        let o = log.around(|| play(self.night(cell), &options, &log, &mut |_| Ok(())))?;
+        let o = log.around(|| play(self.scenario(cell), &options, &log, &mut |_| Ok(())))?;
         let least = o.least.clone().unwrap_or_default();
         let figures = |c: &ClassFigures| {
             [
@@ -251,7 +252,7 @@
     "least served, of its bound (%)",
 ];
 
-/// Measures of the night as a whole, if it asks who is served.
+/// Measures of the scenario as a whole, if it asks who is served.
 const WHOLE: usize = 5;
 
 /// An arm against the other, at a load and backlog.
@@ -318,7 +319,7 @@
         };
         let classes: BTreeSet<&String> = cells.values().flat_map(|r| r.classes.keys()).collect();
         for class in classes {
-            let asked = class == ALL && e.night.deployment.served.is_some();
+            let asked = class == ALL && e.scenario.deployment.served.is_some();
             let measures = if asked {
                 &MEASURES[..]
             } else {
@@ -421,8 +422,8 @@
             body {
                 h1 { "Experiment " (e.name) }
                 @if !e.about.is_empty() { p { (e.about) } }
-                p { (rows.len()) " nights, " (broken) " rules broken, " (unsettled) " jobs unsettled. "
-                    "Change against " b { (e.against) } ", of paired nights, with the interval that holds "
+                p { (rows.len()) " scenarios, " (broken) " rules broken, " (unsettled) " jobs unsettled. "
+                    "Change against " b { (e.against) } ", of paired scenarios, with the interval that holds "
                     "95 of 100 bootstrap resamples." }
                 table {
                     tr { th { "load" } th { "backlog" } th { "class" } th { "measure" } th { "arm" }
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -1,4 +1,4 @@
-//! Plays a night: the controllers of `cherrywood-node` against the emulated
+//! Plays a scenario: the controllers of `cherrywood-node` against the emulated
 //! systems, in virtual time on one thread or as real processes on loopback.
 
 pub mod command;
--- a/crates/rehearsal/src/live.rs
+++ b/crates/simulation/src/live.rs
@@ -1,9 +1,9 @@
-//! `--live`: the night on the terminal while it is played, paused, in single
+//! `--live`: the scenario on the terminal while it is played, paused, in single
 //! steps, or at a speed of one's choice.
 
 use crate::play::{Scene, Verdict};
-use cherrywood_judge::What;
-use cherrywood_night::Trouble;
+use cherrywood_checker::What;
+use cherrywood_scenario::Trouble;
 use ratatui::Frame;
 use ratatui::Terminal;
 use ratatui::backend::CrosstermBackend;
@@ -53,7 +53,7 @@
 /// What one picture shows.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Model {
-    pub night: String,
+    pub scenario: String,
     pub seed: u64,
     pub now_s: f64,
     pub play_s: f64,
@@ -103,20 +103,20 @@
             fetching: n[3],
         });
         let now_s = world.now_s();
-        let all = world.night.all_troubles(world.seed);
+        let all = world.scenario.all_troubles(world.seed);
         let next = all.iter().filter(|t| t.at_s() > now_s).take(NEXT_SHOWN);
         let (hourly, spent) = scene.cloud.spending();
         let (submitted, broken, last_breach) = world.look(|h, j| {
-            let is = |e: &&cherrywood_judge::Event| matches!(e.what, What::Submitted { .. });
+            let is = |e: &&cherrywood_checker::Event| matches!(e.what, What::Submitted { .. });
             let submitted = h.events.iter().filter(is).count();
             let last = j.breaches.last().map(ToString::to_string);
             (submitted, j.breaches.len(), last)
         });
         Model {
-            night: world.night.name.clone(),
+            scenario: world.scenario.name.clone(),
             seed: world.seed,
             now_s,
-            play_s: world.night.play_s,
+            play_s: world.scenario.play_s,
             nodes: nodes.collect(),
             fleet: fleet.collect(),
             waiting: leader.map(|v| v.waiting.clone()).unwrap_or_default(),
@@ -216,7 +216,7 @@
         " {:.1} of {:.0} s, {phase}, seed {}, {pace}",
         m.now_s, m.play_s, m.seed
     );
-    let line = Line::from(vec![bold(&m.night), Span::raw(text)]);
+    let line = Line::from(vec![bold(&m.scenario), Span::raw(text)]);
     frame.render_widget(Paragraph::new(line), at);
 }
 
@@ -333,7 +333,7 @@
     ];
     lines.extend(m.last_breach.iter().map(|b| Line::from(b.clone()).red()));
     let text = Paragraph::new(lines).wrap(ratatui::widgets::Wrap { trim: true });
-    frame.render_widget(text.block(Block::bordered().title("judge")), at);
+    frame.render_widget(text.block(Block::bordered().title("checker")), at);
 }
 
 /// The terminal, given back when it is dropped.
@@ -357,8 +357,8 @@
         })
     }
 
-    /// Shows the night, and holds it back to the speed that was chosen. Blocking
-    /// here stops the night: it runs on this thread.
+    /// Shows the scenario, and holds it back to the speed that was chosen. Blocking
+    /// here stops the scenario: it runs on this thread.
     pub fn look(&mut self, scene: &Scene) -> Verdict {
         loop {
             if self.drawn.elapsed() >= Duration::from_millis(FRAME_MS) || self.controls.paused {
@@ -431,7 +431,7 @@
 
     fn model() -> Model {
         Model {
-            night: "bad-night".into(),
+            scenario: "many-failures".into(),
             seed: 7,
             now_s: 66.5,
             play_s: 300.0,
@@ -487,7 +487,7 @@
     fn a_picture_shows_controllers_machines_levels_teams_troubles_and_rules() {
         let text = screen(&model(), &Controls::default());
         for part in [
-            "bad-night 66.5 of 300 s, play, seed 7, 20 times as fast",
+            "many-failures 66.5 of 300 s, play, seed 7, 20 times as fast",
             "leads, epoch 3",
             "stands still",
             "takes users",
--- a/crates/rehearsal/src/log.rs
+++ b/crates/simulation/src/log.rs
@@ -1,9 +1,9 @@
-//! What the controllers log while a night is played, with the night's time and
+//! What the controllers log while a scenario is played, with the scenario's time and
 //! the controller that said it; and the life of one job across all of them.
 
+use cherrywood_checker::history::Event;
+use cherrywood_checker::{History, What};
 use cherrywood_emulator::proc;
-use cherrywood_judge::history::Event;
-use cherrywood_judge::{History, What};
 use std::collections::VecDeque;
 use std::fmt::{self, Write as _};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -100,7 +100,7 @@
         self.kept.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// The night begins now.
+    /// The scenario begins now.
     pub fn begin(&self) {
         self.lock().start = Some(Instant::now());
     }
--- a/crates/rehearsal/src/nodes.rs
+++ b/crates/simulation/src/nodes.rs
@@ -1,14 +1,14 @@
-//! The controllers of a night.
+//! The controllers of a scenario.
 
 use cherrywood_control::Settings as Cluster;
 use cherrywood_control::cluster::{CloudLimits, NextLimits, Objective, StateLimits, Team, Workers};
 use cherrywood_emulator::fabric::Role;
 use cherrywood_emulator::{Nodes, Proc, World};
-use cherrywood_night::Aim;
 use cherrywood_node::node::{Node, View};
 use cherrywood_node::settings::{
     Deployment, Limits, Member, Operator, Platform, Services, Settings,
 };
+use cherrywood_scenario::Aim;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -17,7 +17,7 @@
 
 /// What the platform would hand over to this controller.
 pub fn platform(world: &World, node: usize) -> Platform {
-    let d = &world.night.deployment;
+    let d = &world.scenario.deployment;
     let at = &world.addresses;
     let others = (0..at.nodes.len()).filter(|n| *n != node);
     let objective = |a: &Aim| {
--- a/crates/rehearsal/src/play.rs
+++ b/crates/simulation/src/play.rs
@@ -1,19 +1,19 @@
-//! One night from its beginning to its end.
+//! One scenario from its beginning to its end.
 
 use crate::log::Log;
 use crate::nodes::{InProcess, Shared};
 use crate::processes::Processes;
+use cherrywood_checker::settle::{Settled, settle};
+use cherrywood_checker::{Aims, Breach, Checker, History, Least, What, aims};
 use cherrywood_emulator::{Cloud, Nodes, StateHost, Troubles, Users, World};
-use cherrywood_judge::settle::{Settled, settle};
-use cherrywood_judge::{Aims, Breach, History, Judge, Least, What, aims};
-use cherrywood_night::Night;
 use cherrywood_node::node::View;
 use cherrywood_node::settings::Operator;
+use cherrywood_scenario::Scenario;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// Virtual s between two looks at how the night goes.
+/// Virtual s between two looks at how the scenario goes.
 const LOOK_S: f64 = 0.25;
 /// s between two records of what waits.
 const WAITING_EVERY_S: f64 = 5.0;
@@ -28,7 +28,7 @@
     pub processes: Option<u16>,
 }
 
-/// What the watcher of a night may see, four times a virtual second.
+/// What the watcher of a scenario may see, four times a virtual second.
 pub struct Scene<'a> {
     pub world: &'a Arc<World>,
     pub state: &'a Arc<StateHost>,
@@ -65,20 +65,20 @@
 /// Goes on, or why it ends early.
 pub type Verdict = Result<(), String>;
 
-/// How a night ended.
+/// How a scenario ended.
 #[derive(Debug)]
 pub struct Outcome {
-    pub night: Night,
+    pub scenario: Scenario,
     pub seed: u64,
     pub history: History,
     pub settled: BTreeMap<String, Settled>,
     pub breaches: Vec<Breach>,
     pub aims: Aims,
-    /// Who was served least, if the night asks.
+    /// Who was served least, if the scenario asks.
     pub least: Option<Least>,
     pub digest: String,
-    /// s that the night lasted, and that playing it took.
-    pub night_s: f64,
+    /// s that the scenario lasted, and that playing it took.
+    pub scenario_s: f64,
     pub real_s: f64,
     /// Why it ended early.
     pub stopped: Option<String>,
@@ -92,7 +92,7 @@
 
 impl Outcome {
     pub fn unsettled(&self) -> usize {
-        let open = |s: &&Settled| s.end == cherrywood_judge::End::Unsettled;
+        let open = |s: &&Settled| s.end == cherrywood_checker::End::Unsettled;
         self.settled.values().filter(open).count()
     }
 
@@ -105,9 +105,9 @@
     }
 }
 
-/// Plays a night on this thread: in virtual time, or with real processes.
+/// Plays a scenario on this thread: in virtual time, or with real processes.
 pub fn play(
-    night: Night,
+    scenario: Scenario,
     options: &Options,
     log: &Log,
     watch: &mut dyn FnMut(&Scene) -> Verdict,
@@ -119,19 +119,19 @@
         Some(_) => rt.enable_all().build()?,
     };
     let began = Instant::now();
-    let mut outcome = rt.block_on(run(night, options, log, watch))?;
+    let mut outcome = rt.block_on(run(scenario, options, log, watch))?;
     outcome.real_s = began.elapsed().as_secs_f64();
     Ok(outcome)
 }
 
 async fn run(
-    night: Night,
+    scenario: Scenario,
     options: &Options,
     log: &Log,
     watch: &mut dyn FnMut(&Scene) -> Verdict,
 ) -> anyhow::Result<Outcome> {
-    let night = night.with_fleet(options.seed);
-    let world = World::new(night.clone(), options.seed, options.processes);
+    let scenario = scenario.with_fleet(options.seed);
+    let world = World::new(scenario.clone(), options.seed, options.processes);
     log.begin();
     let state = StateHost::start(&world).await?;
     let cloud = Cloud::start(&world).await?;
@@ -181,7 +181,7 @@
         if world.stopped().is_some() {
             break;
         }
-        let over = now >= night.play_s;
+        let over = now >= scenario.play_s;
         if over && world.open_jobs() == 0 {
             let since = *quiet_since.get_or_insert(now);
             if now - since >= AFTER_S {
@@ -190,7 +190,7 @@
         } else {
             quiet_since = None;
         }
-        if now >= night.play_s + night.settle_s {
+        if now >= scenario.play_s + scenario.settle_s {
             break;
         }
     }
@@ -198,24 +198,24 @@
         all.stop();
     }
     cloud.close();
-    let night_s = world.now_s();
+    let scenario_s = world.now_s();
     let (sizes, over_rate) = (state.size(), state.over_rate());
     let history = world.finish();
-    let judge = Judge::of(&history.events);
+    let checker = Checker::of(&history.events);
     Ok(Outcome {
         seed: options.seed,
         settled: settle(&history.events),
-        breaches: judge.breaches,
-        least: judge.least,
+        breaches: checker.breaches,
+        least: checker.least,
         aims: aims::count(&history.events),
         digest: history.digest(),
         history,
-        night_s,
+        scenario_s,
         real_s: 0.0,
         stopped: world.stopped(),
         ended,
         state: sizes,
         over_rate,
-        night,
+        scenario,
     })
 }
--- a/crates/rehearsal/src/plot.rs
+++ b/crates/simulation/src/plot.rs
@@ -211,7 +211,7 @@
     Ok(())
 }
 
-/// All plots of a night with their titles.
+/// All plots of a scenario with their titles.
 pub fn all(t: &Timeline) -> Vec<(String, String)> {
     let of = |get: &dyn Fn(&Point) -> f64| -> Vec<(f64, f64)> {
         t.points.iter().map(|p| (p.at_s, get(p))).collect()
--- a/crates/rehearsal/src/report.rs
+++ b/crates/simulation/src/report.rs
@@ -1,4 +1,4 @@
-//! The report of a night: `report.json`, and a page with plots that needs
+//! The report of a scenario: `report.json`, and a page with plots that needs
 //! nothing but itself.
 
 use crate::log::Log;
@@ -7,7 +7,7 @@
 use crate::summary::{self, aim};
 use crate::timeline::{Account, Timeline, timeline};
 use anyhow::Context as _;
-use cherrywood_judge::settle::{End, tally};
+use cherrywood_checker::settle::{End, tally};
 use maud::{DOCTYPE, Markup, PreEscaped, html};
 use serde::Serialize;
 use std::collections::BTreeMap;
@@ -17,12 +17,12 @@
 
 #[derive(Debug, Serialize)]
 pub struct Report {
-    pub night: String,
+    pub scenario: String,
     pub about: String,
     pub seed: u64,
     pub digest: String,
-    /// s that the night lasted, and that playing it took.
-    pub night_s: f64,
+    /// s that the scenario lasted, and that playing it took.
+    pub scenario_s: f64,
     pub real_s: f64,
     pub stopped: Option<String>,
     pub good: bool,
@@ -85,11 +85,11 @@
 pub fn report(o: &Outcome) -> Report {
     let open = o.settled.iter().filter(|(_, s)| s.end == End::Unsettled);
     Report {
-        night: o.night.name.clone(),
-        about: o.night.about.clone(),
+        scenario: o.scenario.name.clone(),
+        about: o.scenario.about.clone(),
         seed: o.seed,
         digest: o.digest.clone(),
-        night_s: o.night_s,
+        scenario_s: o.scenario_s,
         real_s: o.real_s,
         stopped: o.stopped.clone(),
         good: o.good(),
@@ -148,7 +148,7 @@
     }
 }
 
-/// Can a report be written there? Asked before a night is played.
+/// Can a report be written there? Asked before a scenario is played.
 pub fn prepare(dir: &Path) -> anyhow::Result<()> {
     let probe = dir.join("history.jsonl");
     let made = fs::create_dir_all(dir).and_then(|()| File::create(&probe));
@@ -191,11 +191,11 @@
             head {
                 meta charset="utf-8";
                 meta name="viewport" content="width=device-width, initial-scale=1";
-                title { "Rehearsal " (r.night) ", seed " (r.seed) }
+                title { "Simulation " (r.scenario) ", seed " (r.seed) }
                 style { (PreEscaped(STYLE)) }
             }
             body {
-                h1 { "Rehearsal " (r.night) ", seed " (r.seed) }
+                h1 { "Simulation " (r.scenario) ", seed " (r.seed) }
                 @if !r.about.is_empty() { p { (r.about) } }
                 p class=(if r.good { "good" } else { "bad" }) { (verdict) }
                 @if let Some(why) = &r.stopped { p class="bad" { "Stopped: " (why) } }
@@ -244,7 +244,7 @@
                 p { (r.state_keys) " keys, " (r.state_bytes) " bytes at the end; "
                     (r.state_over_rate) " requests over its rates." }
                 footer { "digest " (r.digest) ": blake3 of history.jsonl, first 16 digits; "
-                         (fixed(r.night_s)) " s played in " (fixed(r.real_s)) " s" }
+                         (fixed(r.scenario_s)) " s played in " (fixed(r.real_s)) " s" }
             }
         }
     }
--- a/crates/rehearsal/src/search.rs
+++ b/crates/simulation/src/search.rs
@@ -1,17 +1,17 @@
-//! Many seeds of one night, to look for what nobody thought of.
+//! Many seeds of one scenario, to look for what nobody thought of.
 
 use crate::command::{BAD_INPUT, BROKEN, GOOD};
 use crate::log::Log;
 use crate::play::{Options, Outcome, Scene, play};
 use crate::summary;
-use cherrywood_night::Night;
+use cherrywood_scenario::Scenario;
 use rayon::prelude::*;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use tracing::Level;
 
 /// Plays `seeds` of them, from the options' own on. Prints a line for each that was not
 /// good, with the command's seed to play it by, and in the end how many were.
-pub fn search(night: &Night, options: &Options, seeds: u64, stop: &AtomicBool) -> u8 {
+pub fn search(scenario: &Scenario, options: &Options, seeds: u64, stop: &AtomicBool) -> u8 {
     if !(1..=1_000_000).contains(&seeds) {
         eprintln!("cherrywood: --search: 1 to 1000000 is allowed, found {seeds}");
         return BAD_INPUT;
@@ -30,7 +30,7 @@
             true => Err("interrupted".to_string()),
             false => Ok(()),
         };
-        match log.around(|| play(night.clone(), &options, &log, &mut watch)) {
+        match log.around(|| play(scenario.clone(), &options, &log, &mut watch)) {
             Ok(o) if o.stopped.is_some() => None,
             Ok(o) => {
                 played.fetch_add(1, Ordering::Relaxed);
@@ -53,8 +53,8 @@
         .collect();
     let bad = found.iter().filter(|good| !**good).count();
     println!(
-        "{}: {} of {seeds} nights played, {} jobs, {bad} not good",
-        night.name,
+        "{}: {} of {seeds} scenarios played, {} jobs, {bad} not good",
+        scenario.name,
         played.into_inner(),
         jobs.into_inner()
     );
--- a/crates/rehearsal/src/summary.rs
+++ b/crates/simulation/src/summary.rs
@@ -1,8 +1,8 @@
-//! What a night came to, for the terminal.
+//! What a scenario came to, for the terminal.
 
 use crate::play::Outcome;
-use cherrywood_judge::settle::{End, tally};
-use cherrywood_night::Aim;
+use cherrywood_checker::settle::{End, tally};
+use cherrywood_scenario::Aim;
 use std::fmt::Write as _;
 
 /// Breaches and unsettled jobs that are written out; the rest is counted.
@@ -29,7 +29,7 @@
     }
 }
 
-/// The last line of every rehearsal.
+/// The last line of every simulation.
 pub fn verdict(o: &Outcome) -> String {
     let all = o.settled.len();
     let settled = all - o.unsettled();
@@ -45,12 +45,12 @@
     let mut line = |name: &str, text: String| {
         let _ = writeln!(out, "{name:<10}{text}");
     };
-    let speed = o.night_s / o.real_s.max(1e-9);
+    let speed = o.scenario_s / o.real_s.max(1e-9);
     line(
-        "night",
+        "scenario",
         format!(
             "{}, seed {}: {:.0} s, played in {:.1} s ({speed:.0} times as fast)",
-            o.night.name, o.seed, o.night_s, o.real_s
+            o.scenario.name, o.seed, o.scenario_s, o.real_s
         ),
     );
     if let Some(why) = &o.stopped {
--- a/crates/rehearsal/src/timeline.rs
+++ b/crates/simulation/src/timeline.rs
@@ -1,7 +1,7 @@
-//! A night over time, and what every machine-second bought, from its history.
+//! A scenario over time, and what every machine-second bought, from its history.
 
-use cherrywood_judge::history::Off;
-use cherrywood_judge::{Event, What};
+use cherrywood_checker::history::Off;
+use cherrywood_checker::{Event, What};
 use serde::Serialize;
 use std::collections::BTreeMap;
 
@@ -16,7 +16,7 @@
     pub to_s: f64,
 }
 
-/// The state of the night at a moment.
+/// The state of the scenario at a moment.
 #[derive(Debug, Clone, Default, PartialEq, Serialize)]
 pub struct Point {
     pub at_s: f64,
@@ -124,7 +124,7 @@
                     *known = true;
                     now.accepted += 1;
                 }
-                if state.is_some_and(cherrywood_judge::history::State::is_final)
+                if state.is_some_and(cherrywood_checker::history::State::is_final)
                     && jobs.remove(job.as_str()).is_some_and(|_| true)
                 {
                     now.done += 1;
--- a/crates/rehearsal/tests/nights.rs
+++ b/crates/simulation/tests/scenarios.rs
@@ -1,45 +1,45 @@
-//! Whole nights, played in virtual time.
+//! Whole scenarios, played in virtual time.
 
-use cherrywood_judge::{Rule, What};
-use cherrywood_night::Night;
+use cherrywood_checker::{Rule, What};
 use cherrywood_node::settings::Settings;
-use cherrywood_rehearsal::log::Log;
-use cherrywood_rehearsal::{Options, Outcome, play, summary};
+use cherrywood_scenario::Scenario;
+use cherrywood_simulation::log::Log;
+use cherrywood_simulation::{Options, Outcome, play, summary};
 use std::path::{Path, PathBuf};
 use tracing::Level;
 
-fn rehearse(night: Night, seed: u64) -> Outcome {
+fn simulate(scenario: Scenario, seed: u64) -> Outcome {
     let options = Options {
         seed,
         ..Options::default()
     };
     let log = Log::new(Level::INFO, None, false);
-    log.around(|| play(night, &options, &log, &mut |_| Ok(())))
+    log.around(|| play(scenario, &options, &log, &mut |_| Ok(())))
         .unwrap()
 }
 
 fn dir(sub: &str) -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR"))
-        .join("../../nights")
+        .join("../../scenarios")
         .join(sub)
 }
 
-fn night(name: &str) -> Night {
-    Night::load(&dir("").join(name)).unwrap()
+fn scenario(name: &str) -> Scenario {
+    Scenario::load(&dir("").join(name)).unwrap()
 }
 
-/// All nights of a directory, each on a thread of its own.
+/// All scenarios of a directory, each on a thread of its own.
 fn all_good(sub: &str, seeds: u64) -> usize {
     let files = std::fs::read_dir(dir(sub)).unwrap();
     let mut files: Vec<PathBuf> = files.map(|f| f.unwrap().path()).collect();
     files.retain(|f| f.extension().is_some_and(|e| e == "yaml"));
     let played: Vec<Outcome> = std::thread::scope(|scope| {
         let play = |f: &PathBuf, seed| {
-            let night = Night::load(f).unwrap();
-            scope.spawn(move || rehearse(night, seed))
+            let scenario = Scenario::load(f).unwrap();
+            scope.spawn(move || simulate(scenario, seed))
         };
-        let nights = files.iter().flat_map(|f| (1..=seeds).map(move |s| (f, s)));
-        let all: Vec<_> = nights.map(|(f, s)| play(f, s)).collect();
+        let scenarios = files.iter().flat_map(|f| (1..=seeds).map(move |s| (f, s)));
+        let all: Vec<_> = scenarios.map(|(f, s)| play(f, s)).collect();
         all.into_iter().map(|t| t.join().unwrap()).collect()
     });
     for o in &played {
@@ -49,38 +49,41 @@
 }
 
 #[test]
-fn every_shipped_night_settles_and_breaks_no_rule() {
+fn every_shipped_scenario_settles_and_breaks_no_rule() {
     assert!(all_good("", 1) >= 8);
 }
 
-/// One night for each of the operators' meetings of troubles (docs/design.md).
+/// One scenario for each of the operators' compound failures (docs/design.md).
 #[test]
-fn every_meeting_of_troubles_settles_and_breaks_no_rule() {
-    assert!(all_good("meetings", 2) >= 18);
+fn every_compound_failure_settles_and_breaks_no_rule() {
+    assert!(all_good("compound-failures", 2) >= 18);
 }
 
 /// With this seed a worker was due in less than a nanosecond, and time stood still.
 #[test]
-fn a_night_goes_on_when_something_is_due_at_once() {
-    let o = rehearse(night("meetings/late-writes.yaml"), 33);
+fn a_scenario_goes_on_when_something_is_due_at_once() {
+    let o = simulate(scenario("compound-failures/late-writes.yaml"), 33);
     assert!(o.good(), "{}", summary::text(&o));
 }
 
-/// Each is a fault that a rehearsal found, and that was mended.
+/// Each is a fault that a simulation found, and that was mended.
 #[test]
-fn what_rehearsals_found_stays_mended() {
+fn what_simulations_found_stays_mended() {
     assert!(all_good("found", 4) >= 8);
 }
 
 /// Outage, late grants, lost and late answers, a crash of all, a zone cut.
 #[test]
-fn the_bad_night_replays_to_the_byte_and_another_seed_differs() {
-    let first = rehearse(night("bad-night.yaml"), 3);
+fn the_scenario_of_many_failures_replays_to_the_byte_and_another_seed_differs() {
+    let first = simulate(scenario("many-failures.yaml"), 3);
     assert!(first.good(), "{}", summary::text(&first));
-    let again = rehearse(night("bad-night.yaml"), 3);
+    let again = simulate(scenario("many-failures.yaml"), 3);
     assert_eq!(first.digest, again.digest);
     assert_eq!(first.history.events, again.history.events);
-    assert_ne!(first.digest, rehearse(night("bad-night.yaml"), 8).digest);
+    assert_ne!(
+        first.digest,
+        simulate(scenario("many-failures.yaml"), 8).digest
+    );
     // It was bad: every trouble happened, and users and workers noticed.
     let count =
         |is: &dyn Fn(&What) -> bool| first.history.events.iter().filter(|e| is(&e.what)).count();
@@ -90,8 +93,8 @@
     assert!(count(&|w| matches!(w, What::LeaseEnds { .. })) > 0);
 }
 
-/// The judge sees who starves: with rank alone the flood's night is not good, and with
-/// floors of service it is (as a shipped night).
+/// The checker sees who starves: with rank alone the flood's scenario is not good, and with
+/// floors of service it is (as a shipped scenario).
 #[test]
 fn by_rank_alone_a_class_starves_in_the_flood() {
     let options = Options {
@@ -100,23 +103,23 @@
         ..Options::default()
     };
     let log = Log::new(Level::INFO, None, false);
-    let night = night("flood.yaml");
+    let scenario = scenario("flood.yaml");
     let o = log
-        .around(|| play(night, &options, &log, &mut |_| Ok(())))
+        .around(|| play(scenario, &options, &log, &mut |_| Ok(())))
         .unwrap();
     let starved = o.breaches.iter().filter(|b| b.rule == Rule::Starved);
     assert!(starved.count() > 0, "{}", summary::text(&o));
     assert!(o.least.is_some_and(|l| l.share < 0.5 && l.bound > 0.9));
 }
 
-/// A night that ends before its jobs do says so, and is not good.
+/// A scenario that ends before its jobs do says so, and is not good.
 #[test]
 fn what_is_not_settled_is_counted_as_such() {
-    let short = Night {
+    let short = Scenario {
         settle_s: 0.0,
-        ..night("quiet.yaml").first(60.0)
+        ..scenario("quiet.yaml").first(60.0)
     };
-    let o = rehearse(short, 1);
+    let o = simulate(short, 1);
     assert!(!o.good() && o.unsettled() > 0);
     assert!(summary::verdict(&o).contains("rules broken 0"));
 }
