Refuse settings whose cancel_s leaves the chain no room

A node warned and started where cancel_s < lease_s + 8.5 s; then a task of a job that was confirmed as cancelled could run past cancel_s, since the leases were at their floors.

--- /dev/null
+++ b/crates/cherrywood/tests/settings.rs
@@ -0,0 +1,70 @@
+//! Settings that the daemon refuses at its start, as an operator meets them.
+
+use std::process::{Command, Output, Stdio};
+
+/// What the platform hands over, with these leases.
+fn platform(lease_s: f64, cancel_s: f64) -> String {
+    format!(
+        r#"
+label = "n0"
+zone = "z0"
+serve_on = "127.0.0.1:0"
+internal_addr = "127.0.0.1:0"
+services = {{ cloud = "127.0.0.1:9", state = "127.0.0.1:9" }}
+[deployment]
+nodes = 1
+teams = [{{ name = "t" }}]
+workers = {{ report_s = 1.0, lease_s = {lease_s:?}, cancel_s = {cancel_s:?} }}
+state = {{ rps = 200.0, write_rps = 80.0, value_kb = 32.0, txn_ops = 48 }}
+cloud = {{ rps = 3.0, list_lag_s = 10.0 }}
+limits = {{ sockets = 700 }}
+"#
+    )
+}
+
+/// Starts the daemon with these leases, or only has its settings checked.
+fn start(lease_s: f64, cancel_s: f64, more: &[&str]) -> Output {
+    let dir = tempfile::tempdir().unwrap();
+    let path = dir.path().join("platform.toml");
+    std::fs::write(&path, platform(lease_s, cancel_s)).unwrap();
+    Command::new(env!("CARGO_BIN_EXE_cherrywood"))
+        .arg("--config")
+        .arg(&path)
+        .args(more)
+        .stdin(Stdio::null())
+        .output()
+        .unwrap()
+}
+
+/// A task of a job that was confirmed as cancelled may run on for the sum of a leader's
+/// view, a block's lease and a worker's lease. Where `cancel_s` leaves these no room the
+/// service used to warn and start.
+#[test]
+fn a_cancel_s_without_room_for_the_leases_is_refused_in_one_line() {
+    // Ends by itself if the settings are taken, for its standard input is at its end.
+    for how in [&["--check"], &["--until-stdin-ends"]] {
+        for (lease_s, cancel_s) in [(10.0, 18.5), (10.0, 14.0), (22.0, 30.5), (15.25, 3.0)] {
+            let out = start(lease_s, cancel_s, how);
+            let told = String::from_utf8(out.stderr).unwrap();
+            assert_eq!(out.status.code(), Some(2), "{how:?} {cancel_s}: {told}");
+            assert_eq!(told.lines().count(), 1, "{told}");
+            for part in [
+                "deployment.workers.cancel_s",
+                &format!("found {cancel_s}"),
+                "allowed: at least",
+                &format!("lease_s {lease_s}"),
+            ] {
+                assert!(told.contains(part), "{told}");
+            }
+        }
+    }
+}
+
+/// The leases of the deployments that this service is known to run at, and the least.
+#[test]
+fn leases_with_room_are_taken() {
+    for (lease_s, cancel_s) in [(10.0, 40.0), (15.25, 45.25), (22.0, 52.0), (10.0, 18.52)] {
+        let out = start(lease_s, cancel_s, &["--check"]);
+        assert!(out.status.success(), "{lease_s} {cancel_s}: {out:?}");
+    }
+}
--- a/crates/control/src/timing.rs
+++ b/crates/control/src/timing.rs
@@ -17,7 +17,7 @@
     pub grant_s: f64,
     /// s; lease of a worker.
     pub worker_s: f64,
-    /// False if the floors don't leave the margin; worth a warning.
+    /// False if the floors don't leave the margin: a controller doesn't start then.
     pub fits: bool,
 }
 
--- a/crates/control/tests/timing.rs
+++ b/crates/control/tests/timing.rs
@@ -20,3 +20,13 @@
     let tight = Timing::new(10.0, 14.0);
     assert!(!tight.fits && tight.grant_s == limits::GRANT_MIN_S);
 }
+
+/// Settings are refused by the same bound by which the chain is made.
+#[test]
+fn the_least_cancel_s_is_the_first_that_fits() {
+    for lease_s in [0.5, 6.0, 10.0, 15.25, 22.0, 90.0] {
+        let least = limits::least_cancel_s(lease_s);
+        assert!(Timing::new(lease_s, least + 1e-6).fits, "{lease_s}");
+        assert!(!Timing::new(lease_s, least - 0.0101).fits, "{lease_s}");
+    }
+}
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -59,6 +59,14 @@
 pub const CANCEL_MARGIN_S: f64 = 5.0;
 /// Steady clocks may differ by 0.05% (protocol); doubled for two clocks.
 pub const DRIFT: f64 = 0.001;
+/// s; the shortest `cancel_s` that leaves the leader's view and a block's lease their
+/// floors beside a worker's lease: with less, a cancelled task may outlive it.
+pub fn least_cancel_s(worker_lease_s: f64) -> f64 {
+    let chain_s = LEADER_LEASE_MIN_S + GRANT_MIN_S + worker_lease_s;
+    // In whole hundredths, so that what a message names is allowed.
+    ((chain_s * (1.0 + DRIFT) + CANCEL_MARGIN_S) * 100.0).ceil() / 100.0
+}
+
 /// s between two renewals of the leader's lease.
 pub const LEADER_RENEW_S: f64 = 0.8;
 /// s between two hellos to every peer.
--- a/crates/night/src/check.rs
+++ b/crates/night/src/check.rs
@@ -61,10 +61,13 @@
         let least = 4.0 * d.workers.report_s;
         bad(path, format!("shorter than four reports, {least} s"));
     }
-    if d.workers.cancel_s < d.workers.lease_s + 8.0 {
+    let least = cherrywood_limits::least_cancel_s(d.workers.lease_s);
+    if d.workers.cancel_s < least {
         let path = root().join("deployment").join("workers").join("cancel_s");
-        let least = d.workers.lease_s + 8.0;
-        bad(path, format!("lower than lease_s and 8 s, {least} s"));
+        bad(
+            path,
+            format!("too short beside lease_s; at least {least:.2} s"),
+        );
     }
     let lines = root().join("workload").join("pipelines");
     for (i, p) in night.workload.pipelines.iter().enumerate() {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -47,6 +47,7 @@
     settings: settings::Settings,
 ) -> anyhow::Result<(Arc<Node>, impl Future<Output = ()> + Send)> {
     let at = &settings.platform;
+    at.check()?;
     let users = bind(&host, at.serve_on).await;
     let users = users.with_context(|| format!("serve_on {}", at.serve_on))?;
     let peers = bind(&host, at.internal_addr).await;
@@ -54,13 +55,6 @@
     let most = (at.deployment.limits.sockets as f64 * cherrywood_limits::SOCKET_SHARE) as usize;
     let node = Arc::new(Node::new(host.clone(), settings));
     tracing::info!(node = node.me(), "cherrywood {}", env!("CARGO_PKG_VERSION"));
-    if !node.timing.fits {
-        tracing::warn!(
-            leader_s = node.timing.leader_s,
-            grant_s = node.timing.grant_s,
-            "cancel_s leaves little room: leases are at their floor"
-        );
-    }
     let n = node.clone();
     let on_peer = Arc::new(move |request| {
         let n = n.clone();
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -46,6 +46,54 @@
     pub deployment: Deployment,
 }
 
+impl Platform {
+    /// Refuses values that the service can't run by: one line that names the field.
+    pub fn check(&self) -> anyhow::Result<()> {
+        let c = &self.deployment.cluster;
+        for (name, v) in [
+            ("deployment.workers.report_s", c.workers.report_s),
+            ("deployment.workers.lease_s", c.workers.lease_s),
+            ("deployment.workers.cancel_s", c.workers.cancel_s),
+            ("deployment.state.rps", c.state.rps),
+            ("deployment.state.write_rps", c.state.write_rps),
+            ("deployment.state.value_kb", c.state.value_kb),
+            ("deployment.cloud.rps", c.cloud.rps),
+        ] {
+            if !v.is_finite() || v <= 0.0 {
+                bail!("settings: {name} must be greater than 0");
+            }
+        }
+        let next = c.state.next.unwrap_or_default();
+        for (name, v) in [
+            ("rps", next.rps),
+            ("write_rps", next.write_rps),
+            ("value_kb", next.value_kb),
+        ] {
+            if v.is_some_and(|v| !v.is_finite() || v <= 0.0) {
+                bail!("settings: deployment.state.next.{name} must be greater than 0");
+            }
+        }
+        for (name, ops) in [
+            ("txn_ops", Some(c.state.txn_ops)),
+            ("next.txn_ops", next.txn_ops),
+        ] {
+            if ops.is_some_and(|ops| ops < 3) {
+                bail!("settings: deployment.state.{name} must be at least 3");
+            }
+        }
+        let least = cherrywood_limits::least_cancel_s(c.workers.lease_s);
+        if c.workers.cancel_s < least {
+            bail!(
+                "settings: deployment.workers.cancel_s: found {}; allowed: at least {least:.2} \
+                 beside lease_s {}, or cancelled tasks may outlive it",
+                c.workers.cancel_s,
+                c.workers.lease_s
+            );
+        }
+        Ok(())
+    }
+}
+
 /// The operators' own file. Every field has a default; unknown ones are
 /// errors, since here a typing mistake is the likelier cause.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize, JsonSchema, Validate)]
@@ -226,38 +274,7 @@
                 .map_or(0, |s| text[..s.start.min(text.len())].lines().count());
             anyhow::anyhow!("settings, line {at}: {}", e.message().replace('\n', " "))
         })?;
-        let c = &p.deployment.cluster;
-        for (name, v) in [
-            ("deployment.workers.report_s", c.workers.report_s),
-            ("deployment.workers.lease_s", c.workers.lease_s),
-            ("deployment.workers.cancel_s", c.workers.cancel_s),
-            ("deployment.state.rps", c.state.rps),
-            ("deployment.state.write_rps", c.state.write_rps),
-            ("deployment.state.value_kb", c.state.value_kb),
-            ("deployment.cloud.rps", c.cloud.rps),
-        ] {
-            if !v.is_finite() || v <= 0.0 {
-                bail!("settings: {name} must be greater than 0");
-            }
-        }
-        let next = c.state.next.unwrap_or_default();
-        for (name, v) in [
-            ("rps", next.rps),
-            ("write_rps", next.write_rps),
-            ("value_kb", next.value_kb),
-        ] {
-            if v.is_some_and(|v| !v.is_finite() || v <= 0.0) {
-                bail!("settings: deployment.state.next.{name} must be greater than 0");
-            }
-        }
-        for (name, ops) in [
-            ("txn_ops", Some(c.state.txn_ops)),
-            ("next.txn_ops", next.txn_ops),
-        ] {
-            if ops.is_some_and(|ops| ops < 3) {
-                bail!("settings: deployment.state.{name} must be at least 3");
-            }
-        }
+        p.check()?;
         Ok(p)
     }
 
