node: unit tests in test files, Slots in a module of its own

node.rs and parts.rs imported each other for Slots, which now stands alone. The 25 unit tests of api, gate, lib, node, polls, loops/polls and settings move to crates/node/tests unchanged in what they check; their job builder and machine type were a second copy of those in tests/common, which stay. The tests' World can hold several controllers, a scripted leader, and a state service that loses answers or is in trouble at random.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,5 +1,5 @@
 //! The controller process as a library: the daemon runs one of it, a rehearsal
-//! several. Arrows point one way: settings, polls, gate < node < lookup, parts < api, loops.
+//! several. Arrows point one way: settings, polls, gate, slots < node < lookup, parts < api, loops.
 
 pub mod api;
 pub mod gate;
@@ -9,6 +9,7 @@
 pub mod parts;
 pub mod polls;
 pub mod settings;
+pub mod slots;
 
 use anyhow::Context as _;
 use cherrywood_net::{Host, Listener};
@@ -70,33 +71,3 @@
     let serve = cherrywood_net::server::serve(host, users, most.max(16), on_user);
     Ok((node, serve))
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use settings::{EXAMPLE, Operator, Settings};
-
-    /// The earlier process of this name is killed and not quite gone: its address is
-    /// free a moment after this one wanted it.
-    #[test]
-    fn an_address_that_an_earlier_self_still_holds_is_waited_for() {
-        let rt = tokio::runtime::Builder::new_current_thread()
-            .enable_all()
-            .build()
-            .unwrap();
-        rt.block_on(async {
-            let earlier = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-            let held = earlier.local_addr().unwrap();
-            let mut platform = Settings::platform(EXAMPLE).unwrap();
-            platform.serve_on = held;
-            platform.internal_addr = ([127, 0, 0, 1], 0).into();
-            tokio::spawn(async move {
-                tokio::time::sleep(std::time::Duration::from_millis(300)).await;
-                drop(earlier);
-            });
-            let operator = Operator::default();
-            let started = start(Host::machine(), Settings { platform, operator }).await;
-            assert!(started.is_ok(), "{:?}", started.err());
-        });
-    }
-}
--- a/crates/node/src/loops/mod.rs
+++ b/crates/node/src/loops/mod.rs
@@ -3,7 +3,7 @@
 mod admit;
 mod cloud;
 mod lead;
-mod polls;
+pub mod polls;
 mod write;
 
 use crate::node::Node;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -3,9 +3,9 @@
 
 use crate::gate::Gate;
 use crate::lock;
-use crate::parts::Slots;
 use crate::polls::Polls;
 use crate::settings::Settings;
+use crate::slots::Slots;
 use cherrywood_control::{Holder, Leader, Leadership, Timing};
 use cherrywood_limits as limits;
 use cherrywood_net::client::Client;
@@ -81,7 +81,7 @@
 
     /// Has the state service answered here of late? A process that has just started
     /// has no answer yet, whatever its clock says.
-    fn state_here(&self, now: f64) -> bool {
+    pub fn state_here(&self, now: f64) -> bool {
         self.state_ok > 0.0 && now - self.state_ok < limits::STATE_LOST_S
     }
 
@@ -89,7 +89,7 @@
     /// contradicts a node stays healthy; so does one that was started during it, once
     /// others have said that it isn't alone. Called unhealthy, it was taken out by the
     /// load balancer, and missing for the first seconds after the outage.
-    fn served(&self, now: f64) -> bool {
+    pub fn served(&self, now: f64) -> bool {
         let others = now - self.peers_state_ok <= limits::STATE_LOST_S;
         let heard = self.peers_heard > 0.0 && now - self.peers_heard <= limits::STATE_LOST_S;
         if self.state_ok > 0.0 {
@@ -525,52 +525,3 @@
         }
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// A controller that starts while the state service is down for all is as healthy
-    /// as those that were there before; where only it is refused, or nobody has told it
-    /// anything, it is not.
-    #[test]
-    fn a_node_started_in_an_outage_is_as_healthy_as_the_others() {
-        let new = Core::default();
-        assert!(!new.served(0.5) && !new.served(9.0), "nobody was heard");
-        assert!(!new.state_here(0.5), "a clock near zero is no answer");
-        let heard = Core {
-            peers_heard: 2.0,
-            ..Core::default()
-        };
-        assert!(heard.served(2.5) && !heard.served(5.5));
-        let contradicted = Core {
-            peers_state_ok: 2.0,
-            ..heard
-        };
-        assert!(!contradicted.served(2.5));
-        let answered = Core {
-            state_ok: 2.4,
-            ..contradicted
-        };
-        assert!(answered.served(2.5) && answered.served(5.1));
-    }
-
-    #[test]
-    fn a_node_that_alone_lost_the_state_service_is_not_healthy() {
-        let mut core = Core {
-            state_ok: 10.0,
-            peers_state_ok: 13.0,
-            peers_heard: 13.0,
-            ..Core::default()
-        };
-        assert!(core.served(12.9) && !core.served(13.1));
-        core.peers_state_ok = 9.0;
-        assert!(core.served(13.1), "an outage for all");
-        // Cut off from the state service and from the others, but not from users and
-        // workers: it called that an outage, and answered users with 503 for as long.
-        core.peers_heard = 9.0;
-        assert!(!core.served(13.1), "cut off, alone of all");
-        core.alone = true;
-        assert!(core.served(13.1), "there is no other");
-    }
-}
--- a/crates/node/src/parts.rs
+++ b/crates/node/src/parts.rs
@@ -1,6 +1,5 @@
 //! Values that don't fit one record of the state service, and submissions that don't.
 
-use crate::lock;
 use crate::node::Node;
 use cherrywood_admission::number;
 use cherrywood_control::keys;
@@ -13,11 +12,6 @@
 use cherrywood_wire::user::{JobState, Submission};
 use serde::de::DeserializeOwned;
 use std::collections::BTreeMap;
-use std::sync::Mutex;
-
-/// The slot in which each value's parts were last seen; the next set goes to the other.
-#[derive(Debug, Default)]
-pub struct Slots(Mutex<BTreeMap<String, u64>>);
 
 fn put(key: String, value: Value) -> Change {
     let lease = None;
@@ -64,7 +58,7 @@
         let Some(parts) = value.parts() else {
             return Ok(Some(value));
         };
-        lock(&node.slots.0).insert(key.to_string(), parts.slot);
+        node.slots.saw(key, parts.slot);
         // While they were read a newer set may have taken over.
         if let Some(texts) = texts(node, key, parts).await? {
             return Ok(joined(key, &texts));
@@ -94,12 +88,12 @@
         commit(vec![put(key.into(), value.value())]).await?;
         return Ok(1);
     }
-    let known = lock(&node.slots.0).get(key).copied();
+    let known = node.slots.last(key);
     let used = match known {
         Some(slot) => slot,
         None => {
             read::<T>(node, key).await?;
-            lock(&node.slots.0).get(key).copied().unwrap_or(1)
+            node.slots.last(key).unwrap_or(1)
         }
     };
     let texts = cut(&value, kept.value);
@@ -129,7 +123,7 @@
             }
         }
     }
-    lock(&node.slots.0).insert(key.to_string(), parts.slot);
+    node.slots.saw(key, parts.slot);
     Ok(all)
 }
 
--- a/crates/node/src/polls.rs
+++ b/crates/node/src/polls.rs
@@ -21,7 +21,8 @@
     Later,
 }
 
-pub(crate) type Waiting = BTreeMap<String, Vec<oneshot::Sender<Told>>>;
+/// Who waits, by job.
+pub type Waiting = BTreeMap<String, Vec<oneshot::Sender<Told>>>;
 
 /// Who asks, by job, and the jobs in the order in which they were first asked about.
 #[derive(Debug, Default)]
@@ -55,7 +56,8 @@
         told.await.unwrap_or(Told::Later)
     }
 
-    fn line_up(&self, id: &str, answer: oneshot::Sender<Told>) {
+    /// Another who waits to be told of this job.
+    pub fn line_up(&self, id: &str, answer: oneshot::Sender<Told>) {
         let mut line = lock(&self.waiting);
         let line = &mut *line;
         let askers = line.of.entry(id.to_string()).or_default();
@@ -70,7 +72,7 @@
     /// were asked about than a comparison holds. So a poll waits for the batches before
     /// it and no longer, whatever others ask: `jobs asked about at once / most` times
     /// `POLL_GAP_S`, and users who wait 2 s come back behind nobody but those.
-    pub(crate) fn take(&self, most: usize) -> Waiting {
+    pub fn take(&self, most: usize) -> Waiting {
         let mut line = lock(&self.waiting);
         let line = &mut *line;
         let mut batch = Waiting::new();
@@ -89,58 +91,3 @@
         batch
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_batch_holds_no_more_than_a_comparison_may() {
-        let polls = Polls::default();
-        let ask = |n: u32| {
-            let (answer, told) = oneshot::channel();
-            polls.line_up(&format!("wk-{n:06}"), answer);
-            told
-        };
-        let _told: Vec<_> = (0..10).map(ask).collect();
-        let sizes: Vec<usize> = (0..4).map(|_| polls.take(4).len()).collect();
-        assert_eq!(sizes, [4, 4, 2, 0]);
-    }
-
-    /// More jobs are asked about, again and again, than the comparisons hold: the one
-    /// whose name sorts last was never asked for, and so forgotten.
-    #[test]
-    fn no_job_s_poll_always_comes_last() {
-        let polls = Polls::default();
-        let mut open = Vec::new();
-        let mut ask = |n: u32| {
-            let (answer, told) = oneshot::channel();
-            polls.line_up(&format!("wk-{n:06}"), answer);
-            open.push(told);
-        };
-        (0..2000).for_each(&mut ask);
-        ask(999_999);
-        // 32 are served in a round, and 32 of a team that asks eight times as often
-        // are back at once.
-        let round = (0..100).find(|round| {
-            let batch = polls.take(32);
-            (0..32).for_each(|n| ask((round * 32 + n) % 2000));
-            batch.contains_key("wk-999999")
-        });
-        assert_eq!(round, Some(2000 / 32));
-    }
-
-    /// Users who gave up are no reason to make others wait.
-    #[test]
-    fn who_has_given_up_takes_no_place() {
-        let polls = Polls::default();
-        for n in 0..100 {
-            let (answer, told) = oneshot::channel();
-            polls.line_up(&format!("wk-{n:06}"), answer);
-            drop(told);
-        }
-        let (answer, _told) = oneshot::channel();
-        polls.line_up("wk-000500", answer);
-        assert!(polls.take(8).contains_key("wk-000500"));
-    }
-}
