Part the leader's dealings with workers along their jobs

reports.rs took reports, gave commands, sent direct orders and judged failures. Pure moves: reports (what a report proves), commands (answers and leased blocks), orders (direct commands), failures (job or machine at fault).

--- /dev/null
+++ b/crates/control/src/leader/commands.rs
@@ -0,0 +1,154 @@
+//! The commands that answer workers' reports, and the blocks of machines leased to
+//! controllers.
+
+use super::*;
+
+/// Told to save, if it can, and to end.
+pub(super) fn stop(p: &Placement, job: &Job) -> Command {
+    Command::Stop {
+        task: p.id.clone(),
+        attempt: p.attempt,
+        grace_s: job.spec.save_s + limits::SAVE_EXTRA_S,
+    }
+}
+
+/// Told to end at once: it may not go on.
+fn end(task: &str, attempt: u64) -> Command {
+    Command::Stop {
+        task: task.to_string(),
+        attempt,
+        grace_s: 0.0,
+    }
+}
+
+impl Leader {
+    /// The commands that answer the report (`session`, `seq`) of a machine.
+    pub fn commands(&mut self, r: &Report, now: f64) -> Vec<Command> {
+        let mut out = Vec::new();
+        let Some(m) = self.machines.get_mut(&r.machine) else {
+            return out;
+        };
+        if (m.session, m.seq) != (r.session, r.seq) {
+            return out;
+        }
+        m.unwanted = false;
+        for t in &r.tasks {
+            let Some((id, n)) = split_task(&t.task) else {
+                continue;
+            };
+            let job = self.ids.get(id).and_then(|no| self.jobs.get(no));
+            if t.state == TaskState::Exited {
+                if r.token < m.token || m.open_orders.contains(&t.attempt) {
+                    continue;
+                }
+                // What it reports must be durable first.
+                let durable = t.why != Some(Why::Done)
+                    || job.is_none_or(|j| j.durable.get(n) || j.spec.kind == Kind::Service);
+                if durable {
+                    out.push(Command::Forget {
+                        task: t.task.clone(),
+                        attempt: t.attempt,
+                    });
+                }
+                continue;
+            }
+            let at = m
+                .placed
+                .iter()
+                .position(|p| p.attempt == t.attempt && p.id == t.task);
+            let wanted = at.is_some() && job.is_some_and(|j| !j.done.get(n));
+            if !wanted {
+                m.unwanted = true;
+                out.push(end(&t.task, t.attempt));
+                continue;
+            }
+            // A machine that is about to be taken: save what can be saved. One
+            // that is being emptied: move what has long to run.
+            let move_it = |p: &Placement, job: &Job| {
+                let counted = self
+                    .settings
+                    .objectives
+                    .iter()
+                    .any(|o| o.kind == "wait" && o.class == job.spec.class);
+                let after = if counted {
+                    limits::MOVE_AFTER_START_S
+                } else {
+                    limits::MOVE_AFTER_S
+                };
+                now - p.run_since >= after
+            };
+            if let (Some(at), Some(job)) = (at, job)
+                && t.state == TaskState::Running
+                && job.spec.checkpoint_s > 0.0
+                && m.placed[at].stop == Stop::No
+                && (r.notice_s.is_some() || m.retiring && move_it(&m.placed[at], job))
+            {
+                m.placed[at].stop = Stop::Due;
+            }
+            // A stop that got lost is sent again; one that saves is left alone.
+            let again = 2.0 * limits::MISSED_REPORTS * self.settings.workers.report_s;
+            if let (Some(at), Some(job)) = (at, job)
+                && t.state != TaskState::Saving
+                && match m.placed[at].stop {
+                    Stop::No => false,
+                    Stop::Due => true,
+                    Stop::Sent(sent) => now - sent > again,
+                }
+            {
+                m.placed[at].stop = Stop::Sent(now);
+                out.push(stop(&m.placed[at], job));
+            }
+        }
+        for p in m.placed.iter_mut() {
+            let over = p.over(&self.jobs);
+            if p.stage == Stage::Durable
+                && !p.inherited
+                && !p.seen
+                && !over
+                && p.session == r.session
+                && p.sent_seq != Some(r.seq)
+                && p.sent < limits::START_TRIES
+            {
+                p.sent_seq = Some(r.seq);
+                p.sent += 1;
+                out.push(Command::Start {
+                    task: p.id.clone(),
+                    attempt: p.attempt,
+                });
+            } else if over && !p.seen && p.stage == Stage::Durable && p.session == r.session {
+                // Cancelled before it was ever listed: once this report's
+                // successor doesn't list it either, it is freed as absent. Its start may
+                // have come after this report was sent, so its stop follows it.
+                if p.inherited || p.sent > 0 {
+                    out.push(end(&p.id, p.attempt));
+                }
+                p.sent = limits::START_TRIES;
+                p.sent_seq.get_or_insert(r.seq);
+            }
+        }
+        out
+    }
+
+    /// The block of a controller that says hello, renewed: its machines with
+    /// their tokens. A machine not heard from drops out, so that its grants
+    /// run dry and its tasks can be freed. So does one with work that is over: a hello
+    /// carries no stop, and a holder whose reports the leader doesn't answer, while it
+    /// answers its hellos, kept such work alive for as long as that lasted.
+    pub fn block(&mut self, holder: &str, now: f64) -> Vec<(String, u64)> {
+        let fresh = limits::MISSED_REPORTS * self.settings.workers.report_s;
+        let until = now + self.timing.grant_bound_s();
+        let mut block = Vec::new();
+        for (name, m) in &mut self.machines {
+            if m.holder == holder
+                && m.token > 0
+                && now - m.heard <= fresh
+                && !m.unwanted
+                && !m.placed.iter().any(|p| p.over(&self.jobs))
+            {
+                m.granted_until = m.granted_until.max(until);
+                block.push((name.clone(), m.token));
+            }
+        }
+        block
+    }
+}
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -29,9 +29,12 @@
 
 mod admitting;
 mod audit;
+mod commands;
+mod failures;
 mod fleet;
 mod jobs;
 mod ledger;
+mod orders;
 mod pipelines;
 mod placing;
 mod progress;
--- /dev/null
+++ b/crates/control/src/leader/orders.rs
@@ -0,0 +1,79 @@
+//! Commands sent straight to workers, and what became of them.
+
+use super::commands::stop;
+use super::*;
+
+impl Leader {
+    /// Starts to be sent straight to workers, by the holder that sends them:
+    /// machine, address, commands.
+    pub fn orders(&mut self, now: f64) -> BTreeMap<String, Vec<(String, String, Orders)>> {
+        let fresh = limits::MISSED_REPORTS * self.settings.workers.report_s;
+        let mut out: BTreeMap<String, Vec<_>> = BTreeMap::new();
+        for (name, m) in &mut self.machines {
+            if !m.up || m.deleting || now - m.heard > fresh || !m.placed.sums().calls {
+                continue;
+            }
+            let mut commands = Vec::new();
+            for p in m.placed.iter_mut() {
+                let job = p.job.and_then(|no| self.jobs.get(&no));
+                let live = job.is_some();
+                if let Some(job) = job
+                    && p.stop == Stop::Due
+                    && p.session == m.session
+                {
+                    p.stop = Stop::Sent(now);
+                    commands.push(stop(p, job));
+                    continue;
+                }
+                let first = p.sent == 0 && !p.seen && !p.inherited;
+                if live && first && p.stage == Stage::Durable && p.session == m.session {
+                    p.sent = 1;
+                    crate::life!(p.id, machine = name, holder = m.holder, "start sent");
+                    m.open_orders.insert(p.attempt);
+                    commands.push(Command::Start {
+                        task: p.id.clone(),
+                        attempt: p.attempt,
+                    });
+                }
+            }
+            if !commands.is_empty() {
+                let orders = Orders {
+                    token: m.token,
+                    session: m.session,
+                    commands,
+                };
+                let of = out.entry(m.holder.clone()).or_default();
+                of.push((name.clone(), m.addr.clone(), orders));
+            }
+        }
+        out
+    }
+
+    /// What became of direct starts: Some(true) executed, Some(false) not
+    /// executed, None unknown. They could still be executed then, so the
+    /// machine gets a higher token, which fences them once it is seen.
+    pub fn ordered(&mut self, machine: &str, orders: &Orders, executed: Option<bool>) {
+        let token = self.unique();
+        let Some(m) = self.machines.get_mut(machine) else {
+            return;
+        };
+        let mut starts = false;
+        for c in &orders.commands {
+            let Command::Start { task, attempt } = c else {
+                continue;
+            };
+            starts = true;
+            m.open_orders.remove(attempt);
+            if executed == Some(false)
+                && let Some(p) = m.placed.iter_mut().find(|p| p.id == *task)
+                && p.attempt == *attempt
+            {
+                p.sent = 0;
+            }
+        }
+        // A stop that lands late ends its own attempt and nothing else.
+        if starts && executed.is_none() && m.token == orders.token {
+            m.token = token;
+        }
+    }
+}
