Starts, stops and sessions that cross each other

- A direct start that the worker turned away made its task count as never started, also when an answer to a report had carried the same start meanwhile: its job's end was followed by no stop.
- Orders on their way were kept by attempt, which tasks placed together share: the answer to one order was taken for all, and a start still on its way was given up.
- A placement that is over got no stop if the newest report was of another session (a copy from a machine's former life), and the answer prolonged the block.
- A higher session freed what an earlier leader had placed when its report showed any token of that leader's term; a machine may have been back under its name within that term.
It now takes a token given after the placement.
- match_tasks is parted: states, exits, absence.

--- a/crates/control/src/leader/commands.rs
+++ b/crates/control/src/leader/commands.rs
@@ -38,7 +38,7 @@
             };
             let job = self.ids.get(id).and_then(|no| self.jobs.get(no));
             if t.state == TaskState::Exited {
-                if r.token < m.token || m.open_orders.contains(&t.attempt) {
+                if r.token < m.token || m.open_orders.contains(&(t.task.clone(), t.attempt)) {
                     continue;
                 }
                 // What it reports must be durable first.
@@ -52,10 +52,7 @@
                 }
                 continue;
             }
-            let at = m
-                .placed
-                .iter()
-                .position(|p| p.attempt == t.attempt && p.id == t.task);
+            let at = m.position(t);
             let wanted = at.is_some() && job.is_some_and(|j| !j.done.get(n));
             if !wanted {
                 m.unwanted = true;
@@ -99,6 +96,10 @@
                 out.push(stop(&m.placed[at], job));
             }
         }
+        let listed = |p: &Placement| {
+            let mut tasks = r.tasks.iter();
+            tasks.any(|t| t.attempt == p.attempt && t.task == p.id)
+        };
         for p in m.placed.iter_mut() {
             let over = p.over(&self.jobs);
             if p.stage == Stage::Durable
@@ -115,15 +116,18 @@
                     task: p.id.clone(),
                     attempt: p.attempt,
                 });
-            } else if over && !p.seen && p.stage == Stage::Durable && p.session == r.session {
-                // Cancelled before it was ever listed: once this report's
-                // successor doesn't list it either, it is freed as absent. Its start may
-                // have come after this report was sent, so its stop follows it.
-                if p.inherited || p.sent > 0 {
+            } else if over && p.stage == Stage::Durable && !listed(p) {
+                // Cancelled before it was ever listed: once this report's successor
+                // doesn't list it either, it is freed as absent. Its start may have come
+                // after this report was sent, so its stop follows it; whatever session
+                // the report is of, the block is not prolonged without that.
+                if !p.unsent() {
                     out.push(end(&p.id, p.attempt));
                 }
-                p.sent = limits::START_TRIES;
-                p.sent_seq.get_or_insert(r.seq);
+                if p.session == r.session && !p.seen {
+                    p.sent = limits::START_TRIES;
+                    p.sent_seq.get_or_insert(r.seq);
+                }
             }
         }
         out
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -15,7 +15,7 @@
 use cherrywood_sched::fleet::{Demand, Offer, Waiting, shop};
 use cherrywood_sched::place::{View, cost};
 use cherrywood_sched::{Predictor, Queue};
-use cherrywood_wire::agent::{Command, Orders, Report, TaskState, Why};
+use cherrywood_wire::agent::{Command, Orders, Report, TaskReport, TaskState, Why};
 use cherrywood_wire::cloud::{Listed, ListedState, MachineType, Rent};
 use cherrywood_wire::parts::Parts;
 use cherrywood_wire::state::{
@@ -166,6 +166,11 @@
 }
 
 impl Placement {
+    /// No start of it was ever sent: it is nowhere.
+    fn unsent(&self) -> bool {
+        self.sent == 0 && !self.seen && !self.inherited
+    }
+
     /// Is its job over, or unknown? Then it may not go on.
     fn over(&self, jobs: &Jobs) -> bool {
         self.job.is_none_or(|no| !jobs.contains_key(&no))
@@ -216,9 +221,9 @@
     /// When the notice said that it would be taken.
     taken_at: Option<f64>,
     addr: String,
-    /// Attempts whose direct start has no answer yet. They are not forgotten:
+    /// Tasks and attempts whose direct start has no answer yet. They are not forgotten:
     /// the start could arrive after the forget and run the task again.
-    open_orders: HashSet<u64>,
+    open_orders: HashSet<(String, u64)>,
     placed: rows::Rows,
     /// The ledger that this leader read names it.
     known: bool,
@@ -247,6 +252,12 @@
         (s.cpus, s.gpus, s.mem)
     }
 
+    /// Where the placement of a reported task is.
+    fn position(&self, t: &TaskReport) -> Option<usize> {
+        let mut rows = self.placed.iter();
+        rows.position(|p| p.attempt == t.attempt && p.id == t.task)
+    }
+
     /// Have answers not reached its worker for so long that none may? One report late
     /// shows the token of the answer to the one before, and a higher token counts as
     /// news at most once in half a lease (protocol).
--- a/crates/control/src/leader/orders.rs
+++ b/crates/control/src/leader/orders.rs
@@ -29,7 +29,7 @@
                 if live && first && p.stage == Stage::Durable && p.session == m.session {
                     p.sent = 1;
                     crate::life!(p.id, machine = name, holder = m.holder, "start sent");
-                    m.open_orders.insert(p.attempt);
+                    m.open_orders.insert((p.id.clone(), p.attempt));
                     commands.push(Command::Start {
                         task: p.id.clone(),
                         attempt: p.attempt,
@@ -63,10 +63,12 @@
                 continue;
             };
             starts = true;
-            m.open_orders.remove(attempt);
+            m.open_orders.remove(&(task.clone(), *attempt));
             if executed == Some(false)
                 && let Some(p) = m.placed.iter_mut().find(|p| p.id == *task)
                 && p.attempt == *attempt
+                // Else an answer to a report carried it as well.
+                && p.sent_seq.is_none()
             {
                 p.sent = 0;
             }
--- a/crates/control/src/leader/reports.rs
+++ b/crates/control/src/leader/reports.rs
@@ -2,6 +2,11 @@
 
 use super::*;
 
+/// The epoch in which a token or an attempt was given.
+fn term(token: u64) -> u64 {
+    token >> limits::EPOCH_SHIFT
+}
+
 impl Leader {
     /// Takes a worker's report that `holder` received. Returns the token for
     /// the answer; None if the report is old and must not be answered.
@@ -54,18 +59,17 @@
         // A newer session has killed and forgotten every task. The word of a report counts
         // for that only if its worker had seen a token of the term in which the task was
         // placed: else it may be a copy from before, of a machine that has been back
-        // since, whose sessions began anew. What was never sent is nowhere.
-        let seen = r.token >> limits::EPOCH_SHIFT;
-        let dead = |p: &Placement| {
-            let unsent = p.sent == 0 && !p.seen && !p.inherited;
-            p.session < r.session && (unsent || seen >= p.attempt >> limits::EPOCH_SHIFT)
+        // since, whose sessions began anew. Whether it was back within the term of an
+        // earlier leader isn't known here, so what that one placed needs a token given
+        // after it. Tokens and attempts are numbered together.
+        let current = m.token > 0 && r.token >= m.token;
+        let proven = |p: &Placement| match p.inherited {
+            true => current || r.token > p.attempt,
+            false => p.unsent() || term(r.token) >= term(p.attempt),
         };
-        if m.placed.iter().any(dead) {
-            let (dead, kept): (Vec<_>, Vec<_>) =
-                std::mem::take(&mut *m.placed).into_iter().partition(dead);
-            m.placed = kept.into();
-            self.lose_all(dead, &m.zone, now);
-        }
+        let dead = |p: &Placement| p.session < r.session && proven(p);
+        let lost = m.placed.take_if(dead);
+        self.lose_all(lost, &m.zone, now);
         (m.session, m.seq, m.up, m.heard) = (r.session, r.seq, true, now);
         m.notice = r.notice_s;
         m.taken_at = r.notice_s.map(|s| now + s);
@@ -133,67 +137,57 @@
         }
     }
 
-    pub(super) fn match_tasks(&mut self, m: &mut Machine, r: &Report, now: f64) {
-        let mut listed = HashSet::new();
-        let mut succeeded: Vec<JobNo> = Vec::new();
-        for t in &r.tasks {
-            listed.insert((t.task.as_str(), t.attempt));
-            let at = m
-                .placed
-                .iter()
-                .position(|p| p.attempt == t.attempt && p.id == t.task);
-            if t.state != TaskState::Exited {
-                if let Some(at) = at {
-                    let p = &mut m.placed[at];
-                    p.seen = true;
-                    let running = t.state == TaskState::Running;
-                    if running != p.running {
-                        crate::life!(p.id, machine = r.machine, running, "reported");
-                        p.running = running;
-                        p.run_since = now;
-                        if let Some(job) = p.job.and_then(|no| self.jobs.get_mut(&no)) {
-                            if running {
-                                job.running += 1;
-                            } else {
-                                job.running = job.running.saturating_sub(1);
-                            }
-                        }
-                    }
-                    if running {
-                        let image = p.image;
-                        match m.images.iter_mut().find(|i| i.no == image) {
-                            Some(i) => i.ready_at = i.ready_at.min(now),
-                            // A new leader learns where images are.
-                            None => {
-                                if let Some(job) = p.job.and_then(|no| self.jobs.get(&no)) {
-                                    m.images.push(Image {
-                                        no: image,
-                                        gb: job.spec.image_gb,
-                                        ready_at: now,
-                                        used: now,
-                                    });
-                                }
-                            }
-                        }
-                    }
+    fn match_tasks(&mut self, m: &mut Machine, r: &Report, now: f64) {
+        for t in r.tasks.iter().filter(|t| t.state != TaskState::Exited) {
+            self.note_state(m, &r.machine, t, now);
+        }
+        self.take_exits(m, r, now);
+        self.free_absent(m, r, now);
+    }
+
+    /// A task that is on its machine, and whether it runs.
+    fn note_state(&mut self, m: &mut Machine, machine: &str, t: &TaskReport, now: f64) {
+        let Some(at) = m.position(t) else { return };
+        let p = &mut m.placed[at];
+        p.seen = true;
+        let running = t.state == TaskState::Running;
+        if running != p.running {
+            crate::life!(p.id, machine, running, "reported");
+            p.running = running;
+            p.run_since = now;
+            if let Some(job) = p.job.and_then(|no| self.jobs.get_mut(&no)) {
+                if running {
+                    job.running += 1;
+                } else {
+                    job.running = job.running.saturating_sub(1);
                 }
-                continue;
             }
-            if t.why == Some(Why::Done)
-                && let Some((id, n)) = split_task(&t.task)
-                && let Some(no) = self.ids.get(id).copied()
-                && let Some(job) = self.jobs.get_mut(&no)
-                && job.spec.kind != Kind::Service
-                && n < job.spec.tasks
-                && !job.done.get(n)
-            {
-                job.done.set(n);
-                self.news.insert(no);
-                self.book
-                    .worked(job.spec.cpus * placing::run_estimate(&self.predictor, job));
-                succeeded.push(no);
+        }
+        if !running {
+            return;
+        }
+        let image = p.image;
+        let job = p.job.and_then(|no| self.jobs.get(&no));
+        match m.images.iter_mut().find(|i| i.no == image) {
+            Some(i) => i.ready_at = i.ready_at.min(now),
+            // A new leader learns where images are.
+            None => m.images.extend(job.map(|job| Image {
+                no: image,
+                gb: job.spec.image_gb,
+                ready_at: now,
+                used: now,
+            })),
+        }
+    }
+
+    /// Exits are true for ever, however old the message that tells them.
+    fn take_exits(&mut self, m: &mut Machine, r: &Report, now: f64) {
+        let mut succeeded: Vec<JobNo> = Vec::new();
+        for t in r.tasks.iter().filter(|t| t.state == TaskState::Exited) {
+            if t.why == Some(Why::Done) {
+                succeeded.extend(self.note_done(&t.task));
             }
-            let Some(at) = at else { continue };
+            let Some(at) = m.position(t) else { continue };
             let p = m.placed.remove(at);
             crate::life!(p.id, machine = r.machine, why = ?t.why, "exited");
             let mut delay = 0.0;
@@ -211,28 +205,50 @@
             m.failing.clear();
             self.succeeded(no, now);
         }
-        // What a report doesn't list is not there, if no command that could
-        // still start it can reach the worker: it has seen the current token,
-        // and the response that carried the start is over.
-        let trusted = r.token >= m.token;
-        let (gone, kept): (Vec<_>, Vec<_>) =
-            std::mem::take(&mut *m.placed).into_iter().partition(|p| {
-                if listed.contains(&(p.id.as_str(), p.attempt))
-                    || !trusted
-                    || p.stage != Stage::Durable
-                    // A direct start without an answer may still arrive, however
-                    // many reports come first: a leader short of processor
-                    // time sends it late.
-                    || m.open_orders.contains(&p.attempt)
-                {
-                    return false;
-                }
-                if p.inherited || p.seen {
-                    return true;
-                }
-                p.sent >= limits::START_TRIES && p.sent_seq.is_some_and(|s| s < r.seq)
-            });
-        m.placed = kept.into();
+    }
+
+    /// A task ran to its end; returns its job if that is news.
+    fn note_done(&mut self, task: &str) -> Option<JobNo> {
+        let (id, n) = split_task(task)?;
+        let no = self.ids.get(id).copied()?;
+        let job = self.jobs.get_mut(&no)?;
+        if job.spec.kind == Kind::Service || n >= job.spec.tasks || job.done.get(n) {
+            return None;
+        }
+        job.done.set(n);
+        self.news.insert(no);
+        self.book
+            .worked(job.spec.cpus * placing::run_estimate(&self.predictor, job));
+        Some(no)
+    }
+
+    /// What a report doesn't list is not there, if no command that could still start it
+    /// can reach the worker: it has seen the current token, and the response that carried
+    /// the start is over.
+    fn free_absent(&mut self, m: &mut Machine, r: &Report, now: f64) {
+        if r.token < m.token {
+            return;
+        }
+        let listed: HashSet<(&str, u64)> = r
+            .tasks
+            .iter()
+            .map(|t| (t.task.as_str(), t.attempt))
+            .collect();
+        let open_orders = std::mem::take(&mut m.open_orders);
+        let absent = |p: &Placement| {
+            let may_come = p.stage != Stage::Durable
+                // A direct start without an answer may still arrive, however
+                // many reports come first: a leader short of processor
+                // time sends it late.
+                || open_orders.contains(&(p.id.clone(), p.attempt));
+            if may_come || listed.contains(&(p.id.as_str(), p.attempt)) {
+                return false;
+            }
+            let tried = p.sent >= limits::START_TRIES && p.sent_seq.is_some_and(|s| s < r.seq);
+            p.inherited || p.seen || tried
+        };
+        let gone = m.placed.take_if(absent);
+        m.open_orders = open_orders;
         self.lose_all(gone, &m.zone, now);
     }
 }
--- a/crates/control/src/leader/rows.rs
+++ b/crates/control/src/leader/rows.rs
@@ -29,6 +29,15 @@
 }
 
 impl Rows {
+    /// Takes out the rows for which this holds.
+    pub(super) fn take_if(&mut self, holds: impl Fn(&Placement) -> bool) -> Vec<Placement> {
+        if !self.rows.iter().any(&holds) {
+            return Vec::new();
+        }
+        self.sums.set(None);
+        self.rows.extract_if(.., |p| holds(p)).collect()
+    }
+
     pub(super) fn sums(&self) -> Sums {
         if let Some(sums) = self.sums.get() {
             return sums;
