--- a/crates/control/src/leader/fleet.rs
+++ b/crates/control/src/leader/fleet.rs
@@ -1,6 +1,6 @@
 //! Renting, emptying and returning machines.
 
-use super::placing::allowed;
+use super::placing::{allowed, zone_room};
 use super::*;
 
 fn boot_s(types: &[MachineType], kind: &str) -> f64 {
@@ -76,7 +76,7 @@
         // are shorter than what returning them and booting others would cost.
         let filled = all - wanted;
         let kept = wanted.max(fast);
-        self.retire(kept.max(held.min(kept + filled)), all.max(fast));
+        self.retire(kept.max(held.min(kept + filled)), all.max(fast), now);
         let mut calls = Vec::new();
         self.mark_doomed(now);
         let doomed: Vec<String> = self
@@ -129,17 +129,13 @@
             placed: self.machines.values().map(|m| m.placed.sums().cpus).sum(),
             ..Demand::default()
         };
-        let teams = &self.settings.teams;
-        demand.teams = teams
-            .iter()
-            .map(|t| {
-                let used = self.usage.get(&t.name).map_or(0.0, |u| u.0);
-                Waiting {
-                    room: (t.cpus_max - used).max(0.0),
-                    ..Waiting::default()
-                }
-            })
-            .collect();
+        let rooms = self.team_rooms();
+        let mut gpu_rooms = rooms.clone();
+        let waiting = rooms.iter().map(|room| Waiting {
+            room: room.cpus(),
+            ..Waiting::default()
+        });
+        demand.teams = waiting.collect();
         let mut ranked = Demand {
             placed: self.ranked_cpus(),
             teams: demand.teams.clone(),
@@ -153,7 +149,7 @@
             let Some(at) = job.team else {
                 continue;
             };
-            if demand.teams[at].room < job.spec.cpus {
+            if !rooms[at].takes(&job.spec) {
                 continue;
             }
             // One task of a job that may carry a mistake, whatever waits of it.
@@ -162,6 +158,11 @@
                 true => 1.0,
                 false => f64::from(run.len()),
             };
+            // What the limit on accelerators keeps from running needs no machine.
+            let count = gpu_rooms[at].take_gpus(&job.spec, count);
+            if count <= 0.0 {
+                continue;
+            }
             let run_s = self.run_estimate(job);
             for d in std::iter::once(&mut demand).chain((!job.fill).then_some(&mut ranked)) {
                 if job.spec.kind == Kind::Array {
@@ -188,13 +189,15 @@
     /// Empties the machines that cost most for what they do, while the others
     /// can carry what is wanted; takes machines back when they can't. Dear ones
     /// are kept for `ranked` work only, cheap ones for all of it.
-    pub(super) fn retire(&mut self, ranked: f64, all: f64) {
+    pub(super) fn retire(&mut self, ranked: f64, all: f64, now: f64) {
         let wanted = |spot: bool| if spot { all } else { ranked };
         let mut active = 0.0;
         let mut retiring = Vec::new();
         let mut others = Vec::new();
         for (name, m) in &self.machines {
-            if !m.up || m.draining || m.deleting {
+            // What can't be reached carries nothing: a machine that hears no answer once
+            // had the one beside it returned, for which work waited.
+            if !m.up || m.draining || m.deleting || !m.reachable(now, &self.settings) {
                 continue;
             }
             let all = self.cpus_of(&m.kind);
@@ -375,7 +378,7 @@
     /// A waiting job that no machine which is there could take. What is wanted is
     /// counted in CPUs, of which there may be enough of the wrong kind, or too few
     /// to be worth a dear machine: it would wait for good.
-    fn stranded(&self, now: f64) -> Option<&Submission> {
+    fn stranded(&self, now: f64) -> Option<&Job> {
         let waiting = self.queue.runs().filter_map(|r| self.jobs.get(&r.job));
         let mut stuck = waiting.filter(|j| {
             let patience = if j.fill {
@@ -383,16 +386,42 @@
             } else {
                 limits::STRANDED_S
             };
-            now - j.born > patience && j.on.is_empty() && j.retry_at <= now && !j.suspect()
+            let stuck = j.on.is_empty() || self.bound_elsewhere(j);
+            now - j.born > patience && stuck && j.retry_at <= now && !j.suspect()
         });
         let could = |job: &Job, (name, m): (&String, &Machine)| {
             !m.draining
                 && !m.deleting
                 && allowed(&job.spec, &m.kind, &m.zone, m.spot)
                 && !job.failed_on.contains_key(name)
+                && zone_room(job, &m.zone) > 0
+                // A replica doesn't end, so nothing makes room for the next one.
+                && (job.on.is_empty() || self.has_room(&job.spec, m))
         };
-        let job = stuck.find(|j| !self.machines.iter().any(|m| could(j, m)))?;
-        Some(&job.spec)
+        stuck.find(|j| !self.machines.iter().any(|m| could(j, m)))
+    }
+
+    /// Do tasks of the job that go on for good decide where its others may run? Room in
+    /// other zones is of no use to those: a service that lost a zone never got it back.
+    fn bound_elsewhere(&self, job: &Job) -> bool {
+        let bound = job.spec.one_zone || job.spec.spread;
+        if !bound || job.spec.kind == Kind::Array {
+            return false;
+        }
+        let rooms = self.team_rooms();
+        let room = job.team.and_then(|t| rooms.get(t));
+        room.is_some_and(|r| r.takes(&job.spec))
+    }
+
+    /// Is there room for one more task of this shape?
+    fn has_room(&self, spec: &Submission, m: &Machine) -> bool {
+        let used = m.placed.sums();
+        let kind = self.types.iter().find(|t| t.name == m.kind);
+        kind.is_some_and(|t| {
+            used.cpus + spec.cpus <= t.cpus + 1e-6
+                && used.gpus + spec.gpus <= t.gpus + 1e-6
+                && used.mem + spec.memory_gb <= t.memory_gb + 1e-6
+        })
     }
 
     pub(super) fn rentals(&mut self, now: f64) -> Vec<CloudCall> {
@@ -400,10 +429,12 @@
         if !calls.is_empty() {
             return calls;
         }
-        let Some(spec) = self.stranded(now).cloned() else {
+        let Some(spec) = self.stranded(now).map(|job| job.spec.clone()) else {
             return calls;
         };
         let mut offers = self.offers(&spec, now);
+        let job = self.ids.get(&spec.id).and_then(|no| self.jobs.get(no));
+        offers.retain(|o| job.is_some_and(|job| zone_room(job, &o.zone) > 0));
         let one = shop(spec.cpus, &mut offers);
         if let Some((i, _)) = one.first() {
             info!(
