Stops straight to silent machines, and a question to those that count anew

- A machine that reaches no controller while direct commands reach it (machine_mute) went on with cancelled work until its lease ended: only answers carried stops.
The answer shows what has exited, and renews nothing: no sign of life, grant, session or number.
- A machine back under its name with session 1 was taken for late until it was deleted.
The leader asks for its status; an answer to a question sent after the newest report had come, with smaller numbers, shows that it counts anew.
It gets a new token, and nothing counts as proof before that is shown; later, what shows an older one is of the former life.

--- a/crates/control/src/leader/commands.rs
+++ b/crates/control/src/leader/commands.rs
@@ -13,7 +13,7 @@
 }
 
 /// Told to end at once: it may not go on.
-fn end(task: &str, attempt: u64) -> Command {
+pub(super) fn end(task: &str, attempt: u64) -> Command {
     Command::Stop {
         task: task.to_string(),
         attempt,
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -39,6 +39,7 @@
 mod placing;
 mod progress;
 mod reports;
+mod returned;
 mod rows;
 mod yielding;
 
@@ -233,6 +234,11 @@
     unseen_since: Option<f64>,
     /// The highest token that a report of it showed.
     shown: u64,
+    /// The first token of its present life, if its worker was seen to count anew.
+    life: u64,
+    question: returned::Question,
+    /// When stops were last sent straight to it because its reports stay away.
+    stopped: f64,
     deaf_told: bool,
     /// Nothing more is placed here: a notice, or a machine that fails tasks.
     draining: bool,
@@ -544,6 +550,9 @@
             idle_since: now,
             unseen_since: None,
             shown: 0,
+            life: 0,
+            question: returned::Question::No,
+            stopped: f64::NEG_INFINITY,
             deaf_told: false,
             unwanted: false,
             draining: false,
--- a/crates/control/src/leader/orders.rs
+++ b/crates/control/src/leader/orders.rs
@@ -1,6 +1,6 @@
 //! Commands sent straight to workers, and what became of them.
 
-use super::commands::stop;
+use super::commands::{end, stop};
 use super::*;
 
 impl Leader {
@@ -78,4 +78,41 @@
             m.token = token;
         }
     }
+
+    /// Stops for work that is over on machines whose reports stay away: no answer carries
+    /// them there, while direct commands may still arrive. They renew nothing: no sign of
+    /// life, grant or lease comes of them.
+    pub fn stops(&mut self, now: f64) -> Vec<(String, String, Orders)> {
+        let fresh = limits::MISSED_REPORTS * self.settings.workers.report_s;
+        let jobs = &self.jobs;
+        let may_run = |p: &&Placement| p.stage == Stage::Durable && !p.unsent() && p.over(jobs);
+        let due = |m: &Machine| m.up && now - m.heard > fresh && now - m.stopped > fresh;
+        let machines = self.machines.iter_mut();
+        let mut due: Vec<_> = machines
+            .filter(|(_, m)| due(m) && m.placed.iter().any(|p| may_run(&p)))
+            .collect();
+        due.sort_by(|a, b| a.1.stopped.total_cmp(&b.1.stopped));
+        let mut out = Vec::new();
+        for (name, m) in due.into_iter().take(limits::DIRECT_MAX) {
+            m.stopped = now;
+            let over = m.placed.iter().filter(may_run);
+            let orders = Orders {
+                token: m.token,
+                session: m.session,
+                commands: over.map(|p| end(&p.id, p.attempt)).collect(),
+            };
+            out.push((name.clone(), m.addr.clone(), orders));
+        }
+        out
+    }
+
+    /// The report in an answer to a direct command. What it shows to have exited has; its
+    /// worker's lease isn't renewed by it, so it is no report otherwise.
+    pub fn direct_report(&mut self, r: &Report, now: f64) {
+        let Some(mut m) = self.machines.remove(&r.machine) else {
+            return;
+        };
+        self.take_exits(&mut m, r, now);
+        self.machines.insert(r.machine.clone(), m);
+    }
 }
--- a/crates/control/src/leader/reports.rs
+++ b/crates/control/src/leader/reports.rs
@@ -30,10 +30,10 @@
             self.machines.insert(r.machine.clone(), m);
         }
         let mut m = self.machines.remove(&r.machine)?;
-        let old = (r.session, r.seq) <= (m.session, m.seq);
-        if old {
+        if m.is_past(r) {
             // A late report describes a past that may not be acted on; a copy of one that
             // was taken already is no sign of life, and renews nothing.
+            self.doubt_numbers(&mut m, r, now);
             self.machines.insert(r.machine.clone(), m);
             return None;
         }
@@ -181,7 +181,7 @@
     }
 
     /// Exits are true for ever, however old the message that tells them.
-    fn take_exits(&mut self, m: &mut Machine, r: &Report, now: f64) {
+    pub(super) fn take_exits(&mut self, m: &mut Machine, r: &Report, now: f64) {
         let mut succeeded: Vec<JobNo> = Vec::new();
         for t in r.tasks.iter().filter(|t| t.state == TaskState::Exited) {
             if t.why == Some(Why::Done) {
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -90,6 +90,11 @@
 pub const ORDER_WAIT_S: f64 = 1.5;
 /// s for a peer to send such commands and tell what became of them.
 pub const ORDERS_WAIT_S: f64 = 2.2;
+/// s between two looks at the machines that the leader itself speaks to: those that are
+/// silent with work that is over, and those whose reports look old.
+pub const DIRECT_EVERY_S: f64 = 1.0;
+/// Machines spoken to at a time; each that is cut off keeps a socket for `ORDER_WAIT_S`.
+pub const DIRECT_MAX: usize = 40;
 /// s that a report waits for others to share its frame to the leader.
 pub const FORWARD_GAP_S: f64 = 0.03;
 /// Reports and tasks in one frame; some 40 bytes each.
--- a/crates/node/src/loops/mod.rs
+++ b/crates/node/src/loops/mod.rs
@@ -2,6 +2,7 @@
 
 mod admit;
 mod cloud;
+mod direct;
 mod lead;
 mod polls;
 mod write;
@@ -21,6 +22,7 @@
     node.host.spawn(write::forward(node.clone()));
     node.host.spawn(write::jobs(node.clone()));
     node.host.spawn(polls::serve(node.clone()));
+    node.host.spawn(direct::speak(node.clone()));
     node.host.spawn(cloud::fleet(node.clone()));
     node.host.spawn(cloud::list(node.clone()));
     node.host.spawn(cloud::types(node.clone()));
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -357,6 +357,29 @@
         }
     }
 
+    /// The report with which a worker answers orders of the leader itself.
+    pub async fn order_directly(&self, addr: &str, orders: &Orders) -> Option<Report> {
+        let body = cherrywood_wire::encode(orders);
+        self.ask_worker(addr, "POST", "/orders", Some(&body)).await
+    }
+
+    /// What a worker says of itself when it is asked.
+    pub async fn status(&self, addr: &str) -> Option<Report> {
+        self.ask_worker(addr, "GET", "/status", None).await
+    }
+
+    async fn ask_worker(
+        &self,
+        addr: &str,
+        method: &str,
+        path: &str,
+        body: Option<&[u8]>,
+    ) -> Option<Report> {
+        let worker = Client::new(&self.host, addr.parse().ok()?);
+        let sent = worker.send(method, path, body, limits::ORDER_WAIT_S).await;
+        cherrywood_wire::decode(&sent.ok()?.body).ok()
+    }
+
     /// The same for many machines at once.
     pub async fn order_all(
         self: &Arc<Self>,
