--- a/crates/control/src/holder.rs
+++ b/crates/control/src/holder.rs
@@ -1,7 +1,7 @@
 //! A controller's side of the leased blocks: which machines it may answer,
 //! under which token and until when, and the run times it measures.
 
-use cherrywood_wire::agent::{Report, TaskState, Why};
+use cherrywood_wire::agent::{Command, Report, TaskState, Why};
 use std::collections::HashMap;
 
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -51,6 +51,33 @@
         g.token = g.token.max(token);
     }
 
+    /// The answer to a report that reached this node at `sent`, if it may give one, from
+    /// what the leader said to it; None if the leader can't be asked. While the block's
+    /// lease lasts, its holder keeps the machine's own lease alive without the leader.
+    pub fn answer(
+        &mut self,
+        machine: &str,
+        led: Option<(u64, Vec<Command>)>,
+        sent: f64,
+        now: f64,
+        grant_s: f64,
+    ) -> Option<(u64, Vec<Command>)> {
+        let Some((token, commands)) = led else {
+            return self.token(machine, now).map(|token| (token, Vec::new()));
+        };
+        let over = |c: &Command| matches!(c, Command::Stop { grace_s, .. } if *grace_s <= 0.0);
+        if commands.iter().any(over) {
+            // It has work that may not go on: this answer may still be given, and the
+            // block lasts no longer for it. If the answer is lost and the leader with it,
+            // that work ends with the lease.
+            self.owed(machine, token);
+            let mine = self.newest(machine, token);
+            return (mine && now < sent + grant_s).then_some((token, commands));
+        }
+        self.granted(machine, token, sent, grant_s);
+        (self.token(machine, now) == Some(token)).then_some((token, commands))
+    }
+
     /// Is this the newest token known for the machine?
     pub fn newest(&self, machine: &str, token: u64) -> bool {
         self.grants.get(machine).is_some_and(|g| g.token == token)
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -259,33 +259,13 @@
         };
         let now = self.now();
         let mut core = self.core();
-        match led {
-            Some((token, commands)) => {
-                if !here {
-                    core.leader_ok = now;
-                }
-                let over =
-                    |c: &Command| matches!(c, Command::Stop { grace_s, .. } if *grace_s <= 0.0);
-                if commands.iter().any(over) {
-                    // It has work that may not go on: this answer may still be given, and
-                    // the block lasts no longer for it. If the answer is lost and the
-                    // leader with it, that work ends with the lease.
-                    core.holder.owed(&machine, token);
-                    let mine = core.holder.newest(&machine, token);
-                    return (mine && now < sent + self.timing.grant_s).then_some((token, commands));
-                }
-                core.holder
-                    .granted(&machine, token, sent, self.timing.grant_s);
-                (core.holder.token(&machine, now) == Some(token)).then_some((token, commands))
-            }
-            // The leader can't be asked: while the block's lease lasts, its
-            // holder keeps the machine's own lease alive.
-            None if !here && core.astray(now) => None,
-            None => core
-                .holder
-                .token(&machine, now)
-                .map(|token| (token, Vec::new())),
+        match &led {
+            Some(_) if !here => core.leader_ok = now,
+            None if !here && core.astray(now) => return None,
+            _ => {}
         }
+        let grant_s = self.timing.grant_s;
+        core.holder.answer(&machine, led, sent, now, grant_s)
     }
 
     async fn ask_leader(
