--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -41,6 +41,7 @@
 mod reports;
 mod returned;
 mod rows;
+mod summary;
 mod team_room;
 mod yielding;
 
