--- a/crates/control/tests/hand_over.rs
+++ b/crates/control/tests/hand_over.rs
@@ -280,7 +280,7 @@
             self.order(n);
         }
         let calls = match &mut self.nodes[n].leader {
-            Some(l) if (now / STEP_S) as u64 % 4 == 0 => l.fleet(now),
+            Some(l) if ((now / STEP_S) as u64).is_multiple_of(4) => l.fleet(now),
             _ => Vec::new(),
         };
         for call in calls {
@@ -595,7 +595,7 @@
             self.live(at);
             self.beat(at, troubled);
         }
-        if (now / STEP_S) as u64 % 4 == 0 {
+        if ((now / STEP_S) as u64).is_multiple_of(4) {
             self.hellos();
         }
     }
