--- a/crates/control/src/leader/jobs.rs
+++ b/crates/control/src/leader/jobs.rs
@@ -51,6 +51,7 @@
                 } else {
                     at
                 },
+                served_at: f64::NEG_INFINITY,
                 waits: !ready,
                 rank: spec.priority,
                 latest: None,
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -67,6 +67,8 @@
     image: u64,
     /// When it was accepted, or ready if it waited for others, on this leader's clock.
     born: f64,
+    /// When this leader last placed a task of it.
+    served_at: f64,
     /// Not all jobs that it needs are known to be done: it is in no queue and no sum.
     waits: bool,
     /// The highest rank of its own and of those that need it.
@@ -112,10 +114,10 @@
         self.spec.tasks.saturating_sub(gone)
     }
 
-    /// Has it waited for long, and none of its tasks has begun?
-    fn unbegun(&self, now: f64) -> bool {
-        let begun = self.done.count() > 0 || !self.on.is_empty();
-        !begun && self.spec.kind == Kind::Array && now - self.born > limits::admission::BEGIN_S
+    /// Since when an array has had no task placed, if none is on a machine.
+    fn unserved_since(&self) -> Option<f64> {
+        let unserved = self.spec.kind == Kind::Array && self.on.is_empty();
+        unserved.then(|| self.born.max(self.served_at))
     }
 
     /// Failed on several machines and succeeded nowhere meanwhile: it is tried
@@ -340,6 +342,8 @@
     grew: f64,
     /// CPUs that cells which are behind may still take before others.
     floor_due: f64,
+    /// When each team's limit last refused a task.
+    limited_at: Vec<f64>,
     refused: HashMap<(String, String, bool), f64>,
     /// CPUs wanted, averaged over a longer, a shorter and the longest time, and
     /// when.
@@ -394,6 +398,7 @@
         let book = Book::new(epoch, from.admission.clone().unwrap_or_default(), now);
         let book_full = book.full();
         let kept = settings.state.kept();
+        let limited_at = vec![f64::NEG_INFINITY; settings.teams.len()];
         let mut leader = Leader {
             kept,
             graph: Graph::default(),
@@ -431,6 +436,7 @@
             // What the last leader knew to be full is taken for full.
             grew: if book_full { f64::NEG_INFINITY } else { now },
             floor_due: 0.0,
+            limited_at,
             refused: HashMap::new(),
             wanted: None,
             bad_boots: BTreeSet::new(),
--- a/crates/control/src/leader/placing.rs
+++ b/crates/control/src/leader/placing.rs
@@ -77,6 +77,8 @@
     /// Places of waiting runs, each with the next one of the same job.
     chain: Vec<(Place, u32)>,
     used: Vec<(f64, f64)>,
+    /// CPUs and accelerators of each team that are kept for one of its jobs.
+    kept: Vec<(f64, f64)>,
     /// CPUs of each team that wait for images, and the images that are on
     /// machines; counted when first asked for.
     fetching: &'a (Vec<f64>, HashSet<u64>),
@@ -219,6 +221,7 @@
             waiters,
             chain,
             used,
+            kept: vec![(0.0, 0.0); teams.len()],
             fetching: &fetching,
             epoch: self.epoch,
             counter: &mut self.counter,
@@ -230,7 +233,7 @@
             single: false,
             looks: &mut self.looks,
         };
-        plan.serve_unbegun(&mut queue);
+        plan.serve_overdue(&mut queue);
         let before = plan.placed();
         plan.serve_behind(&mut queue, &behind, self.floor_due);
         let floored = plan.placed() - before;
@@ -252,6 +255,9 @@
             }
         }
         let others = plan.placed() - before - floored;
+        for team in plan.limited_teams(&queue) {
+            self.limited_at[team] = now;
+        }
         self.queue = queue;
         let share = limits::admission::FLOOR_CPUS;
         self.floor_due = if behind.is_empty() {
@@ -301,7 +307,8 @@
     /// Tasks of the waiter's shape for which its team has room.
     fn team_room(&self, w: &Waiter, guaranteed: bool) -> u32 {
         let t = &self.settings.teams[w.team];
-        let (c, g) = self.used[w.team];
+        let (used, kept) = (self.used[w.team], self.kept[w.team]);
+        let (c, g) = (used.0 + kept.0, used.1 + kept.1);
         let room = |most: f64, used: f64, each: f64| {
             if each > 0.0 {
                 ((most - used + 1e-6) / each).floor().max(0.0) as u32
@@ -318,6 +325,15 @@
         }
     }
 
+    /// Teams whose limit has no room for a task of theirs that waits.
+    fn limited_teams(&self, queue: &Queue<JobNo>) -> BTreeSet<usize> {
+        let waiters = self.waiters.iter().enumerate();
+        let refused = waiters.filter(|(n, w)| {
+            !w.blocked && self.team_room(w, false) == 0 && self.find(queue, *n as u32).is_some()
+        });
+        refused.map(|(_, w)| w.team).collect()
+    }
+
     fn serve_rank(&mut self, queue: &mut Queue<JobNo>, guaranteed: bool, line: &Line) {
         self.serve_due(queue, guaranteed, line.rank);
         self.serve(queue, guaranteed, line, Order::Hot);
@@ -468,7 +484,7 @@
             let pass = match order {
                 Order::Due => calm,
                 Order::Hot => young,
-                Order::Any => soon,
+                Order::Any => soon && !self.single,
             };
             if pass && order == Order::Any {
                 self.waiters[at].blocked = true;
@@ -478,7 +494,8 @@
                 self.waiters[at].cold = true;
                 return;
             }
-            if self.scarce(team, job.image) {
+            // What goes before all else doesn't wait for its team's images.
+            if !self.single && self.scarce(team, job.image) {
                 self.waiters[at].blocked = true;
                 return;
             }
@@ -614,6 +631,9 @@
         site.free.2 -= total * s.memory_gb;
         self.used[team].0 += total * s.cpus;
         self.used[team].1 += total * s.gpus;
+        if let Some(job) = self.jobs.get_mut(&no) {
+            job.served_at = now;
+        }
         self.planned.insert(site.name.to_string());
         self.groups += 1;
         for p in placements {
--- a/crates/control/src/leader/placing/floors.rs
+++ b/crates/control/src/leader/placing/floors.rs
@@ -8,13 +8,14 @@
         self.used.iter().map(|u| u.0).sum()
     }
 
-    /// Every array begins in the end, the largest as well: of one that has waited for long
-    /// and has nothing on a machine a single task goes before all else, the oldest first.
-    /// By work left and by gaps alone a large array was passed by for as long as smaller
-    /// ones kept coming.
-    pub(super) fn serve_unbegun(&mut self, queue: &mut Queue<JobNo>) {
+    /// Every array begins in the end, the largest as well, and none of a limited team is
+    /// overtaken for ever: of one that was passed by for too long a single task goes before
+    /// all else, the longest passed by first. By work left and by gaps alone an array was
+    /// passed by for as long as others kept coming. Where its team's limit leaves too little
+    /// for its task, what is left is kept for it: smaller tasks would take it one by one.
+    pub(super) fn serve_overdue(&mut self, queue: &mut Queue<JobNo>) {
         let waiters = self.waiters.iter().enumerate();
-        let late = waiters.filter_map(|(n, w)| Some((w.unbegun?, n as u32)));
+        let late = waiters.filter_map(|(n, w)| Some((w.overdue?, n as u32)));
         let mut late: Vec<(f64, u32)> = late.collect();
         late.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
         // Begun for good: as filling work it would give way at once, and begin anew.
@@ -23,15 +24,29 @@
             if self.sites.is_empty() {
                 break;
             }
-            if self.ready(&self.waiters[n as usize], false)
-                && let Some(pick) = self.find(queue, n)
-            {
+            let Some(pick) = self.find(queue, n) else {
+                continue;
+            };
+            if self.ready(&self.waiters[n as usize], false) {
                 self.place_group(queue, n, &pick, false, Order::Any);
+            } else {
+                self.keep_team_room(n);
             }
         }
         (self.single, self.floor) = (false, false);
     }
 
+    /// Keeps what its team's limit leaves for a task that it has no room for yet, if a
+    /// machine has room. The first of a team comes first.
+    fn keep_team_room(&mut self, n: u32) {
+        let waiter = &self.waiters[n as usize];
+        let (team, need) = (waiter.team, (waiter.cpus, waiter.gpus));
+        if waiter.blocked || self.kept[team] != (0.0, 0.0) || self.best_machine(n, None).is_none() {
+            return;
+        }
+        self.kept[team] = need;
+    }
+
     /// The floor of service: a part of the CPUs that come free goes to the cells that
     /// are behind what they were promised, whatever their rank, the least served
     /// first and within each the job with the least work left. Without it jobs of
--- a/crates/control/src/leader/placing/waiting.rs
+++ b/crates/control/src/leader/placing/waiting.rs
@@ -1,6 +1,7 @@
 //! All that waits, lined up for one pass.
 
 use super::super::*;
+use cherrywood_sched::overdue::Unserved;
 use cherrywood_sched::queue::Place;
 
 /// What is known of a waiting job for the length of one plan. Whether it can be served
@@ -22,8 +23,8 @@
     pub(super) blocked: bool,
     /// Passes others whose image is at hand.
     pub(super) cold: bool,
-    /// Accepted or ready long ago, and none of its tasks has begun: since when.
-    pub(super) unbegun: Option<f64>,
+    /// Passed by for too long (`sched::overdue`): since when.
+    pub(super) overdue: Option<f64>,
     /// The best machine, as of this many groups placed.
     pub(super) best: Option<(u64, Option<(usize, f64)>)>,
 }
@@ -91,6 +92,17 @@
 }
 
 impl Leader {
+    /// Since when the job has had no task placed, if that is too long.
+    fn overdue_since(&self, job: &Job, team: usize, now: f64) -> Option<f64> {
+        let since = job.unserved_since()?;
+        let unserved = Unserved {
+            waited_s: now - since,
+            begun: job.proven(),
+            limited: now - self.limited_at[team] < limits::LIMITED_FOR_S,
+        };
+        unserved.overdue().then_some(since)
+    }
+
     pub(super) fn line_up(&self, now: f64) -> Waiting {
         // The smallest shape that waits: machines without room for it are
         // not looked at again.
@@ -133,7 +145,7 @@
                         places: END,
                         blocked: job.retry_at > now || job.suspect() && !job.on.is_empty(),
                         cold: false,
-                        unbegun: job.unbegun(now).then_some(job.born),
+                        overdue: self.overdue_since(job, team, now),
                         best: None,
                     });
                     last.push(END);
--- /dev/null
+++ b/crates/control/tests/limited_teams.rs
@@ -0,0 +1,192 @@
+//! Teams at their limit beside machines with room: how long a job is passed by.
+
+mod common;
+
+use cherrywood_control::{Leader, keys};
+use cherrywood_wire::agent::Why;
+use cherrywood_wire::state::Value;
+use cherrywood_wire::user::{Priority, Submission};
+use common::*;
+use std::collections::BTreeMap;
+
+/// s that a job may wait without a task while its team has room for one (operators).
+const PATIENCE_S: f64 = 90.0;
+/// s that each task runs.
+const RUN_S: f64 = 10.0;
+/// CPUs that team `t` may use (`common::settings`), and those of a machine.
+const LIMIT: f64 = 16.0;
+const MACHINES: usize = 8;
+
+/// When each job last had a task on a machine, and the longest it went without one.
+#[derive(Default)]
+struct Waits {
+    served_at: BTreeMap<String, f64>,
+    longest: BTreeMap<String, f64>,
+}
+
+impl Waits {
+    fn note(&mut self, leader: &Leader, waiting: &[String], now: f64) {
+        let held = leader.held();
+        for id in waiting {
+            let own = format!("{id}/");
+            let since = self.served_at.entry(id.clone()).or_insert(now);
+            if held.iter().any(|h| h.1.starts_with(&own)) {
+                *since = now;
+            }
+            let longest = self.longest.entry(id.clone()).or_default();
+            *longest = longest.max(now - *since);
+        }
+    }
+}
+
+/// Eight machines for a team that may use two of them.
+struct Limited {
+    store: Store,
+    leader: Leader,
+    workers: Vec<Worker>,
+    /// Ends of the tasks that run, by worker and attempt.
+    ends: BTreeMap<(usize, String, u64), f64>,
+    submitted: u32,
+    /// Jobs whose waits are measured.
+    watched: Vec<String>,
+    waits: Waits,
+}
+
+impl Limited {
+    fn new() -> Limited {
+        let mut store = Store::default();
+        let leader = store.elect(1, 0.0);
+        Limited {
+            store,
+            leader,
+            workers: (0..MACHINES)
+                .map(|n| Worker::new(&format!("vm-{n:03}")))
+                .collect(),
+            ends: BTreeMap::new(),
+            submitted: 0,
+            watched: Vec::new(),
+            waits: Waits::default(),
+        }
+    }
+
+    fn submit(&mut self, rank: Priority, tasks: u32, cpus: f64, now: f64) -> String {
+        self.submitted += 1;
+        let spec = Submission {
+            class: format!("{rank:?}-{cpus}"),
+            priority: rank,
+            cpus,
+            ..job(&format!("wk-{:06}", self.submitted), tasks)
+        };
+        let mut value = self.store.accept(&spec);
+        value.at_ms = (now * 1000.0) as u64;
+        let mark = self
+            .store
+            .put(&keys::job(&spec.id), Value::Job(Box::new(value.clone())));
+        self.leader.add_job(value, mark, now);
+        spec.id
+    }
+
+    fn watch(&mut self, rank: Priority, tasks: u32, cpus: f64, now: f64) {
+        let id = self.submit(rank, tasks, cpus, now);
+        self.watched.push(id);
+    }
+
+    /// Tasks that have run long enough end, every worker reports, waits are noted.
+    fn second(&mut self, now: f64) {
+        for (at, worker) in self.workers.iter_mut().enumerate() {
+            for (task, attempt, why) in &mut worker.tasks {
+                let end = self.ends.entry((at, task.clone(), *attempt));
+                if why.is_none() && now >= *end.or_insert(now + RUN_S) {
+                    *why = Some(Why::Done);
+                }
+            }
+            beat(&mut self.leader, &mut self.store, worker, "n1", now);
+        }
+        let store = &self.store;
+        self.watched.retain(|id| store.ended(id).is_none());
+        self.waits.note(&self.leader, &self.watched, now);
+    }
+
+    /// CPUs that the team uses by the workers' word.
+    fn used(&self, cpus: f64) -> f64 {
+        self.workers.iter().map(Worker::running).sum::<usize>() as f64 * cpus
+    }
+
+    fn longest_wait(&self) -> f64 {
+        self.waits.longest.values().copied().fold(0.0, f64::max)
+    }
+}
+
+/// Urgent work of the same team takes all that comes free. Each job was begun after two
+/// minutes, and had nothing more on a machine for as long as that went on.
+#[test]
+fn no_job_of_a_limited_team_is_overtaken_for_ever() {
+    let mut f = Limited::new();
+    let mut least_used = f64::INFINITY;
+    for s in 0..400 {
+        let now = f64::from(s);
+        if s % 8 == 0 {
+            f.submit(Priority::High, 8, 2.0, now);
+        }
+        if s % 50 == 20 {
+            f.watch(Priority::Normal, 40, 2.0, now);
+        }
+        f.second(now);
+        if s > 60 {
+            least_used = least_used.min(f.used(2.0));
+        }
+    }
+    assert!(
+        f.longest_wait() < PATIENCE_S,
+        "without a task for so many s: {:?}",
+        f.waits.longest
+    );
+    // Nothing of the limit is kept idle for that.
+    assert!(least_used >= LIMIT - 2.0, "{least_used} CPUs used");
+}
+
+/// What comes free is always too little for a larger task while smaller ones wait: its
+/// team's room is kept for it, until it fits.
+#[test]
+fn a_larger_task_gets_the_room_that_smaller_ones_leave_one_by_one() {
+    let mut f = Limited::new();
+    for s in 0..300 {
+        let now = f64::from(s);
+        // Two a second that end at different times.
+        f.submit(Priority::Normal, 1, 2.0, now);
+        if s == 40 {
+            f.watch(Priority::Normal, 3, 8.0, now);
+        }
+        f.second(now);
+    }
+    assert!(
+        f.longest_wait() < PATIENCE_S,
+        "without a task for so many s: {:?}",
+        f.waits.longest
+    );
+}
+
+/// The same jobs under a new leader: it doesn't know whom the last one passed by.
+#[test]
+fn a_new_leader_passes_nobody_by_for_longer() {
+    let mut f = Limited::new();
+    for s in 0..300 {
+        let now = f64::from(s);
+        if s == 80 || s == 150 {
+            let epoch = f.leader.epoch() + 1;
+            f.leader = f.store.elect(epoch, now);
+        }
+        if s % 5 == 0 {
+            f.submit(Priority::High, 8, 2.0, now);
+        }
+        if s == 20 {
+            f.watch(Priority::Normal, 40, 2.0, now);
+        }
+        f.second(now);
+    }
+    assert!(
+        f.longest_wait() < PATIENCE_S,
+        "without a task for so many s: {:?}",
+        f.waits.longest
+    );
+}
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -215,6 +215,13 @@
 /// that may then wait for images: waiting uses up the limit for nothing.
 pub const SCARCE: f64 = 0.7;
 pub const SCARCE_FETCHING: f64 = 0.12;
+/// s for which a job of a team at its limit may have nothing on a machine while others
+/// of its team are served: operators count 90 s, and a task is on its machine some s
+/// after it was placed (a write, a report, an image, perhaps an election).
+pub const PASSED_BY_S: f64 = 60.0;
+/// s for which a team counts as limited after its limit last refused a task: tasks that
+/// end together leave room for a moment, until the next pass.
+pub const LIMITED_FOR_S: f64 = 10.0;
 /// s of slack below which a job that can still meet an aim on its class is
 /// served by its slack, before the level clocks decide.
 pub const RISK_S: f64 = 40.0;
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -3,6 +3,7 @@
 //! time is always an argument (seconds on a steady clock).
 
 pub mod fleet;
+pub mod overdue;
 pub mod place;
 pub mod predictor;
 pub mod queue;
