--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -19,6 +19,8 @@
     pub revision: u64,
     /// Bytes of a value and changes of a transaction that it takes, if it looks.
     pub most: Option<(usize, usize)>,
+    /// The time of day is the test's time: new leaders know when jobs were accepted.
+    pub tells_time: bool,
 }
 
 impl Store {
@@ -97,6 +99,11 @@
         );
         let mut from = Inheritance {
             overlap_s,
+            wall_ms: if self.tells_time {
+                (now * 1000.0) as u64
+            } else {
+                0
+            },
             ..Inheritance::default()
         };
         for (key, (value, mark)) in &self.rows {
