A job of a limited team is passed by for 45 s at most

Cause: where a team's limit binds, ranks, aims and clocks let newer jobs overtake older ones for as long as they keep coming; a job got its first task after 120 s, and none after that one. Nothing bounded it beside machines with room.

Change: sched::overdue says when a job without a task on a machine is served before all else; placing::floors serves it one task, and keeps its team's last room for one that doesn't fit yet. A team is limited if its limit refused a task just now.

--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -114,9 +114,10 @@
         self.spec.tasks.saturating_sub(gone)
     }
 
-    /// Since when an array has had no task placed, if none is on a machine.
+    /// Since when a job has had no task placed, if none is on a machine. Gangs wait for
+    /// room for all of them.
     fn unserved_since(&self) -> Option<f64> {
-        let unserved = self.spec.kind == Kind::Array && self.on.is_empty();
+        let unserved = self.spec.kind != Kind::Gang && self.on.is_empty();
         unserved.then(|| self.born.max(self.served_at))
     }
 
--- a/crates/control/src/leader/placing.rs
+++ b/crates/control/src/leader/placing.rs
@@ -327,11 +327,14 @@
 
     /// Teams whose limit has no room for a task of theirs that waits.
     fn limited_teams(&self, queue: &Queue<JobNo>) -> BTreeSet<usize> {
-        let waiters = self.waiters.iter().enumerate();
-        let refused = waiters.filter(|(n, w)| {
-            !w.blocked && self.team_room(w, false) == 0 && self.find(queue, *n as u32).is_some()
-        });
-        refused.map(|(_, w)| w.team).collect()
+        let mut limited = BTreeSet::new();
+        for (n, w) in self.waiters.iter().enumerate() {
+            let refused = !w.blocked && self.team_room(w, false) == 0;
+            if refused && !limited.contains(&w.team) && self.find(queue, n as u32).is_some() {
+                limited.insert(w.team);
+            }
+        }
+        limited
     }
 
     fn serve_rank(&mut self, queue: &mut Queue<JobNo>, guaranteed: bool, line: &Line) {
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -216,9 +216,9 @@
 pub const SCARCE: f64 = 0.7;
 pub const SCARCE_FETCHING: f64 = 0.12;
 /// s for which a job of a team at its limit may have nothing on a machine while others
-/// of its team are served: operators count 90 s, and a task is on its machine some s
-/// after it was placed (a write, a report, an image, perhaps an election).
-pub const PASSED_BY_S: f64 = 60.0;
+/// of its team are served: half of the 90 s that operators count. A task is on its machine
+/// only after a write, a report and an image, and one placement may be lost on the way.
+pub const PASSED_BY_S: f64 = 45.0;
 /// s for which a team counts as limited after its limit last refused a task: tasks that
 /// end together leave room for a moment, until the next pass.
 pub const LIMITED_FOR_S: f64 = 10.0;
--- a/crates/sched/src/overdue.rs
+++ b/crates/sched/src/overdue.rs
@@ -7,7 +7,7 @@
 
 use cherrywood_limits as limits;
 
-/// How an array without a task on a machine stands.
+/// How a job without a task on a machine stands.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Unserved {
     /// s since a task of it was last placed, or since it could first run.
