--- /dev/null
+++ b/crates/control/src/leader/placing/groups.rs
@@ -0,0 +1,217 @@
+//! One run to one machine: the machine that suits it best, and the placement.
+
+use super::*;
+
+impl Plan<'_> {
+    /// Places as many tasks of the run as the best machine takes, or marks
+    /// the job as one that has to wait.
+    pub(super) fn place_group(
+        &mut self,
+        queue: &mut Queue<JobNo>,
+        n: u32,
+        pick: &Pick<JobNo>,
+        guaranteed: bool,
+        order: Order,
+    ) {
+        let (no, at) = (pick.job, n as usize);
+        let Some(job) = self.jobs.get(&no) else {
+            queue.drop_first(pick, pick.len);
+            return;
+        };
+        // Finished meanwhile, or found elsewhere.
+        let idle = |task: &u32| !job.done.get(*task) && !job.on.contains_key(task);
+        let run = pick.first..pick.first + pick.len;
+        let skip = run.clone().take_while(|t| !idle(t)).count() as u32;
+        if skip > 0 {
+            queue.drop_first(pick, skip);
+            return;
+        }
+        let whole = run.take_while(idle).count() as u32;
+        if job.spec.kind == Kind::Gang {
+            self.place_gang(queue, n);
+            return;
+        }
+        let w = &self.waiters[at];
+        let (est, slack, team) = (w.est, w.slack, w.team);
+        let Some((site, wait)) = self.best_machine(n, None) else {
+            self.waiters[at].blocked = true;
+            return;
+        };
+        let job = &self.jobs[&no];
+        if wait > limits::HOT_S {
+            let young = self.may_pass(&self.waiters[at], pick.since);
+            let calm = slack.is_none_or(|s| s > wait);
+            // Machines with the image free room all the time: a short wait for
+            // one of them beats a fetch, unless the image is nowhere yet.
+            let soon = self.now - pick.since < limits::COLD_AFTER_S.min(wait / 2.0)
+                && self.fetching.1.contains(&job.image);
+            let pass = match order {
+                Order::Due => calm,
+                Order::Hot => young,
+                Order::Any => soon && !self.single,
+            };
+            if pass && order == Order::Any {
+                self.waiters[at].blocked = true;
+                return;
+            }
+            if pass {
+                self.waiters[at].cold = true;
+                return;
+            }
+            // What goes before all else doesn't wait for its team's images.
+            if !self.single && self.scarce(team, job.image) {
+                self.waiters[at].blocked = true;
+                return;
+            }
+        }
+        let m = &self.sites[site];
+        let tasks = whole
+            .min(m.fits(&job.spec))
+            .min(zone_room(job, &m.m.zone))
+            .min(self.team_room(&self.waiters[at], guaranteed))
+            .min(if job.suspect() || self.single {
+                1
+            } else {
+                u32::MAX
+            });
+        if tasks == 0 {
+            self.waiters[at].blocked = true;
+            return;
+        }
+        *self.counter += 1;
+        let attempt = (self.epoch << limits::EPOCH_SHIFT) | *self.counter;
+        let probe = job.suspect();
+        queue.take(pick, tasks, est);
+        self.place(n, pick.first, tasks, attempt, site);
+        if probe {
+            self.waiters[at].blocked = true;
+        }
+    }
+
+    /// Is the job's team near its limit, with enough of it waiting for images
+    /// already, and the job's image to be had without another fetch?
+    pub(super) fn scarce(&self, team: usize, image: u64) -> bool {
+        let t = &self.settings.teams[team];
+        let (cpus, images) = self.fetching;
+        self.used[team].0 >= t.cpus_max * limits::SCARCE
+            && cpus[team] > t.cpus_max * limits::SCARCE_FETCHING
+            && images.contains(&image)
+    }
+
+    /// The machine that suits a task of the job best, and the s until its
+    /// image could be there.
+    pub(super) fn best_machine(&mut self, n: u32, zone: Option<&str>) -> Option<(usize, f64)> {
+        let w = self.waiters.get_mut(n as usize)?;
+        let job = self.jobs.get(&w.no)?;
+        if let Some((groups, best)) = w.best
+            && groups == self.groups
+            && zone.is_none()
+        {
+            return best;
+        }
+        let s = &job.spec;
+        let fresh = |failed: &f64| self.now - failed < limits::AVOID_S;
+        let mut best: Option<(f64, usize, f64)> = None;
+        for (at, site) in self.sites.iter().enumerate() {
+            *self.looks += 1;
+            let m = &*site.m;
+            if zone.is_some_and(|z| z != m.zone)
+                || site.fits(s) == 0
+                || !allowed(s, &m.kind, &m.zone, m.spot)
+                || zone_room(job, &m.zone) == 0
+                || !job.suspect() && job.failed_on.get(site.name).is_some_and(fresh)
+                || job.proven() && m.failing.get(&s.id).is_some_and(|f| fresh(&f.1))
+            {
+                continue;
+            }
+            let image_wait_s = site.image_wait_s(job, self.now);
+            let view = View {
+                image_wait_s,
+                free_after: (site.free.0 - s.cpus) / site.kind.cpus.max(0.001),
+                spot: m.spot,
+                slowness: 1.0,
+            };
+            let price = cost(&view, w.est);
+            if best.is_none_or(|b| price < b.0) {
+                best = Some((price, at, image_wait_s));
+            }
+        }
+        let best = best.map(|(_, at, wait)| (at, wait));
+        w.best = Some((self.groups, best));
+        best
+    }
+
+    pub(super) fn place(&mut self, waiter: u32, first: u32, n: u32, attempt: u64, at: usize) {
+        let Waiter { no, team, .. } = self.waiters[waiter as usize];
+        let (Some(job), Some(site)) = (self.jobs.get(&no), self.sites.get_mut(at)) else {
+            return;
+        };
+        let (s, m, now) = (&job.spec, &mut *site.m, self.now);
+        match m.images.iter_mut().find(|i| i.no == job.image) {
+            Some(i) => i.used = now,
+            None => {
+                site.fetched += s.image_gb / site.kind.fetch_gb_per_s.max(0.001);
+                m.images.push(Image {
+                    no: job.image,
+                    gb: s.image_gb,
+                    ready_at: site.fetched,
+                    used: now,
+                });
+                // The machine keeps the most recently used images.
+                let cache = site.kind.cache_gb;
+                while m.images.len() > 1 && m.images.iter().map(|i| i.gb).sum::<f64>() > cache {
+                    let oldest = (0..m.images.len())
+                        .min_by(|a, b| m.images[*a].used.total_cmp(&m.images[*b].used));
+                    if let Some(i) = oldest {
+                        m.images.remove(i);
+                    }
+                }
+            }
+        }
+        crate::life!(s.id, first, n, machine = site.name, attempt, "placed");
+        m.idle_since = now;
+        let placements: Vec<Placement> = (first..first + n)
+            .map(|task| Placement {
+                id: format!("{}/{task}", s.id),
+                job: Some(no),
+                task,
+                attempt,
+                session: m.session,
+                stage: Stage::Planned,
+                entry: 0,
+                inherited: false,
+                sent_seq: None,
+                sent: 0,
+                seen: false,
+                running: false,
+                run_since: now,
+                image: job.image,
+                team: s.team.clone(),
+                cpus: s.cpus,
+                gpus: s.gpus,
+                mem: s.memory_gb,
+                fill: job.fill && !self.floor,
+                stop: Stop::No,
+            })
+            .collect();
+        let total = f64::from(n);
+        site.free.0 -= total * s.cpus;
+        site.free.1 -= total * s.gpus;
+        site.free.2 -= total * s.memory_gb;
+        self.used[team].0 += total * s.cpus;
+        self.used[team].1 += total * s.gpus;
+        if let Some(job) = self.jobs.get_mut(&no) {
+            job.served_at = now;
+        }
+        self.planned.insert(site.name.to_string());
+        self.groups += 1;
+        for p in placements {
+            count(self.usage, self.jobs, &p, &m.zone, 1.0);
+            m.placed.push(p);
+        }
+        // The smallest shape that waits may change; full is full.
+        if site.free.0 <= 1e-6 || site.free.2 <= 1e-6 {
+            self.sites.swap_remove(at);
+        }
+    }
+}
