A takeover reads all jobs once; the watch goes on from that reading

Cause: the watch of a new leader began with a second reading of all jobs, in the seconds in which every worker reports to it. Change: the takeover leaves the revision of its reading to the watch, under its lease; an older or missing one is read anew as before.

Before: 2 readings, after: 1 (a_takeover_reads_all_jobs_once_and_the_watch_goes_on_from_there, seen failing without the line that leaves the revision).

--- a/crates/node/src/loops/lead.rs
+++ b/crates/node/src/loops/lead.rs
@@ -178,10 +178,10 @@
     // What is committed before this request is sent is in its answer.
     let listed = async || {
         let sent = node.now();
-        let rows = node.state.list::<JobValue>(keys::JOBS).await?.0;
-        Ok::<_, NetError>((rows, sent))
+        let (rows, revision) = node.state.list::<JobValue>(keys::JOBS).await?;
+        Ok::<_, NetError>((rows, revision, sent))
     };
-    let (rows, viewed) = insist!(node, listed());
+    let (rows, revision, viewed) = insist!(node, listed());
     for row in rows {
         if let Some(value) = insist!(node, parts::job(node, row.value.clone())) {
             from.jobs.push((value, row.version));
@@ -210,6 +210,7 @@
     }
     core.leader = Some(leader);
     core.leadership.viewed(lease, viewed);
+    core.jobs_read = Some((lease, revision));
     drop(core);
     node.ledger_due.notify_one();
     Ok(())
@@ -263,7 +264,9 @@
     loop {
         node.host.sleep(limits::WATCH_GAP_S).await;
         let term = {
-            let core = node.core();
+            let mut core = node.core();
+            // The takeover has read all jobs already.
+            seen = core.jobs_read.take().or(seen);
             let leader = core.leader.as_ref();
             leader.map(|l| (l.epoch(), core.leadership.lease()))
         };
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -32,6 +32,9 @@
     /// Jobs whose record was seen and whose submission is still to be read, with the
     /// record's version; of this term only.
     pub apart: HashMap<String, u64>,
+    /// The lease under which all jobs were read at the takeover, and the revision of that
+    /// reading, until the watch goes on from there.
+    pub jobs_read: Option<(u64, u64)>,
     pub holder: Holder,
     /// The node that leads, as far as this one knows.
     pub known: Option<String>,
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -113,6 +113,8 @@
     loses: Mutex<Vec<Like>>,
     /// Requests that came, carried out or not.
     pub requests: AtomicUsize,
+    /// Their paths.
+    paths: Mutex<Vec<String>>,
     /// Requests that are slow, refused, or carried out without an answer, of a hundred.
     trouble: Mutex<Trouble>,
 }
@@ -163,6 +165,12 @@
     pub fn count(&self) -> usize {
         self.requests.load(Ordering::Relaxed)
     }
+
+    /// How many came whose path begins like this.
+    pub fn count_of(&self, path: &str) -> usize {
+        let paths = self.paths.lock().unwrap();
+        paths.iter().filter(|p| p.starts_with(path)).count()
+    }
 }
 
 pub fn allowed(value_kb: f64, txn_ops: usize) -> Allowed {
@@ -196,6 +204,7 @@
         let (own, told, clock) = (own.clone(), told.clone(), clock.clone());
         async move {
             told.requests.fetch_add(1, Ordering::Relaxed);
+            told.paths.lock().unwrap().push(r.path.clone());
             while Script::has(&told.hangs, &r) {
                 pause().await;
             }
--- a/crates/node/tests/compound_failures.rs
+++ b/crates/node/tests/compound_failures.rs
@@ -111,3 +111,25 @@
         assert!(until(8.0, || w.speaks()).await);
     });
 }
+
+/// A new leader read all jobs at its takeover and once more for its watch, in the seconds in
+/// which every worker reports to it.
+#[test]
+fn a_takeover_reads_all_jobs_once_and_the_watch_goes_on_from_there() {
+    run(async {
+        let w = World::new().await;
+        assert_eq!(w.submit(&job("wk-000001", &[])).await.0, 201);
+        assert_eq!(w.submit(&job("wk-000002", &[])).await.0, 201);
+        loops::start(&w.node);
+        assert!(until(5.0, || w.speaks()).await, "elected, and has a view");
+        assert!(w.knows("wk-000001") && w.knows("wk-000002"));
+        assert_eq!(w.cancel("wk-000001").await, 200);
+        assert_eq!(w.submit(&job("wk-000003", &[])).await.0, 201);
+        let taken_in = || !w.knows("wk-000001") && w.knows("wk-000003");
+        assert!(
+            until(2.0, taken_in).await,
+            "the watch tells what came after"
+        );
+        assert_eq!(w.script.count_of("/keys?starts=j/"), 1);
+    });
+}
