An outage for all takes no controller from its users

Cause: a peer said that it had contact with the state service for 3 s after its last answer, and that word counted for 3 s more: from 3 s to 6 s of every outage each controller took itself for refused alone, and all left the load balancer, which lets each back later every time. Change: contact is told to peers for 1 s, and contradicts only if it is clearly newer than the last answer here. The frames stay as they are.

--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -85,6 +85,12 @@
 /// s without state contact after which a node calls itself unhealthy, if a
 /// peer still has contact.
 pub const STATE_LOST_S: f64 = 3.0;
+/// s after the last answer for which a node tells its peers that it has contact.
+pub const STATE_SAID_S: f64 = 1.0;
+/// s by which a peer's word must be newer than a node's own last answer to mean that the
+/// state service refuses this node alone: STATE_SAID_S, the longest gap between two
+/// requests of a node without work (LEADER_RENEW_S), and a round trip.
+pub const STATE_LATER_S: f64 = 2.25;
 
 /// s after its start from which a node that the state service has not answered yet
 /// believes the others that there is an outage: a few tries of its own.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -82,24 +82,27 @@
         self.leader.as_ref().is_some_and(|l| l.settling(now))
     }
 
-    /// Has the state service answered here of late? A process that has just started
-    /// has no answer yet, whatever its clock says.
+    /// Has the state service answered here just now, so that peers may be told? A process
+    /// that has just started has no answer yet, whatever its clock says.
     pub fn state_here(&self, now: f64) -> bool {
-        self.state_ok > 0.0 && now - self.state_ok < limits::STATE_LOST_S
+        self.state_ok > 0.0 && now - self.state_ok < limits::STATE_SAID_S
     }
 
     /// Can users be served here, or nowhere better? In an outage that no peer
     /// contradicts a node stays healthy; so does one that was started during it, once
     /// others have said that it isn't alone. Called unhealthy, it was taken out by the
-    /// load balancer, and missing for the first seconds after the outage.
+    /// load balancer, and missing for the first seconds after the outage. A peer's word
+    /// contradicts only if it is clearly newer than the last answer here: the outage ends
+    /// the contact of all, and the last word of each comes a little later.
     pub fn served(&self, now: f64) -> bool {
         let others = now - self.peers_state_ok <= limits::STATE_LOST_S;
         let heard = self.peers_heard > 0.0 && now - self.peers_heard <= limits::STATE_LOST_S;
         if self.state_ok > 0.0 {
             let here = now - self.state_ok <= limits::STATE_LOST_S;
+            let refused = others && self.peers_state_ok - self.state_ok > limits::STATE_LATER_S;
             // Where the others are silent as well, it is this node that is cut off, and
             // users are better off with any other; for it alone there is no other.
-            return here || !others && (heard || self.alone);
+            return here || !refused && (heard || self.alone);
         }
         let others = others && self.peers_state_ok > 0.0;
         now > limits::STATE_FIRST_S && heard && !others
@@ -516,7 +519,7 @@
         let mut core = self.core();
         core.peers_heard = now;
         if state_ok {
-            core.peers_state_ok = now;
+            core.peers_state_ok = core.peers_state_ok.max(sent);
         }
         if leads.is_some() {
             core.known = Some(from);
