Test of deaf machines: work of its own waits, not what their sessions free

Cause: the test took the waiting work from tasks on deaf machines that a new session under an old token freed. Since a session counts as proof of what an earlier leader placed only under a token given after the placement, nothing was freed and nothing waited. Change: four jobs more are submitted; what is asserted stays. Fails with left 0, right 1 if retire() takes unreachable machines for capacity, as before.

--- a/crates/control/tests/team_limits.rs
+++ b/crates/control/tests/team_limits.rs
@@ -388,6 +388,14 @@
         }
         if now == 14.0 {
             hears.tasks[0].2 = Some(Why::Done);
+            for n in 5..9 {
+                let more = Submission {
+                    team: "other".into(),
+                    cpus: 5.0,
+                    ..job(&format!("wk-00000{n}"), 1)
+                };
+                submit(&mut l, &mut s, &more, now);
+            }
         }
         beat(&mut l, &mut s, &mut hears, "n", now);
         l.fleet(now);
