--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -15,7 +15,7 @@
 use cherrywood_sched::fleet::{Demand, Offer, Waiting, shop};
 use cherrywood_sched::place::{View, cost};
 use cherrywood_sched::{Predictor, Queue};
-use cherrywood_wire::agent::{Command, Orders, Report, TaskState, Why};
+use cherrywood_wire::agent::{Command, Orders, Report, TaskReport, TaskState, Why};
 use cherrywood_wire::cloud::{Listed, ListedState, MachineType, Rent};
 use cherrywood_wire::parts::Parts;
 use cherrywood_wire::state::{
@@ -29,13 +29,17 @@
 
 mod admitting;
 mod audit;
+mod commands;
+mod failures;
 mod fleet;
 mod jobs;
 mod ledger;
+mod orders;
 mod pipelines;
 mod placing;
 mod progress;
 mod reports;
+mod returned;
 mod rows;
 mod summary;
 mod team_room;
@@ -69,6 +73,8 @@
     image: u64,
     /// When it was accepted, or ready if it waited for others, on this leader's clock.
     born: f64,
+    /// When this leader last placed a task of it.
+    served_at: f64,
     /// Not all jobs that it needs are known to be done: it is in no queue and no sum.
     waits: bool,
     /// The highest rank of its own and of those that need it.
@@ -114,10 +120,11 @@
         self.spec.tasks.saturating_sub(gone)
     }
 
-    /// Has it waited for long, and none of its tasks has begun?
-    fn unbegun(&self, now: f64) -> bool {
-        let begun = self.done.count() > 0 || !self.on.is_empty();
-        !begun && self.spec.kind == Kind::Array && now - self.born > limits::admission::BEGIN_S
+    /// Since when a job has had no task placed, if none is on a machine. Gangs wait for
+    /// room for all of them.
+    fn unserved_since(&self) -> Option<f64> {
+        let unserved = self.spec.kind != Kind::Gang && self.on.is_empty();
+        unserved.then(|| self.born.max(self.served_at))
     }
 
     /// Failed on several machines and succeeded nowhere meanwhile: it is tried
@@ -165,6 +172,11 @@
 }
 
 impl Placement {
+    /// No start of it was ever sent: it is nowhere.
+    fn unsent(&self) -> bool {
+        self.sent == 0 && !self.seen && !self.inherited
+    }
+
     /// Is its job over, or unknown? Then it may not go on.
     fn over(&self, jobs: &Jobs) -> bool {
         self.job.is_none_or(|no| !jobs.contains_key(&no))
@@ -215,9 +227,9 @@
     /// When the notice said that it would be taken.
     taken_at: Option<f64>,
     addr: String,
-    /// Attempts whose direct start has no answer yet. They are not forgotten:
+    /// Tasks and attempts whose direct start has no answer yet. They are not forgotten:
     /// the start could arrive after the forget and run the task again.
-    open_orders: HashSet<u64>,
+    open_orders: HashSet<(String, u64)>,
     placed: rows::Rows,
     /// The ledger that this leader read names it.
     known: bool,
@@ -227,6 +239,11 @@
     unseen_since: Option<f64>,
     /// The highest token that a report of it showed.
     shown: u64,
+    /// The first token of its present life, if its worker was seen to count anew.
+    life: u64,
+    question: returned::Question,
+    /// When stops were last sent straight to it because its reports stay away.
+    stopped: f64,
     deaf_told: bool,
     /// Nothing more is placed here: a notice, or a machine that fails tasks.
     draining: bool,
@@ -246,6 +263,12 @@
         (s.cpus, s.gpus, s.mem)
     }
 
+    /// Where the placement of a reported task is.
+    fn position(&self, t: &TaskReport) -> Option<usize> {
+        let mut rows = self.placed.iter();
+        rows.position(|p| p.attempt == t.attempt && p.id == t.task)
+    }
+
     /// Was it heard of late, and does it hear what it is answered? Only such a machine
     /// takes work.
     fn reachable(&self, now: f64, settings: &Settings) -> bool {
@@ -349,6 +372,8 @@
     grew: f64,
     /// CPUs that cells which are behind may still take before others.
     floor_due: f64,
+    /// When each team's limit last refused a task.
+    limited_at: Vec<f64>,
     refused: HashMap<(String, String, bool), f64>,
     /// CPUs wanted, averaged over a longer, a shorter and the longest time, and
     /// when.
@@ -403,6 +428,7 @@
         let book = Book::new(epoch, from.admission.clone().unwrap_or_default(), now);
         let book_full = book.full();
         let kept = settings.state.kept();
+        let limited_at = vec![f64::NEG_INFINITY; settings.teams.len()];
         let mut leader = Leader {
             kept,
             graph: Graph::default(),
@@ -440,6 +466,7 @@
             // What the last leader knew to be full is taken for full.
             grew: if book_full { f64::NEG_INFINITY } else { now },
             floor_due: 0.0,
+            limited_at,
             refused: HashMap::new(),
             wanted: None,
             bad_boots: BTreeSet::new(),
@@ -539,6 +566,9 @@
             idle_since: now,
             unseen_since: None,
             shown: 0,
+            life: 0,
+            question: returned::Question::No,
+            stopped: f64::NEG_INFINITY,
             deaf_told: false,
             unwanted: false,
             draining: false,
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -59,6 +59,14 @@
 pub const CANCEL_MARGIN_S: f64 = 5.0;
 /// Steady clocks may differ by 0.05% (protocol); doubled for two clocks.
 pub const DRIFT: f64 = 0.001;
+/// s; the shortest `cancel_s` that leaves the leader's view and a block's lease their
+/// floors beside a worker's lease: with less, a cancelled task may outlive it.
+pub fn least_cancel_s(worker_lease_s: f64) -> f64 {
+    let chain_s = LEADER_LEASE_MIN_S + GRANT_MIN_S + worker_lease_s;
+    // In whole hundredths, so that what a message names is allowed.
+    ((chain_s * (1.0 + DRIFT) + CANCEL_MARGIN_S) * 100.0).ceil() / 100.0
+}
+
 /// s between two renewals of the leader's lease.
 pub const LEADER_RENEW_S: f64 = 0.8;
 /// s between two hellos to every peer.
@@ -77,6 +85,12 @@
 /// s without state contact after which a node calls itself unhealthy, if a
 /// peer still has contact.
 pub const STATE_LOST_S: f64 = 3.0;
+/// s after the last answer for which a node tells its peers that it has contact.
+pub const STATE_SAID_S: f64 = 1.0;
+/// s by which a peer's word must be newer than a node's own last answer to mean that the
+/// state service refuses this node alone: STATE_SAID_S, the longest gap between two
+/// requests of a node without work (LEADER_RENEW_S), and a round trip.
+pub const STATE_LATER_S: f64 = 2.25;
 
 /// s after its start from which a node that the state service has not answered yet
 /// believes the others that there is an outage: a few tries of its own.
@@ -90,6 +104,11 @@
 pub const ORDER_WAIT_S: f64 = 1.5;
 /// s for a peer to send such commands and tell what became of them.
 pub const ORDERS_WAIT_S: f64 = 2.2;
+/// s between two looks at the machines that the leader itself speaks to: those that are
+/// silent with work that is over, and those whose reports look old.
+pub const DIRECT_EVERY_S: f64 = 1.0;
+/// Machines spoken to at a time; each that is cut off keeps a socket for `ORDER_WAIT_S`.
+pub const DIRECT_MAX: usize = 40;
 /// s that a report waits for others to share its frame to the leader.
 pub const FORWARD_GAP_S: f64 = 0.03;
 /// Reports and tasks in one frame; some 40 bytes each.
@@ -215,6 +234,13 @@
 /// that may then wait for images: waiting uses up the limit for nothing.
 pub const SCARCE: f64 = 0.7;
 pub const SCARCE_FETCHING: f64 = 0.12;
+/// s for which a job of a team at its limit may have nothing on a machine while others
+/// of its team are served: half of the 90 s that operators count. A task is on its machine
+/// only after a write, a report and an image, and one placement may be lost on the way.
+pub const PASSED_BY_S: f64 = 45.0;
+/// s for which a team counts as limited after its limit last refused a task: tasks that
+/// end together leave room for a moment, until the next pass.
+pub const LIMITED_FOR_S: f64 = 10.0;
 /// s of slack below which a job that can still meet an aim on its class is
 /// served by its slack, before the level clocks decide.
 pub const RISK_S: f64 = 40.0;
--- a/crates/node/src/loops/mod.rs
+++ b/crates/node/src/loops/mod.rs
@@ -2,8 +2,9 @@
 
 mod admit;
 mod cloud;
+mod direct;
 mod lead;
-mod polls;
+pub mod polls;
 mod write;
 
 use crate::node::Node;
@@ -21,6 +22,7 @@
     node.host.spawn(write::forward(node.clone()));
     node.host.spawn(write::jobs(node.clone()));
     node.host.spawn(polls::serve(node.clone()));
+    node.host.spawn(direct::speak(node.clone()));
     node.host.spawn(cloud::fleet(node.clone()));
     node.host.spawn(cloud::list(node.clone()));
     node.host.spawn(cloud::types(node.clone()));
