Direct stops also from a leader that never heard the machine

Its address is in the cloud's list (endpoint), its session in the ledger. control/tests/mute_machines.rs: a_new_leader_stops_what_is_cancelled_on_a_machine_that_it_never_heard (impossible before: no address was known). holder.rs: an_answer_with_stops_prolongs_no_block. sessions.rs: a_command_of_a_deposed_leader_arrives_after_the_new_one_began.

--- a/crates/control/src/leader/fleet.rs
+++ b/crates/control/src/leader/fleet.rs
@@ -32,6 +32,12 @@
                 m.listed_at.get_or_insert(now);
                 m.born = m.born.min(now - l.age_s);
                 m.starting = l.state == ListedState::Booting;
+                // Its own word comes with its first report.
+                if !m.up
+                    && let Some(addr) = &l.addr
+                {
+                    m.addr.clone_from(addr);
+                }
                 if l.state == ListedState::Failed && !m.deleting {
                     info!(machine = l.id, "failed by itself; deleting it");
                     m.deleting = true;
--- a/crates/control/src/leader/orders.rs
+++ b/crates/control/src/leader/orders.rs
@@ -81,12 +81,15 @@
 
     /// Stops for work that is over on machines whose reports stay away: no answer carries
     /// them there, while direct commands may still arrive. They renew nothing: no sign of
-    /// life, grant or lease comes of them.
+    /// life, grant or lease comes of them. One that this leader never heard is known from
+    /// the ledger and the cloud's list.
     pub fn stops(&mut self, now: f64) -> Vec<(String, String, Orders)> {
         let fresh = limits::MISSED_REPORTS * self.settings.workers.report_s;
         let jobs = &self.jobs;
         let may_run = |p: &&Placement| p.stage == Stage::Durable && !p.unsent() && p.over(jobs);
-        let due = |m: &Machine| m.up && now - m.heard > fresh && now - m.stopped > fresh;
+        let due = |m: &Machine| {
+            (m.up || !m.addr.is_empty()) && (now - m.heard).min(now - m.stopped) > fresh
+        };
         let machines = self.machines.iter_mut();
         let mut due: Vec<_> = machines
             .filter(|(_, m)| due(m) && m.placed.iter().any(|p| may_run(&p)))
@@ -95,6 +98,10 @@
         let mut out = Vec::new();
         for (name, m) in due.into_iter().take(limits::DIRECT_MAX) {
             m.stopped = now;
+            if m.token == 0 {
+                self.counter += 1;
+                m.token = (self.epoch << limits::EPOCH_SHIFT) | self.counter;
+            }
             let over = m.placed.iter().filter(may_run);
             let orders = Orders {
                 token: m.token,
--- a/crates/control/tests/boots.rs
+++ b/crates/control/tests/boots.rs
@@ -89,6 +89,7 @@
         spot: true,
         state,
         age_s,
+        addr: None,
     }
 }
 
--- a/crates/control/tests/holder.rs
+++ b/crates/control/tests/holder.rs
@@ -1,7 +1,7 @@
 //! Leased blocks of machines, and what their holder measures.
 
 use cherrywood_control::Holder;
-use cherrywood_wire::agent::{Report, TaskReport, TaskState, Why};
+use cherrywood_wire::agent::{Command, Report, TaskReport, TaskState, Why};
 
 #[test]
 fn a_grant_counts_from_the_sending_of_its_request() {
@@ -58,3 +58,34 @@
     let other = report(2, 5, TaskState::Exited, Some(Why::Done));
     assert!(h.observe(&other, 40.0).is_empty(), "another session's task");
 }
+
+/// An answer with stops for work that is over is given, and prolongs nothing; nor does one
+/// that the leader didn't give. A machine that another controller answers is its no more.
+#[test]
+fn an_answer_with_stops_prolongs_no_block() {
+    let mut h = Holder::default();
+    let stop = |grace_s| Command::Stop {
+        task: "wk-000001/0".into(),
+        attempt: 1,
+        grace_s,
+    };
+    let grant_s = 20.0;
+    let mut answer = |led, sent| h.answer("vm-1", led, sent, sent + 0.1, grant_s);
+    assert_eq!(answer(None, 99.0), None);
+    assert_eq!(answer(Some((5, vec![])), 100.0), Some((5, vec![])));
+    let over = Some((5, vec![stop(0.0)]));
+    assert_eq!(answer(over.clone(), 115.0), over);
+    assert_eq!(
+        answer(None, 119.0),
+        Some((5, vec![])),
+        "the rest of its block"
+    );
+    assert_eq!(answer(None, 120.5), None, "it was not prolonged");
+    // Told to save and end, its task may go on for so long.
+    let saves = Some((5, vec![stop(10.0)]));
+    assert_eq!(answer(saves.clone(), 130.0), saves);
+    assert_eq!(answer(None, 149.0), Some((5, vec![])));
+    // An older token than one that was given since is nobody's.
+    assert!(answer(Some((7, vec![stop(0.0)])), 149.0).is_some());
+    assert_eq!(answer(over, 149.5), None);
+}
--- a/crates/control/tests/leader.rs
+++ b/crates/control/tests/leader.rs
@@ -418,6 +418,7 @@
         spot: true,
         state,
         age_s,
+        addr: None,
     };
     l.listed(
         &[
--- a/crates/control/tests/mute_machines.rs
+++ b/crates/control/tests/mute_machines.rs
@@ -5,6 +5,7 @@
 
 use cherrywood_control::Leader;
 use cherrywood_wire::agent::{Command, Orders, Why};
+use cherrywood_wire::cloud::{Listed, ListedState};
 use common::*;
 
 const LEASE_S: f64 = 10.0;
@@ -62,6 +63,37 @@
     assert!(w.tasks.is_empty());
 }
 
+/// The leader ends, and the next one never hears the machine: its address is in the cloud's
+/// list, what runs there in the ledger.
+#[test]
+fn a_new_leader_stops_what_is_cancelled_on_a_machine_that_it_never_heard() {
+    let (mut s, _, mut w) = running("vm-1");
+    let mut l = s.elect(2, 3.0);
+    s.cancel("wk-000001");
+    l.remove_job("wk-000001");
+    let listed = |state| Listed {
+        id: "vm-1".into(),
+        kind: "m8".into(),
+        zone: "a".into(),
+        spot: true,
+        state,
+        age_s: 60.0,
+        addr: Some("10.1.0.1:9000".into()),
+    };
+    l.listed(&[listed(ListedState::Running)], 4.0);
+    assert!(l.stops(5.0).is_empty(), "its next report is due");
+    let stops = l.stops(6.0);
+    assert_eq!(stops[0].1, "10.1.0.1:9000");
+    obey(&mut l, &mut w, &stops[0].2, 6.0);
+    assert_eq!((w.running(), l.held().len()), (0, 0));
+    assert!(l.block("n1", 6.5).is_empty(), "nothing is renewed by that");
+    // A report of it is the first, as ever.
+    beat(&mut l, &mut s, &mut w, "n1", 8.0);
+    beat(&mut l, &mut s, &mut w, "n1", 9.0);
+    assert!(w.tasks.is_empty());
+    l.audit().unwrap();
+}
+
 /// A stop that gets no answer is sent again, and not all the time.
 #[test]
 fn a_stop_to_a_silent_machine_is_repeated() {
--- a/crates/control/tests/sessions.rs
+++ b/crates/control/tests/sessions.rs
@@ -215,3 +215,40 @@
     let there = next.held().iter().filter(|h| h.0 == "vm-1").count();
     assert_eq!(there, running, "its tasks may run on");
 }
+
+/// A start of a leader that was deposed meanwhile arrives after the new leader's first
+/// words, or before the worker has heard them: it is turned away, or it is the task that
+/// the ledger names there. It runs once, and its cancellation reaches it.
+#[test]
+fn a_command_of_a_deposed_leader_arrives_after_the_new_one_began() {
+    for heard in [false, true] {
+        let (mut s, mut l, mut w) = placed();
+        let (_, held_up) = order(&mut l, 1.1).unwrap();
+        let mut next = s.elect(2, 3.0);
+        let mut other = Worker::new("vm-2");
+        if heard {
+            beat(&mut next, &mut s, &mut w, "n2", 4.0);
+        }
+        let arrives = held_up.token >= w.token && held_up.session == w.session;
+        assert_ne!(arrives, heard, "fenced once the new token was seen");
+        if arrives {
+            w.obey(held_up.token, &held_up.commands);
+        }
+        for n in 5..9 {
+            let now = f64::from(n);
+            beat(&mut next, &mut s, &mut other, "n1", now);
+            beat(&mut next, &mut s, &mut w, "n2", now);
+            assert!(w.running() + other.running() <= 1, "at {now}");
+        }
+        assert_eq!(w.running() + other.running(), 1);
+        s.cancel("wk-000001");
+        next.remove_job("wk-000001");
+        for now in [9.0, 10.0] {
+            beat(&mut next, &mut s, &mut other, "n1", now);
+            beat(&mut next, &mut s, &mut w, "n2", now);
+        }
+        assert_eq!(w.running() + other.running(), 0);
+        assert!(next.held().is_empty());
+        next.audit().unwrap();
+    }
+}
--- a/crates/emulator/src/cloud.rs
+++ b/crates/emulator/src/cloud.rs
@@ -5,7 +5,7 @@
 use crate::machine::Traits;
 use crate::proc::Proc;
 use crate::state::named;
-use crate::worker::{Worker, up};
+use crate::worker::{self, Worker, up};
 use crate::world::World;
 use cherrywood_judge::What;
 use cherrywood_net::Host;
@@ -276,6 +276,7 @@
                     spot: m.spot,
                     state,
                     age_s: as_of - m.rented,
+                    addr: worker::endpoint(&self.world, name),
                 }
             });
         let limit = limit.clamp(1, PAGE_MOST);
--- a/crates/emulator/src/worker.rs
+++ b/crates/emulator/src/worker.rs
@@ -62,6 +62,11 @@
     IpAddr::V4(Ipv4Addr::new(10, 16 + a, b, c))
 }
 
+/// Where a machine's worker is asked, where that is known from its name.
+pub fn endpoint(world: &World, machine: &str) -> Option<String> {
+    matches!(world.medium, Medium::Fabric(_)).then(|| format!("{}:{PORT}", address(machine)))
+}
+
 impl Worker {
     /// A machine that is up: its worker starts to report.
     pub async fn start(
--- a/crates/wire/src/cloud.rs
+++ b/crates/wire/src/cloud.rs
@@ -73,6 +73,9 @@
     pub state: ListedState,
     #[serde(rename = "held_s")]
     pub age_s: f64,
+    /// Where its worker takes direct commands.
+    #[serde(rename = "endpoint", default, skip_serializing_if = "Option::is_none")]
+    pub addr: Option<String>,
 }
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
