History: dropped fetches, notices, amounts of a job, missing fields

The checker must know what room a machine has and which machines are being emptied. A task that was given up before it had its image left no event, a spot notice neither; a job's accelerators and memory were not in the history.

--- a/crates/checker/src/history.rs
+++ b/crates/checker/src/history.rs
@@ -34,7 +34,12 @@
     /// Runs until it is cancelled.
     pub standing: bool,
     pub tasks: u32,
+    /// Of each task.
     pub cpus: f64,
+    #[serde(default)]
+    pub gpus: f64,
+    #[serde(default)]
+    pub ram_gb: f64,
     pub kinds: Option<Vec<String>>,
     pub zone: Option<String>,
     pub one_zone: bool,
@@ -108,6 +113,11 @@
     Unwanted {
         job: String,
     },
+    /// A user is about to submit a job without this field.
+    LacksField {
+        job: String,
+        field: String,
+    },
     /// The user has stopped trying to submit it.
     GaveUp {
         job: String,
@@ -143,6 +153,17 @@
         #[serde(rename = "try")]
         attempt: u64,
     },
+    /// A task that a machine had taken ended before it had its image.
+    Dropped {
+        machine: String,
+        task: String,
+        #[serde(rename = "try")]
+        attempt: u64,
+    },
+    /// The cloud will take the machine: nothing should be started there.
+    Notice {
+        machine: String,
+    },
     /// A command told it to stop, not because of a notice.
     Stops {
         machine: String,
--- a/crates/checker/tests/checker.rs
+++ b/crates/checker/tests/checker.rs
@@ -39,6 +39,8 @@
         standing: false,
         tasks,
         cpus: 2.0,
+        gpus: 0.0,
+        ram_gb: 0.0,
         kinds: None,
         zone: None,
         one_zone: false,
--- a/crates/emulator/src/jobs.rs
+++ b/crates/emulator/src/jobs.rs
@@ -224,6 +224,8 @@
             standing,
             tasks,
             cpus: submission.cpus,
+            gpus: submission.gpus,
+            ram_gb: submission.memory_gb,
             kinds: submission.types.clone(),
             zone: submission.zone.clone(),
             one_zone: c.one_zone,
--- a/crates/emulator/src/machine.rs
+++ b/crates/emulator/src/machine.rs
@@ -47,6 +47,13 @@
         why: Off,
         kept_s: f64,
     },
+    /// A task that was fetching its image ended.
+    Dropped {
+        task: String,
+        attempt: u64,
+    },
+    /// The cloud says that it will take the machine.
+    Notice,
     LeaseEnds,
     /// Progress of the task is kept outside the machine.
     Saved {
@@ -399,6 +406,7 @@
     fn exit(&mut self, at: usize, why: Why, off: Off, all: bool) {
         let t = &mut self.tasks[at];
         let was_on = matches!(t.state, TaskState::Running | TaskState::Saving);
+        let fetched = t.state == TaskState::Fetching;
         t.state = TaskState::Exited;
         t.why = Some(why);
         self.changed = true;
@@ -427,6 +435,12 @@
                 kept_s,
             });
         }
+        if fetched {
+            self.notes.push(Note::Dropped {
+                task: t.id.clone(),
+                attempt: t.attempt,
+            });
+        }
         if t.sheet.run_s.is_some() && (finished || kept > t.kept_before) {
             self.notes.push(Note::Saved {
                 task: t.id.clone(),
@@ -613,6 +627,7 @@
 
     pub fn notice(&mut self, until: f64) {
         self.notice_until = Some(until);
+        self.notes.push(Note::Notice);
         self.changed = true;
     }
 
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -310,6 +310,12 @@
                     attempt,
                 },
                 Note::Stops { task } => What::Stops { machine, task },
+                Note::Dropped { task, attempt } => What::Dropped {
+                    machine,
+                    task,
+                    attempt,
+                },
+                Note::Notice => What::Notice { machine },
                 Note::Off {
                     task,
                     attempt,
