--- a/crates/checker/src/breach.rs
+++ b/crates/checker/src/breach.rs
@@ -20,10 +20,17 @@
     Orphaned,
     /// Not on the protocol page: the operators' own, if the scenario asks for it.
     Starved,
+    /// Left waiting beside room once all troubles are over: the operators' own.
+    LeftWaiting,
+    /// A machine takes a start command long after its user was told cancelled, though
+    /// nothing delays commands.
+    StartedCancelled,
+    /// A job that can never run or lacks a field was accepted.
+    AcceptedImpossible,
 }
 
 impl Rule {
-    pub const ALL: [Rule; 12] = [
+    pub const ALL: [Rule; 15] = [
         Rule::RanTwice,
         Rule::Quota,
         Rule::WrongPlace,
@@ -36,6 +43,9 @@
         Rule::TooEarly,
         Rule::Orphaned,
         Rule::Starved,
+        Rule::LeftWaiting,
+        Rule::StartedCancelled,
+        Rule::AcceptedImpossible,
     ];
 
     /// Its name on the protocol page.
@@ -53,6 +63,9 @@
             Rule::TooEarly => "too_early",
             Rule::Orphaned => "orphaned",
             Rule::Starved => "starved",
+            Rule::LeftWaiting => "left_waiting",
+            Rule::StartedCancelled => "started_cancelled",
+            Rule::AcceptedImpossible => "accepted_impossible",
         }
     }
 }
--- /dev/null
+++ b/crates/checker/src/cancelled.rs
@@ -0,0 +1,61 @@
+//! Starts after a confirmed cancellation. The protocol page forbids the start, but a command
+//! that was on its way when the user was told may still arrive: such starts are counted, and
+//! one that no delay explains is a breach.
+
+use crate::breach::{Breach, Rule};
+use crate::calm::Calm;
+use crate::history::{Event, State, What, job_of};
+use std::collections::BTreeMap;
+
+/// ms that a command may be on its way while no trouble runs: a worker drops answers that
+/// take 4 s, and a direct command is as fast as the network.
+const ON_ITS_WAY_MS: u64 = 8_000;
+
+/// Watches the starts of cancelled jobs.
+#[derive(Debug, Default)]
+pub struct CancelledStarts {
+    /// When the user of each job was first told that it is cancelled.
+    told_ms: BTreeMap<String, u64>,
+    calm: Calm,
+    /// Tasks that came onto a machine after their user was told.
+    pub count: u64,
+}
+
+impl CancelledStarts {
+    /// Takes the event in; a breach if it is a start that nothing explains.
+    pub fn feed(&mut self, event: &Event) -> Option<Breach> {
+        self.calm.feed(event);
+        match &event.what {
+            What::Told {
+                job,
+                status: 200 | 201,
+                state: Some(State::Cancelled),
+                ..
+            } => {
+                self.told_ms.entry(job.clone()).or_insert(event.at_ms);
+                None
+            }
+            What::On { task, .. } => {
+                self.count += u64::from(self.told_ms.contains_key(job_of(task)));
+                None
+            }
+            What::Starts { machine, task, .. } => self.taken(machine, task, event.at_ms),
+            _ => None,
+        }
+    }
+
+    /// A machine took a start command.
+    fn taken(&self, machine: &str, task: &str, at_ms: u64) -> Option<Breach> {
+        let told_ms = *self.told_ms.get(job_of(task))?;
+        // A command that a trouble held up may come long after the telling.
+        let explained_until = told_ms.max(self.calm.since_ms()?) + ON_ITS_WAY_MS;
+        (at_ms > explained_until).then(|| Breach {
+            rule: Rule::StartedCancelled,
+            what: task.to_string(),
+            place: machine.to_string(),
+            since_ms: told_ms,
+            at_ms,
+            why: "a start command was taken, and its job was told cancelled".into(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/checker/src/failed_day.rs
@@ -0,0 +1,65 @@
+//! When the operators count a day as failed, whatever the scenario asks: under half of a
+//! class, of a team or of a class's largest jobs is served, or the largest begin too late.
+
+use crate::starved::{Members, Starved};
+use std::fmt;
+
+/// The share of each group's jobs that must be done.
+const SERVED_SHARE: f64 = 0.5;
+/// ms from when it is ready within which each of the largest accepted jobs must begin.
+const LARGEST_BEGIN_MS: u64 = 240_000;
+
+/// Why a day counts as failed.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Failure {
+    /// A class, a team or the largest of a class got too little.
+    Underserved {
+        group: String,
+        served: usize,
+        wanted: usize,
+    },
+    /// One of the largest jobs of its class began too late, or never.
+    LateStart { job: String, after_s: f64 },
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Failure::Underserved {
+                group,
+                served,
+                wanted,
+            } => write!(f, "{group}: {served} of {wanted} jobs served, under half"),
+            Failure::LateStart { job, after_s } => write!(
+                f,
+                "{job}: of the largest of its class, not begun for {after_s:.0} s"
+            ),
+        }
+    }
+}
+
+/// All that speaks against the day, at its end.
+pub(crate) fn failures(jobs: &Starved, at_ms: u64) -> Vec<Failure> {
+    let shares = jobs.shares();
+    let low = shares.iter().filter(|(_, s)| s.value() < SERVED_SHARE);
+    let underserved = low.map(|(members, share)| Failure::Underserved {
+        group: name(members),
+        served: share.served,
+        wanted: share.wanted,
+    });
+    let longest = jobs.longest_start_of_tenths(at_ms);
+    let late = longest.filter(|(wait_ms, _)| *wait_ms > LARGEST_BEGIN_MS);
+    let late = late.map(|(wait_ms, job)| Failure::LateStart {
+        job: job.to_string(),
+        after_s: wait_ms as f64 / 1000.0,
+    });
+    underserved.chain(late).collect()
+}
+
+fn name(members: &Members) -> String {
+    match members {
+        Members::Class(name) => format!("class {name}"),
+        Members::LargestOf(name) => format!("the largest of {name}"),
+        Members::Team(name) => format!("team {name}"),
+    }
+}
--- /dev/null
+++ b/crates/checker/src/room.rs
@@ -0,0 +1,236 @@
+//! Who uses what: tasks on machines and the room beside them, and what each team uses, with
+//! the time since which a task of a given size would have had room.
+
+use crate::history::{Facts, Job, MachineType};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Amounts that sums of decimal numbers may be off by.
+const ROUNDING: f64 = 1e-6;
+
+/// What a task takes.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Size {
+    pub cpus: f64,
+    pub gpus: f64,
+    pub ram_gb: f64,
+}
+
+impl Size {
+    /// Of each task of the job.
+    pub fn of(job: &Job) -> Size {
+        Size {
+            cpus: job.cpus,
+            gpus: job.gpus,
+            ram_gb: job.ram_gb,
+        }
+    }
+
+    fn fits_in(self, room: Size) -> bool {
+        self.cpus <= room.cpus + ROUNDING
+            && self.gpus <= room.gpus + ROUNDING
+            && self.ram_gb <= room.ram_gb + ROUNDING
+    }
+
+    fn add(&mut self, other: Size, times: f64) {
+        self.cpus += other.cpus * times;
+        self.gpus += other.gpus * times;
+        self.ram_gb += other.ram_gb * times;
+    }
+}
+
+/// Room of a machine or of a team's limit, and since when each size has fitted into it.
+#[derive(Debug)]
+struct Room {
+    left: Size,
+    /// By the number of the size.
+    fits_since_ms: Vec<Option<u64>>,
+}
+
+impl Room {
+    fn new(left: Size, sizes: &[Size], at_ms: u64) -> Room {
+        let mut room = Room {
+            left,
+            fits_since_ms: Vec::new(),
+        };
+        room.update(sizes, at_ms);
+        room
+    }
+
+    fn update(&mut self, sizes: &[Size], at_ms: u64) {
+        self.fits_since_ms.resize(sizes.len(), None);
+        for (size, since_ms) in sizes.iter().zip(&mut self.fits_since_ms) {
+            let fits = size.fits_in(self.left);
+            *since_ms = fits.then(|| since_ms.unwrap_or(at_ms));
+        }
+    }
+
+    fn change(&mut self, size: Size, times: f64, sizes: &[Size], at_ms: u64) {
+        self.left.add(size, times);
+        self.update(sizes, at_ms);
+    }
+}
+
+/// A machine that is up, from its rental to its end.
+#[derive(Debug)]
+struct Machine {
+    kind: String,
+    zone: String,
+    spot: bool,
+    /// None before it is up.
+    room: Option<Room>,
+    /// Nothing should be started there: it was given notice, or tasks failed on it.
+    avoided: bool,
+    tasks: BTreeMap<String, Size>,
+}
+
+/// All machines and teams.
+#[derive(Debug, Default)]
+pub struct Rooms {
+    kinds: BTreeMap<String, Size>,
+    sizes: Vec<Size>,
+    machines: BTreeMap<String, Machine>,
+    teams: BTreeMap<String, Room>,
+}
+
+impl Rooms {
+    /// Machine types and limits of the deployment.
+    pub fn begin(&mut self, facts: &Facts) {
+        let size = |kind: &MachineType| Size {
+            cpus: kind.cpus,
+            gpus: kind.gpus,
+            ram_gb: kind.ram_gb,
+        };
+        let kinds = facts
+            .kinds
+            .iter()
+            .map(|kind| (kind.name.clone(), size(kind)));
+        self.kinds = kinds.collect();
+        let unlimited = |limit: f64| if limit > 0.0 { limit } else { f64::INFINITY };
+        for team in &facts.teams {
+            let limit = Size {
+                cpus: unlimited(team.cpus_max),
+                gpus: unlimited(team.gpus_max),
+                ram_gb: f64::INFINITY,
+            };
+            let room = Room::new(limit, &self.sizes, 0);
+            self.teams.insert(team.name.clone(), room);
+        }
+    }
+
+    /// The number of this size, under which its room is kept.
+    pub fn number(&mut self, size: Size, at_ms: u64) -> usize {
+        if let Some(number) = self.sizes.iter().position(|s| *s == size) {
+            return number;
+        }
+        self.sizes.push(size);
+        let machines = self.machines.values_mut().filter_map(|m| m.room.as_mut());
+        for room in machines.chain(self.teams.values_mut()) {
+            room.update(&self.sizes, at_ms);
+        }
+        self.sizes.len() - 1
+    }
+
+    pub fn rented(&mut self, name: &str, kind: &str, zone: &str, spot: bool) {
+        let machine = Machine {
+            kind: kind.to_string(),
+            zone: zone.to_string(),
+            spot,
+            room: None,
+            avoided: false,
+            tasks: BTreeMap::new(),
+        };
+        self.machines.insert(name.to_string(), machine);
+    }
+
+    pub fn up(&mut self, name: &str, at_ms: u64) {
+        let Some(machine) = self.machines.get_mut(name) else {
+            return;
+        };
+        if let Some(all) = self.kinds.get(&machine.kind) {
+            machine.room = Some(Room::new(*all, &self.sizes, at_ms));
+        }
+    }
+
+    pub fn gone(&mut self, name: &str) {
+        self.machines.remove(name);
+    }
+
+    pub fn avoid(&mut self, name: &str) {
+        if let Some(machine) = self.machines.get_mut(name) {
+            machine.avoided = true;
+        }
+    }
+
+    /// A task takes its room on a machine, from the start command on.
+    pub fn take(&mut self, name: &str, task: &str, size: Size, at_ms: u64) {
+        let Some(machine) = self.machines.get_mut(name) else {
+            return;
+        };
+        if machine.tasks.insert(task.to_string(), size).is_none()
+            && let Some(room) = &mut machine.room
+        {
+            room.change(size, -1.0, &self.sizes, at_ms);
+        }
+    }
+
+    /// It gives its room back. False if it had none.
+    pub fn give(&mut self, name: &str, task: &str, at_ms: u64) -> bool {
+        let Some(machine) = self.machines.get_mut(name) else {
+            return false;
+        };
+        let Some(size) = machine.tasks.remove(task) else {
+            return false;
+        };
+        if let Some(room) = &mut machine.room {
+            room.change(size, 1.0, &self.sizes, at_ms);
+        }
+        true
+    }
+
+    /// The tasks that a machine has.
+    pub fn tasks(&self, name: &str) -> Vec<String> {
+        let machine = self.machines.get(name);
+        machine.map_or(Vec::new(), |m| m.tasks.keys().cloned().collect())
+    }
+
+    /// A team uses this much more (`times` 1), or less (-1).
+    pub fn use_limit(&mut self, team: &str, size: Size, times: f64, at_ms: u64) {
+        if let Some(room) = self.teams.get_mut(team) {
+            room.change(size, -times, &self.sizes, at_ms);
+        }
+    }
+
+    /// Since when the team has been under its limit by this size.
+    pub fn team_since_ms(&self, team: &str, number: usize) -> Option<u64> {
+        self.teams.get(team)?.fits_since_ms[number]
+    }
+
+    /// Since when a machine that the job allows, in a zone that it may use now, has had room;
+    /// the earliest, with its name.
+    pub fn machine_since_ms(
+        &self,
+        job: &Job,
+        number: usize,
+        full_zones: &BTreeSet<&str>,
+        only_zone: Option<&str>,
+    ) -> Option<(u64, &str)> {
+        let allowed = |m: &Machine| {
+            let kind = job.kinds.as_ref().is_none_or(|k| k.contains(&m.kind));
+            let zone = job.zone.as_ref().is_none_or(|z| *z == m.zone)
+                && only_zone.is_none_or(|z| z == m.zone)
+                && !full_zones.contains(m.zone.as_str());
+            kind && zone && (job.spot || !m.spot) && !m.avoided
+        };
+        let fitting = self.machines.iter().filter(|(_, m)| allowed(m));
+        let since = fitting.filter_map(|(name, m)| {
+            let since_ms = m.room.as_ref()?.fits_since_ms[number]?;
+            Some((since_ms, name.as_str()))
+        });
+        since.min()
+    }
+
+    /// The zone of a machine.
+    pub fn zone(&self, name: &str) -> Option<&str> {
+        self.machines.get(name).map(|m| m.zone.as_str())
+    }
+}
--- a/crates/checker/src/rules.rs
+++ b/crates/checker/src/rules.rs
@@ -1,8 +1,15 @@
 //! Every rule of the protocol page, fed event by event.
 
+use crate::answers::{Answer, Told};
 use crate::breach::{Breach, Rule};
+use crate::cancelled::CancelledStarts;
+use crate::failed_day::{self, Failure};
+use crate::groups::{self, GroupFigures};
 use crate::history::{Ask, Event, Facts, Job, Off, State, What, job_of};
+use crate::possible;
 use crate::starved::{Least, Starved};
+use crate::unanswered::Unanswered;
+use crate::waiting::{Wait, Waiting};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// ms for which every poll for a job must fail to call it forgotten.
@@ -10,12 +17,13 @@
 /// CPUs that sums of decimal amounts may be off by.
 const ROUNDING: f64 = 1e-6;
 
+/// A rule that an answer breaks, since when, and why.
+type Found = (Rule, u64, String);
+
 #[derive(Debug)]
 struct Known {
     job: Job,
-    accepted: Option<u64>,
-    /// The final state that its user was told, and when.
-    ended: Option<(State, u64)>,
+    told: Told,
     unwanted: Option<u64>,
     /// When each finished task was done.
     done: BTreeMap<u32, u64>,
@@ -32,6 +40,14 @@
 }
 
 impl Polls {
+    fn count(&mut self, answer: &Answer) {
+        let second = self.by_second.entry(answer.at_ms / 1000).or_default();
+        match answer.status {
+            200 | 404 => second.0 += 1,
+            _ => second.1 += 1,
+        }
+    }
+
     fn mostly_answered(&self, from_ms: u64, to_ms: u64) -> bool {
         let range = self.by_second.range(from_ms / 1000..=to_ms / 1000);
         let (mut answered, mut failed) = (0, 0);
@@ -63,6 +79,15 @@
     starts: u64,
     submitted: u64,
     starved: Starved,
+    waiting: Waiting,
+    cancelled: CancelledStarts,
+    unanswered: Unanswered,
+    /// Fields that submissions lack, by job.
+    lacking: BTreeMap<String, String>,
+    /// At the end: why the operators would count the day as failed.
+    pub failures: Vec<Failure>,
+    /// At the end: figures of each class and team.
+    pub groups: Vec<GroupFigures>,
     /// At the end, if the scenario asks how its classes are served.
     pub least: Option<Least>,
     pub breaches: Vec<Breach>,
@@ -81,6 +106,9 @@
         let at = event.at_ms;
         self.expire(at);
         self.starved.feed(event);
+        self.waiting.feed(event);
+        self.breaches.extend(self.cancelled.feed(event));
+        self.breaches.extend(self.unanswered.feed(event));
         match &event.what {
             What::Begins { facts, .. } => self.facts = Some(facts.clone()),
             What::Submitted { job } => self.submitted(job),
@@ -91,7 +119,19 @@
                 status,
                 state,
                 node,
-            } => self.told(*ask, job, *sent_ms, at, *status, *state, node),
+            } => {
+                let answer = Answer {
+                    ask: *ask,
+                    sent_ms: *sent_ms,
+                    at_ms: at,
+                    status: *status,
+                    state: *state,
+                };
+                self.told(job, &answer, node);
+            }
+            What::LacksField { job, field } => {
+                self.lacking.insert(job.clone(), field.clone());
+            }
             What::Unwanted { job } => {
                 if let Some(k) = self.jobs.get_mut(job) {
                     k.unwanted.get_or_insert(at);
@@ -124,8 +164,7 @@
         self.submitted += 1;
         let known = Known {
             job: job.clone(),
-            accepted: None,
-            ended: None,
+            told: Told::default(),
             unwanted: None,
             done: BTreeMap::new(),
             on: BTreeMap::new(),
@@ -134,120 +173,122 @@
         self.jobs.entry(job.id.clone()).or_insert(known);
     }
 
-    #[expect(clippy::too_many_arguments, reason = "the fields of one event")]
-    fn told(
-        &mut self,
-        ask: Ask,
-        id: &str,
-        sent: u64,
-        at: u64,
-        status: u16,
-        state: Option<State>,
-        node: &str,
-    ) {
-        let mut found = Vec::new();
-        let breach = |rule, since_ms, why: &str| Breach {
+    /// What came of a request about a job.
+    fn told(&mut self, id: &str, answer: &Answer, node: &str) {
+        if answer.ask == Ask::Poll {
+            self.polls.count(answer);
+        }
+        let breach = |rule, since_ms, why: String| Breach {
             rule,
             what: id.to_string(),
             place: node.to_string(),
             since_ms,
-            at_ms: at,
-            why: why.to_string(),
+            at_ms: answer.at_ms,
+            why,
         };
-        if ask == Ask::Poll {
-            let second = self.polls.by_second.entry(at / 1000).or_default();
-            match status {
-                200 | 404 => second.0 += 1,
-                _ => second.1 += 1,
+        let Some(known) = self.jobs.get(id) else {
+            if matches!(answer.status, 200 | 201) {
+                let why = "nobody has submitted it; asked".to_string();
+                self.breach(breach(Rule::Invented, answer.sent_ms, why));
             }
-        }
-        // The earliest cancellation of a job before it, as its user was told it.
-        let orphan = self.orphaned_since(id);
-        let asked_for = self.wanted_cancelled(id, at);
+            return;
+        };
+        let contradictions = known.told.contradictions(answer);
+        let older = contradictions
+            .into_iter()
+            .map(|c| (c.rule, c.since_ms, c.why));
+        let found: Vec<_> = older
+            .chain(self.silent_while_others_heard(id, answer))
+            .chain(self.accepted_wrongly(id, answer))
+            .chain(self.state_is_wrong(id, answer))
+            .map(|(rule, since_ms, why)| breach(rule, since_ms, why))
+            .collect();
+        self.breaches.extend(found);
+        self.hear(id, answer);
+    }
+
+    /// Takes the answer into what is known of its job.
+    fn hear(&mut self, id: &str, answer: &Answer) {
         let Some(known) = self.jobs.get_mut(id) else {
-            if matches!(status, 200 | 201) {
-                let why = "nobody has submitted it; asked";
-                self.breach(breach(Rule::Invented, sent, why));
-            }
             return;
         };
-        let answered = matches!(status, 200 | 201 | 404);
-        if let (Some(_), Ask::Poll) = (known.accepted, ask) {
-            if answered {
-                known.silent = None;
-            } else {
-                let since = *known.silent.get_or_insert(sent);
-                if at - since >= SILENT_MS && self.polls.mostly_answered(since, at) {
-                    found.push(breach(
-                        Rule::Forgotten,
-                        since,
-                        "every poll has failed while most others were answered, since",
-                    ));
-                    known.silent = None;
+        if answer.ask == Ask::Poll && known.told.accepted_ms.is_some() {
+            match answer.status {
+                200 | 201 | 404 => known.silent = None,
+                _ => {
+                    known.silent.get_or_insert(answer.sent_ms);
                 }
             }
         }
-        // Only what was asked after an earlier answer must not be older.
-        if let Some(accepted) = known.accepted.filter(|t| sent >= *t) {
-            if status == 404 {
-                found.push(breach(
-                    Rule::Forgotten,
-                    accepted,
-                    "called unknown, but accepted",
-                ));
-            }
-            if ask == Ask::Submit && matches!(status, 400 | 422) {
-                found.push(breach(
-                    Rule::Forgotten,
-                    accepted,
-                    "a repeat was refused, but it was accepted",
-                ));
-            }
+        if known.told.hear(answer) && answer.state == Some(State::Cancelled) {
+            let deadline = answer.at_ms + self.cancel_ms();
+            self.overdue.insert((deadline, id.to_string()));
         }
-        if let (200 | 201, Some(state)) = (status, state) {
-            match known.ended {
-                Some((was, then)) if sent >= then && was != state => {
-                    let why = format!("called {state:?}, but called {was:?}");
-                    found.push(breach(Rule::WentBack, then, &why));
-                }
-                // Two answers that crossed must still agree on the end.
-                Some((was, then)) if state.is_final() && was != state => {
-                    let why = format!("called {state:?}, but called {was:?}");
-                    found.push(breach(Rule::WentBack, then, &why));
-                }
-                _ => {}
-            }
-            let cancel_ms = self.facts.as_ref().map_or(0.0, |f| f.cancel_s) * 1000.0;
-            if let Some(since) = orphan.filter(|t| sent > *t + cancel_ms as u64)
-                && !state.is_final()
-            {
-                let why = format!("called {state:?}, but a job before it was told cancelled");
-                found.push(breach(Rule::Orphaned, since, &why));
-            }
-            if state == State::Cancelled && !asked_for {
-                let why = "called cancelled, which its user never asked for; asked";
-                found.push(breach(Rule::WentBack, sent, why));
-            }
-            let all = !known.job.standing && known.done.len() as u32 >= known.job.tasks;
-            if state == State::Done && !all {
-                let why = format!(
-                    "called done with {} of {} tasks done; asked",
-                    known.done.len(),
-                    known.job.tasks
-                );
-                found.push(breach(Rule::NotDone, sent, &why));
-            }
-            known.accepted.get_or_insert(at);
-            if state.is_final() && known.ended.is_none() {
-                known.ended = Some((state, at));
-                if state == State::Cancelled {
-                    let cancel_s = self.facts.as_ref().map_or(0.0, |f| f.cancel_s);
-                    let deadline = at + (cancel_s * 1000.0) as u64;
-                    self.overdue.insert((deadline, id.to_string()));
-                }
-            }
+    }
+
+    /// Every poll for it has failed for long, while most others were answered.
+    fn silent_while_others_heard(&mut self, id: &str, answer: &Answer) -> Option<Found> {
+        let known = self.jobs.get_mut(id)?;
+        if answer.ask != Ask::Poll || matches!(answer.status, 200 | 201 | 404) {
+            return None;
         }
-        self.breaches.extend(found);
+        let since_ms = known.silent?;
+        let long = answer.at_ms - since_ms >= SILENT_MS;
+        if !long || !self.polls.mostly_answered(since_ms, answer.at_ms) {
+            return None;
+        }
+        known.silent = None;
+        let why = "every poll has failed while most others were answered, since";
+        Some((Rule::Forgotten, since_ms, why.into()))
+    }
+
+    /// A job was accepted that had to be refused.
+    fn accepted_wrongly(&self, id: &str, answer: &Answer) -> Option<Found> {
+        let known = self.jobs.get(id)?;
+        if known.told.accepted_ms.is_some() || !matches!(answer.status, 200 | 201) {
+            return None;
+        }
+        let lacks = self
+            .lacking
+            .get(id)
+            .map(|field| format!("it lacks {field}"));
+        let facts = self.facts.as_ref()?;
+        let why = lacks.or_else(|| possible::impossible(facts, &known.job))?;
+        let why = format!("accepted, but {why}; asked");
+        Some((Rule::AcceptedImpossible, answer.sent_ms, why))
+    }
+
+    /// States that other events than the user's own answers forbid.
+    fn state_is_wrong(&self, id: &str, answer: &Answer) -> Vec<Found> {
+        let (Some(known), 200 | 201, Some(state)) =
+            (self.jobs.get(id), answer.status, answer.state)
+        else {
+            return Vec::new();
+        };
+        let mut found = Vec::new();
+        let orphan_ms = self.orphaned_since(id);
+        let orphan_ms = orphan_ms.filter(|ms| answer.sent_ms > ms + self.cancel_ms());
+        if let Some(since_ms) = orphan_ms
+            && !state.is_final()
+        {
+            let why = format!("called {state:?}, but a job before it was told cancelled");
+            found.push((Rule::Orphaned, since_ms, why));
+        }
+        if state == State::Cancelled && !self.wanted_cancelled(id, answer.at_ms) {
+            let why = "called cancelled, which its user never asked for; asked".to_string();
+            found.push((Rule::WentBack, answer.sent_ms, why));
+        }
+        let (done, tasks) = (known.done.len() as u32, known.job.tasks);
+        if state == State::Done && (known.job.standing || done < tasks) {
+            let why = format!("called done with {done} of {tasks} tasks done; asked");
+            found.push((Rule::NotDone, answer.sent_ms, why));
+        }
+        found
+    }
+
+    /// ms after the telling within which all tasks of a cancelled job must be gone.
+    fn cancel_ms(&self) -> u64 {
+        (self.facts.as_ref().map_or(0.0, |f| f.cancel_s) * 1000.0) as u64
     }
 
     /// All jobs that this one needs, directly or through others.
@@ -265,7 +306,7 @@
 
     /// When the first of the jobs before it was told cancelled.
     fn orphaned_since(&self, id: &str) -> Option<u64> {
-        let told = |id: &str| match self.jobs.get(id)?.ended? {
+        let told = |id: &str| match self.jobs.get(id)?.told.ended? {
             (State::Cancelled, at) => Some(at),
             _ => None,
         };
@@ -290,7 +331,7 @@
             let Some(known) = self.jobs.get(&id) else {
                 continue;
             };
-            let told = known.ended.map_or(0, |e| e.1);
+            let told = known.told.ended.map_or(0, |e| e.1);
             let late: Vec<Breach> = known
                 .on
                 .iter()
@@ -324,6 +365,7 @@
             let known = self.jobs.get(*id);
             known.is_none_or(|k| (k.done.len() as u32) < k.job.tasks)
         };
+        let cancel_ms = self.cancel_ms();
         let needs = self.jobs.get(job_of(task)).map(|k| &k.job.needs);
         let early = needs.and_then(|n| n.iter().find(undone)).cloned();
         let (Some(known), Some(n)) = (self.jobs.get_mut(job_of(task)), number) else {
@@ -339,12 +381,11 @@
             let why = format!("it is on {other} since");
             found.push(breach(Rule::RanTwice, *since, why));
         }
-        if let Some((State::Cancelled, told)) = known.ended {
-            let cancel_s = self.facts.as_ref().map_or(0.0, |f| f.cancel_s);
-            if at > told + (cancel_s * 1000.0) as u64 {
-                let why = "started, and its job was told cancelled".to_string();
-                found.push(breach(Rule::RanCancelled, told, why));
-            }
+        if let Some((State::Cancelled, told)) = known.told.ended
+            && at > told + cancel_ms
+        {
+            let why = "started, and its job was told cancelled".to_string();
+            found.push(breach(Rule::RanCancelled, told, why));
         }
         if let Some(m) = self.machines.get(machine) {
             let job = &known.job;
@@ -429,6 +470,9 @@
         self.expire(at + 1);
         let starved = self.starved.ends(at);
         self.breaches.extend(starved);
+        self.breaches.extend(self.waiting.breaches());
+        self.failures = failed_day::failures(&self.starved, at);
+        self.groups = groups::figures(&self.starved, &self.waiting, &self.unanswered);
         self.least = self.starved.least(at);
         if self.starts == 0 && self.submitted > 0 {
             self.breach(Breach {
@@ -442,6 +486,16 @@
         }
     }
 
+    /// Tasks that came onto machines after their user was told that the job is cancelled.
+    pub fn starts_after_cancel(&self) -> u64 {
+        self.cancelled.count
+    }
+
+    /// Jobs left waiting beside room before the last trouble was over: not a breach.
+    pub fn earlier_waits(&self) -> Vec<Wait> {
+        self.waiting.earlier()
+    }
+
     /// How often each rule was broken.
     pub fn counts(&self) -> BTreeMap<&'static str, usize> {
         let mut counts: BTreeMap<_, _> = Rule::ALL.iter().map(|r| (r.name(), 0)).collect();
--- a/crates/checker/src/starved.rs
+++ b/crates/checker/src/starved.rs
@@ -43,6 +43,31 @@
     pub bound: f64,
 }
 
+/// Jobs that are counted together.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Members<'a> {
+    Class(&'a str),
+    LargestOf(&'a str),
+    Team(&'a str),
+}
+
+/// How many jobs were wanted, and how many of them were done.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Share {
+    pub wanted: usize,
+    pub served: usize,
+}
+
+impl Share {
+    /// The share that was done; all of none.
+    pub fn value(self) -> f64 {
+        if self.wanted == 0 {
+            return 1.0;
+        }
+        self.served as f64 / self.wanted as f64
+    }
+}
+
 /// One class or team at the end.
 #[derive(Debug, Default)]
 struct Group {
@@ -158,9 +183,16 @@
     /// The largest tenth of each class, by their work, if the scenario asks for their
     /// beginning; all of a class of fewer than ten jobs is no tenth.
     fn largest(&self) -> BTreeSet<&str> {
-        if self.asked.is_none_or(|a| a.begin_s.is_none()) {
-            return BTreeSet::new();
+        match self.asked {
+            Some(Served {
+                begin_s: Some(_), ..
+            }) => self.largest_tenths(),
+            _ => BTreeSet::new(),
         }
+    }
+
+    /// The largest tenth of each class, by their work.
+    fn largest_tenths(&self) -> BTreeSet<&str> {
         let mut classes: BTreeMap<&str, Vec<(f64, &str)>> = BTreeMap::new();
         for s in self.jobs.values().filter(|s| !s.void) {
             let of = classes.entry(&s.job.class).or_default();
@@ -177,7 +209,15 @@
     /// ms until the last accepted job of the largest tenths began, since it was ready, with
     /// its id; for one that never did, until now.
     pub fn longest_start(&self, at: u64) -> Option<(u64, &str)> {
-        let largest = self.largest();
+        self.longest_start_of(&self.largest(), at)
+    }
+
+    /// The same, whether or not the scenario asks for it.
+    pub(crate) fn longest_start_of_tenths(&self, at: u64) -> Option<(u64, &str)> {
+        self.longest_start_of(&self.largest_tenths(), at)
+    }
+
+    fn longest_start_of(&self, largest: &BTreeSet<&str>, at: u64) -> Option<(u64, &str)> {
         let of = self
             .jobs
             .values()
@@ -231,6 +271,31 @@
         groups
     }
 
+    /// How many jobs of every class, its largest tenth and every team were wanted and could
+    /// run, and how many of them were done by the end.
+    pub(crate) fn shares(&self) -> BTreeMap<Members<'_>, Share> {
+        let largest = self.largest_tenths();
+        let mut shares: BTreeMap<Members<'_>, Share> = BTreeMap::new();
+        let wanted = self.jobs.values().filter(|s| !s.void);
+        for seen in wanted.filter(|s| self.ready_at(s).is_some()) {
+            let job = &seen.job;
+            let tenth = largest.contains(job.id.as_str());
+            let tenth = tenth.then_some(Members::LargestOf(&job.class));
+            let all = [Members::Class(&job.class), Members::Team(&job.team)];
+            for members in all.into_iter().chain(tenth) {
+                let share = shares.entry(members).or_default();
+                share.wanted += 1;
+                share.served += usize::from(seen.done_at.is_some());
+            }
+        }
+        shares
+    }
+
+    /// Every submitted job.
+    pub(crate) fn jobs(&self) -> impl Iterator<Item = &Job> {
+        self.jobs.values().map(|seen| &seen.job)
+    }
+
     /// The least served, if the scenario says in what time.
     pub fn least(&self, at: u64) -> Option<Least> {
         let within_ms = (self.asked?.within_s * 1000.0) as u64;
--- /dev/null
+++ b/crates/checker/src/waiting.rs
@@ -0,0 +1,317 @@
+//! Jobs that are left waiting: a machine that fits has had room, and the team has been under
+//! its limit by a task's size, for all the time in which no task of the job was started.
+
+use crate::breach::{Breach, Rule};
+use crate::calm::Calm;
+use crate::history::{Event, Job, Off, State, What, job_of};
+use crate::room::{Rooms, Size};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// ms that a job may wait beside room.
+pub const LEFT_WAITING_MS: u64 = 90_000;
+/// ms between two looks at all jobs that wait.
+const LOOK_MS: u64 = 2_000;
+
+/// A wait beside room.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Wait {
+    pub job: String,
+    /// The machine that had room longest.
+    pub machine: String,
+    pub since_ms: u64,
+    pub until_ms: u64,
+}
+
+impl Wait {
+    pub fn length_ms(&self) -> u64 {
+        self.until_ms - self.since_ms
+    }
+}
+
+#[derive(Debug)]
+struct Open {
+    job: Job,
+    size: Size,
+    /// The number of its size.
+    number: usize,
+    accepted: bool,
+    /// Its user wants it: it was neither called off nor told cancelled.
+    wanted: bool,
+    /// Since when it waits without a start; reset by each.
+    since_ms: u64,
+    /// Tasks taken by machines, with the machine.
+    placed: BTreeMap<String, String>,
+    done: BTreeSet<String>,
+}
+
+/// What a job asks of machines: number of its size, types, zone, and whether spot will do.
+type Needs<'a> = (usize, &'a Option<Vec<String>>, &'a Option<String>, bool);
+/// Of one look at all jobs: the machine that has had room longest for each need, and since when.
+type Machines<'a> = BTreeMap<Needs<'a>, Option<(u64, &'a str)>>;
+
+/// Watches all accepted jobs.
+#[derive(Debug, Default)]
+pub struct Waiting {
+    rooms: Rooms,
+    open: BTreeMap<String, Open>,
+    /// Jobs of which all tasks are done.
+    finished: BTreeSet<String>,
+    /// Jobs with tasks that failed: they are tried again ever more seldom.
+    failing: BTreeSet<String>,
+    calm: Calm,
+    looked_ms: u64,
+    /// The longest wait of each job since the last trouble.
+    now: BTreeMap<String, Wait>,
+    /// The longest wait of each job in earlier times without trouble.
+    before: BTreeMap<String, Wait>,
+}
+
+impl Waiting {
+    pub fn feed(&mut self, event: &Event) {
+        let at_ms = event.at_ms;
+        if at_ms >= self.looked_ms + LOOK_MS || event.what == What::Ends {
+            self.look(at_ms);
+        }
+        if self.calm.feed(event) {
+            self.trouble_begins();
+        }
+        match &event.what {
+            What::Begins { facts, .. } => self.rooms.begin(facts),
+            What::Submitted { job } => self.submitted(job, at_ms),
+            What::Told {
+                job, status, state, ..
+            } => self.told(job, *status, *state, at_ms),
+            // What nobody wants any more may wait for ever.
+            What::Unwanted { job } => {
+                if let Some(open) = self.open.get_mut(job) {
+                    open.wanted = false;
+                }
+            }
+            What::Rented {
+                machine,
+                kind,
+                zone,
+                spot,
+                ..
+            } => self.rooms.rented(machine, kind, zone, *spot),
+            What::Up { machine } => self.rooms.up(machine, at_ms),
+            What::Notice { machine } => self.rooms.avoid(machine),
+            What::LeaseEnds { machine } => self.empties(machine, at_ms),
+            What::Gone { machine, .. } => {
+                self.empties(machine, at_ms);
+                self.rooms.gone(machine);
+            }
+            What::Starts { machine, task, .. } | What::On { machine, task, .. } => {
+                self.taken(machine, task, at_ms);
+            }
+            What::Dropped { machine, task, .. } => self.given(machine, task, at_ms),
+            What::Off {
+                machine, task, why, ..
+            } => self.off(machine, task, *why, at_ms),
+            _ => {}
+        }
+    }
+
+    fn submitted(&mut self, job: &Job, at_ms: u64) {
+        let size = Size::of(job);
+        let open = Open {
+            job: job.clone(),
+            size,
+            number: self.rooms.number(size, at_ms),
+            accepted: false,
+            wanted: true,
+            since_ms: at_ms,
+            placed: BTreeMap::new(),
+            done: BTreeSet::new(),
+        };
+        self.open.entry(job.id.clone()).or_insert(open);
+    }
+
+    fn told(&mut self, job: &str, status: u16, state: Option<State>, at_ms: u64) {
+        let Some(open) = self.open.get_mut(job) else {
+            return;
+        };
+        if state == Some(State::Cancelled) {
+            open.wanted = false;
+        } else if matches!(status, 200 | 201) && !open.accepted {
+            open.accepted = true;
+            open.since_ms = at_ms;
+        }
+    }
+
+    fn taken(&mut self, machine: &str, task: &str, at_ms: u64) {
+        let Some(open) = self.open.get_mut(job_of(task)) else {
+            return;
+        };
+        open.since_ms = at_ms;
+        let before = open.placed.insert(task.to_string(), machine.to_string());
+        if before.is_none() {
+            let team = open.job.team.clone();
+            self.rooms.use_limit(&team, open.size, 1.0, at_ms);
+        }
+        self.rooms.take(machine, task, open.size, at_ms);
+    }
+
+    fn given(&mut self, machine: &str, task: &str, at_ms: u64) {
+        self.rooms.give(machine, task, at_ms);
+        let Some(open) = self.open.get_mut(job_of(task)) else {
+            return;
+        };
+        if open.placed.get(task).is_some_and(|m| m == machine) {
+            open.placed.remove(task);
+            // A task that lost its place waits from now on.
+            open.since_ms = at_ms;
+            let team = open.job.team.clone();
+            self.rooms.use_limit(&team, open.size, -1.0, at_ms);
+        }
+    }
+
+    fn off(&mut self, machine: &str, task: &str, why: Off, at_ms: u64) {
+        self.given(machine, task, at_ms);
+        let id = job_of(task);
+        if why == Off::Error {
+            self.rooms.avoid(machine);
+            self.failing.insert(id.to_string());
+        }
+        if why != Off::Done {
+            return;
+        }
+        let Some(open) = self.open.get_mut(id) else {
+            return;
+        };
+        open.done.insert(task.to_string());
+        if open.done.len() as u32 >= open.job.tasks {
+            self.finished.insert(id.to_string());
+        }
+    }
+
+    /// All tasks of a machine end at once.
+    fn empties(&mut self, machine: &str, at_ms: u64) {
+        for task in self.rooms.tasks(machine) {
+            self.given(machine, &task, at_ms);
+        }
+    }
+
+    /// What was seen until now is of an earlier time without trouble.
+    fn trouble_begins(&mut self) {
+        for (job, wait) in std::mem::take(&mut self.now) {
+            keep_longer(&mut self.before, job, wait);
+        }
+    }
+
+    /// Measures the wait of each job beside room, as of now.
+    fn look(&mut self, at_ms: u64) {
+        self.looked_ms = at_ms;
+        let Some(calm_since_ms) = self.calm.since_ms() else {
+            return;
+        };
+        let mut found = Vec::new();
+        let mut machines = Machines::new();
+        for (id, open) in &self.open {
+            if let Some((since_ms, machine)) = self.beside_room(open, &mut machines)
+                && at_ms > since_ms.max(calm_since_ms)
+            {
+                found.push(Wait {
+                    job: id.clone(),
+                    machine: machine.to_string(),
+                    since_ms: since_ms.max(calm_since_ms),
+                    until_ms: at_ms,
+                });
+            }
+        }
+        for wait in found {
+            keep_longer(&mut self.now, wait.job.clone(), wait);
+        }
+    }
+
+    /// Since when the job has waited beside room, and on which machine.
+    fn beside_room<'a>(
+        &'a self,
+        open: &'a Open,
+        machines: &mut Machines<'a>,
+    ) -> Option<(u64, &'a str)> {
+        let job = &open.job;
+        let waiting = job.tasks as usize > open.done.len() + open.placed.len();
+        let ready = job.needs.iter().all(|id| self.finished.contains(id));
+        if !open.accepted || !open.wanted || !waiting || !ready || self.failing.contains(&job.id) {
+            return None;
+        }
+        let team_ms = self.rooms.team_since_ms(&job.team, open.number)?;
+        let (only_zone, full_zones) = self.zones(open);
+        let look = || {
+            let rooms = &self.rooms;
+            rooms.machine_since_ms(job, open.number, &full_zones, only_zone)
+        };
+        let (room_ms, machine) = if only_zone.is_some() || !full_zones.is_empty() {
+            look()?
+        } else {
+            let needs = (open.number, &job.kinds, &job.zone, job.spot);
+            (*machines.entry(needs).or_insert_with(look))?
+        };
+        // When the last task of the last of them gave its place back.
+        let ready_ms = job
+            .needs
+            .iter()
+            .filter_map(|id| Some(self.open.get(id)?.since_ms));
+        let since_ms = open.since_ms.max(team_ms).max(room_ms);
+        Some((since_ms.max(ready_ms.max().unwrap_or(0)), machine))
+    }
+
+    /// The only zone, and the zones that have all that they may, given where its tasks are.
+    fn zones(&self, open: &Open) -> (Option<&str>, BTreeSet<&str>) {
+        let zones = || {
+            open.placed
+                .values()
+                .filter_map(|name| self.rooms.zone(name))
+        };
+        let only = zones().next().filter(|_| open.job.one_zone);
+        let mut full = BTreeSet::new();
+        if open.job.spread {
+            let most = open.job.tasks.div_ceil(2) as usize;
+            let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+            for zone in zones() {
+                *counts.entry(zone).or_default() += 1;
+            }
+            full.extend(counts.into_iter().filter(|c| c.1 >= most).map(|c| c.0));
+        }
+        (only, full)
+    }
+
+    /// ms of the longest wait of a job beside room while no trouble ran.
+    pub fn longest_ms(&self, job: &str) -> u64 {
+        let waits = [self.now.get(job), self.before.get(job)];
+        waits
+            .into_iter()
+            .flatten()
+            .map(Wait::length_ms)
+            .max()
+            .unwrap_or(0)
+    }
+
+    /// Waits that were too long before the last trouble: told, but no breach.
+    pub fn earlier(&self) -> Vec<Wait> {
+        let too_long = |wait: &&Wait| wait.length_ms() >= LEFT_WAITING_MS;
+        self.before.values().filter(too_long).cloned().collect()
+    }
+
+    /// At the end: the jobs that were left waiting once all troubles were over.
+    pub fn breaches(&self) -> Vec<Breach> {
+        let too_long = |wait: &&Wait| wait.length_ms() >= LEFT_WAITING_MS;
+        let breach = |wait: &Wait| Breach {
+            rule: Rule::LeftWaiting,
+            what: wait.job.clone(),
+            place: wait.machine.clone(),
+            since_ms: wait.since_ms,
+            at_ms: wait.until_ms,
+            why: "left waiting, with room there and its team under its limit, since".into(),
+        };
+        self.now.values().filter(too_long).map(breach).collect()
+    }
+}
+
+fn keep_longer(waits: &mut BTreeMap<String, Wait>, job: String, wait: Wait) {
+    let longer = |old: &Wait| wait.length_ms() > old.length_ms();
+    if waits.get(&job).is_none_or(longer) {
+        waits.insert(job, wait);
+    }
+}
--- a/crates/checker/tests/checker.rs
+++ b/crates/checker/tests/checker.rs
@@ -16,16 +16,23 @@
         gpus_max: 0.0,
         weight: 1.0,
     };
+    let small = MachineType {
+        name: "m4".into(),
+        cpus: 4.0,
+        price: 3.6,
+        spot_price: Some(0.9),
+        ..MachineType::default()
+    };
+    let large = MachineType {
+        name: "m8".into(),
+        cpus: 8.0,
+        price: 7.2,
+        ..MachineType::default()
+    };
     Facts {
         cancel_s: CANCEL_S,
         teams: vec![team("t", 6.0), team("guest", 0.0)],
-        kinds: vec![MachineType {
-            name: "m4".into(),
-            cpus: 4.0,
-            price: 3.6,
-            spot_price: Some(0.9),
-            ..MachineType::default()
-        }],
+        kinds: vec![small, large],
         aims: Vec::new(),
         served: None,
     }
@@ -290,9 +297,13 @@
     n.at(2).on("vm-1", "wk-000001/0");
     n.at(9).told(Ask::Submit, "wk-000001", 422, None);
     n.only(Rule::Forgotten);
-    // Silence for 90 s counts while most others are answered, and not else.
+    // Silence for 90 s counts while most others are answered, and not else, also in trouble.
     for others in [true, false] {
         let mut n = Scenario::new();
+        n.at(1).add(What::Trouble {
+            trouble: "state_outage".into(),
+            on: true,
+        });
         n.at(1).accepted(job("wk-000001", 1));
         n.at(1).accepted(job("wk-000002", 1));
         n.at(2).on("vm-1", "wk-000001/0");
--- a/crates/simulation/src/play.rs
+++ b/crates/simulation/src/play.rs
@@ -4,7 +4,9 @@
 use crate::nodes::{InProcess, Shared};
 use crate::processes::Processes;
 use cherrywood_checker::settle::{Settled, settle};
-use cherrywood_checker::{Aims, Breach, Checker, History, Least, What, aims};
+use cherrywood_checker::{
+    Aims, Breach, Checker, Failure, GroupFigures, History, Least, Wait, What, aims,
+};
 use cherrywood_emulator::{Cloud, Nodes, StateHost, Troubles, Users, World};
 use cherrywood_node::node::View;
 use cherrywood_node::settings::Operator;
@@ -74,6 +76,14 @@
     pub settled: BTreeMap<String, Settled>,
     pub breaches: Vec<Breach>,
     pub aims: Aims,
+    /// Why the operators would count the day as failed.
+    pub failures: Vec<Failure>,
+    /// Figures of each class and team.
+    pub groups: Vec<GroupFigures>,
+    /// Jobs left waiting beside room before the last trouble was over: no breach.
+    pub earlier_waits: Vec<Wait>,
+    /// Tasks that came onto machines after their job was told cancelled.
+    pub starts_after_cancel: u64,
     /// Who was served least, if the scenario asks.
     pub least: Option<Least>,
     pub digest: String,
@@ -96,10 +106,11 @@
         self.settled.values().filter(open).count()
     }
 
-    /// Everything settled and no rule broken?
+    /// Everything settled, no rule broken, and not a failed day?
     pub fn good(&self) -> bool {
         self.unsettled() == 0
             && self.breaches.is_empty()
+            && self.failures.is_empty()
             && self.ended.is_empty()
             && self.stopped.is_none()
     }
@@ -205,7 +216,11 @@
     Ok(Outcome {
         seed: options.seed,
         settled: settle(&history.events),
+        earlier_waits: checker.earlier_waits(),
+        starts_after_cancel: checker.starts_after_cancel(),
         breaches: checker.breaches,
+        failures: checker.failures,
+        groups: checker.groups,
         least: checker.least,
         aims: aims::count(&history.events),
         digest: history.digest(),
--- a/crates/simulation/src/report.rs
+++ b/crates/simulation/src/report.rs
@@ -7,7 +7,9 @@
 use crate::summary::{self, aim};
 use crate::timeline::{Account, Timeline, timeline};
 use anyhow::Context as _;
+use cherrywood_checker::GroupFigures;
 use cherrywood_checker::settle::{End, tally};
+use cherrywood_checker::starved::Share;
 use maud::{DOCTYPE, Markup, PreEscaped, html};
 use serde::Serialize;
 use std::collections::BTreeMap;
@@ -31,7 +33,14 @@
     pub unsettled: Vec<String>,
     pub broken: Vec<String>,
     pub ended: Vec<String>,
+    /// Why the operators would count the day as failed.
+    pub failed: Vec<String>,
     pub classes: BTreeMap<String, Class>,
+    /// Every class and every team.
+    pub groups: Vec<Group>,
+    /// Jobs left waiting beside room between troubles.
+    pub earlier_waits: usize,
+    pub starts_after_cancel: u64,
     pub least: Option<Least>,
     pub aims: Vec<Reached>,
     pub cost: f64,
@@ -53,6 +62,40 @@
     pub wait_p95_s: f64,
 }
 
+/// A class or a team.
+#[derive(Debug, Serialize)]
+pub struct Group {
+    /// `class` or `team`.
+    pub kind: &'static str,
+    pub name: String,
+    pub jobs: usize,
+    /// Share of the jobs that were wanted and could run that were done; of how many.
+    pub served: f64,
+    pub wanted: usize,
+    /// The same of a class's largest tenth.
+    pub largest_served: Option<f64>,
+    pub largest_wanted: Option<usize>,
+    /// s.
+    pub longest_wait_beside_room_s: f64,
+    pub longest_without_answer_s: f64,
+}
+
+impl From<&GroupFigures> for Group {
+    fn from(figures: &GroupFigures) -> Group {
+        Group {
+            kind: figures.kind.name(),
+            name: figures.name.clone(),
+            jobs: figures.jobs,
+            served: figures.served.value(),
+            wanted: figures.served.wanted,
+            largest_served: figures.largest.map(Share::value),
+            largest_wanted: figures.largest.map(|share| share.wanted),
+            longest_wait_beside_room_s: figures.longest_wait_s,
+            longest_without_answer_s: figures.longest_unanswered_s,
+        }
+    }
+}
+
 /// The class or team served least: share of its jobs done in time, and the share that
 /// every class could have had.
 #[derive(Debug, Serialize)]
@@ -118,6 +161,10 @@
                 (n.clone(), c)
             })
             .collect(),
+        failed: o.failures.iter().map(ToString::to_string).collect(),
+        groups: o.groups.iter().map(Group::from).collect(),
+        earlier_waits: o.earlier_waits.len(),
+        starts_after_cancel: o.starts_after_cancel,
         least: o.least.clone().map(|l| Least {
             name: l.name,
             share: l.share,
@@ -212,6 +259,11 @@
                              td.n { (fixed(c.wait_mean_s)) } td.n { (fixed(c.wait_p95_s)) } }
                     }
                 }
+                (groups(o))
+                @if !r.failed.is_empty() {
+                    h2 { "A failed day" }
+                    ul { @for f in &r.failed { li class="bad" { (f) } } }
+                }
                 @if !r.broken.is_empty() {
                     h2 { "Rules broken" }
                     ul { @for b in &r.broken { li class="bad" { (b) } } }
@@ -250,6 +302,23 @@
     }
 }
 
+/// Classes and teams: who was served, and who waited.
+fn groups(o: &Outcome) -> Markup {
+    html! {
+        table {
+            tr { th { "class or team" } th.n { "jobs" } th.n { "served" } th.n { "largest served" }
+                 th.n { "longest wait beside room, s" } th.n { "longest without an answer, s" } }
+            @for g in &o.groups {
+                tr { td { (g.kind.name()) " " (g.name) } td.n { (g.jobs) }
+                     td.n { (summary::share(Some(g.served))) } td.n { (summary::share(g.largest)) }
+                     td.n { (fixed(g.longest_wait_s)) } td.n { (fixed(g.longest_unanswered_s)) } }
+            }
+        }
+        p { (o.starts_after_cancel) " tasks started after their job was told cancelled; "
+            (o.earlier_waits.len()) " jobs were left beside room between troubles." }
+    }
+}
+
 fn fixed(v: f64) -> String {
     format!("{v:.1}")
 }
--- a/crates/simulation/src/summary.rs
+++ b/crates/simulation/src/summary.rs
@@ -1,7 +1,9 @@
 //! What a scenario came to, for the terminal.
 
 use crate::play::Outcome;
+use cherrywood_checker::GroupFigures;
 use cherrywood_checker::settle::{End, tally};
+use cherrywood_checker::starved::Share;
 use cherrywood_scenario::Aim;
 use std::fmt::Write as _;
 
@@ -40,6 +42,32 @@
     )
 }
 
+/// A share of jobs with their counts, or a dash where there are none.
+pub fn share(share: Option<Share>) -> String {
+    match share {
+        Some(s) if s.wanted > 0 => format!("{:.2} of {}", s.value(), s.wanted),
+        _ => "-".into(),
+    }
+}
+
+/// One class or team in a line.
+fn group(g: &GroupFigures) -> String {
+    let largest = match g.largest {
+        Some(_) => format!(", largest {}", share(g.largest)),
+        None => String::new(),
+    };
+    format!(
+        "{} {}: {} jobs, served {}{largest}, longest wait beside room {:.0} s, \
+         longest without an answer {:.0} s",
+        g.kind.name(),
+        g.name,
+        g.jobs,
+        share(Some(g.served)),
+        g.longest_wait_s,
+        g.longest_unanswered_s
+    )
+}
+
 pub fn text(o: &Outcome) -> String {
     let mut out = String::new();
     let mut line = |name: &str, text: String| {
@@ -79,6 +107,27 @@
             ),
         );
     }
+    for g in &o.groups {
+        line("", group(g));
+    }
+    line(
+        "cancelled",
+        format!(
+            "{} tasks started after the confirmation",
+            o.starts_after_cancel
+        ),
+    );
+    if let Some(longest) = o.earlier_waits.iter().max_by_key(|wait| wait.length_ms()) {
+        line(
+            "waiting",
+            format!(
+                "{} jobs were left beside room between troubles, {} for {} s",
+                o.earlier_waits.len(),
+                longest.job,
+                longest.length_ms() / 1000
+            ),
+        );
+    }
     line(
         "money",
         format!(
@@ -106,6 +155,9 @@
     for why in &o.ended {
         line("ended", why.clone());
     }
+    for failure in o.failures.iter().take(SHOWN) {
+        line("failed", failure.to_string());
+    }
     for b in o.breaches.iter().take(SHOWN) {
         line("broken", b.to_string());
     }
