Emulator: cancel_now, cancel_at_end, machine_mute, odd_requests, close_looks, late_commands; at_once, for_next

Change: typed troubles, drawn as well; report_copies is late_reports (the old name is read). An event for a submission that lacks a field. Unit tests of the scenario crate stand in tests/.

--- a/crates/checker/src/history.rs
+++ b/crates/checker/src/history.rs
@@ -108,6 +108,11 @@
     Unwanted {
         job: String,
     },
+    /// A user is about to submit a job without this field.
+    LacksField {
+        job: String,
+        field: String,
+    },
     /// The user has stopped trying to submit it.
     GaveUp {
         job: String,
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod fabric;
 pub mod jobs;
 pub mod machine;
+mod odd;
 pub mod proc;
 pub mod state;
 pub mod troubles;
--- a/crates/emulator/src/machine.rs
+++ b/crates/emulator/src/machine.rs
@@ -170,6 +170,13 @@
         )
     }
 
+    /// Tasks that run, and s that each has to go at least; none for standing ones.
+    pub fn running(&self) -> Vec<(String, Option<f64>)> {
+        let running = self.tasks.iter().filter(|t| t.state == TaskState::Running);
+        let left = |t: &Task| t.sheet.run_s.map(|run_s| run_s - t.progress);
+        running.map(|t| (t.id.clone(), left(t))).collect()
+    }
+
     /// The next message of this worker.
     pub fn report(&mut self, now: f64) -> Report {
         self.seq += 1;
--- /dev/null
+++ b/crates/emulator/src/odd.rs
@@ -0,0 +1,223 @@
+//! What users do only while a trouble has it so: cancellations at set moments, requests
+//! that make no sense, and questions at all controllers within milliseconds.
+
+use crate::fabric::lock;
+use crate::users::Users;
+use cherrywood_checker::What;
+use cherrywood_checker::history::{Ask, Job};
+use cherrywood_scenario::Trouble;
+use cherrywood_wire::encode;
+use cherrywood_wire::user::{Kind, Submission};
+use std::sync::Arc;
+
+/// s after the end of a job's last task within which it is cancelled.
+const AT_END_S: f64 = 0.3;
+/// s between two odd requests.
+const ODD_EVERY_S: (f64, f64) = (0.1, 0.5);
+/// Questions at each controller, and s between two of them.
+const LOOKS: u32 = 3;
+const LOOK_EVERY_S: (f64, f64) = (0.001, 0.02);
+/// More CPUs than any machine has.
+const TOO_MANY_CPUS: f64 = 1.0e6;
+/// Fields without which a submission must be refused.
+const NEEDED: [&str; 4] = ["crew", "chores", "cpus", "rank"];
+
+impl Users {
+    /// Does the user of this job wait for its end?
+    pub fn waits_for(&self, job: &str) -> bool {
+        lock(&self.open).contains_key(job)
+    }
+
+    fn chance(&self) -> f64 {
+        self.host.between(0.0, 1.0)
+    }
+
+    /// Some value, drawn.
+    fn one_of<T>(&self, all: Vec<T>) -> Option<T> {
+        let at = (self.host.random() % all.len().max(1) as u64) as usize;
+        all.into_iter().nth(at)
+    }
+
+    /// Cancels a job after so many s, until its user has been told how it ended.
+    pub fn cancel(self: Arc<Self>, job: String, after_s: f64) {
+        self.host.clone().spawn(async move {
+            self.host.sleep(after_s).await;
+            self.world.record(What::Unwanted { job: job.clone() });
+            let mut line = None;
+            while self.waits_for(&job) {
+                let told = self.ask(&mut line, Ask::Cancel, &job, Some(&[])).await;
+                if told.is_final() {
+                    self.look_closely(&job);
+                    return;
+                }
+                self.host.sleep(told.retry_s()).await;
+            }
+        });
+    }
+
+    /// Does what troubles want done at the moment at which a job's last task ends.
+    pub(crate) async fn meet_ends(self: Arc<Self>) {
+        loop {
+            for job in self.world.next_finished().await {
+                self.look_closely(&job);
+                if self.cancels_at_end() && self.waits_for(&job) {
+                    let after_s = self.host.between(0.0, AT_END_S);
+                    self.clone().cancel(job, after_s);
+                }
+            }
+        }
+    }
+
+    fn cancels_at_end(&self) -> bool {
+        let share = |t: &Trouble| match t {
+            Trouble::CancelAtEnd(t) => Some(t.share),
+            _ => None,
+        };
+        let shares = self.world.now_in(share);
+        shares.into_iter().any(|share| self.chance() < share)
+    }
+
+    // --- close looks ---
+
+    /// While a trouble has it so, asks at all controllers about this job, again and again,
+    /// and repeats its submission at one.
+    pub(crate) fn look_closely(self: &Arc<Self>, job: &str) {
+        let close = |t: &Trouble| matches!(t, Trouble::CloseLooks(_)).then_some(());
+        if self.world.now_in(close).is_empty() {
+            return;
+        }
+        let nodes = self.world.addresses.nodes.len();
+        let submission = lock(&self.open).get(job).cloned();
+        let repeats_at = (self.host.random() % nodes as u64) as usize;
+        for node in 0..nodes {
+            let repeat = submission.clone().filter(|_| node == repeats_at);
+            let (own, job) = (self.clone(), job.to_string());
+            self.host.spawn(async move { own.look(node, &job, repeat).await });
+        }
+    }
+
+    async fn look(self: Arc<Self>, node: usize, job: &str, repeat: Option<Submission>) {
+        for _ in 0..LOOKS {
+            let pause_s = self.host.between(LOOK_EVERY_S.0, LOOK_EVERY_S.1);
+            self.host.sleep(pause_s).await;
+            let Some(line) = self.connect_to(node).await else {
+                return;
+            };
+            self.ask(&mut Some(line), Ask::Poll, job, None).await;
+        }
+        if let Some(submission) = repeat
+            && let Some(line) = self.connect_to(node).await
+        {
+            let body = encode(&submission);
+            self.ask(&mut Some(line), Ask::Submit, job, Some(&body)).await;
+        }
+    }
+
+    // --- odd requests ---
+
+    /// For so many s, requests that make no sense.
+    pub(crate) async fn odd_requests(self: Arc<Self>, for_s: f64) {
+        let until = self.world.now_s() + for_s;
+        while self.world.now_s() < until {
+            let pause_s = self.host.between(ODD_EVERY_S.0, ODD_EVERY_S.1);
+            self.host.sleep(pause_s).await;
+            let own = self.clone();
+            let which = self.host.random() % 4;
+            self.host.spawn(async move {
+                match which {
+                    0 => own.repeat_unfinished().await,
+                    1 => own.cancel_done().await,
+                    2 => own.submit_impossible().await,
+                    _ => own.submit_without_a_field().await,
+                }
+            });
+        }
+    }
+
+    async fn repeat_unfinished(self: Arc<Self>) {
+        let open = lock(&self.open).values().cloned().collect();
+        let Some(submission) = self.one_of::<Submission>(open) else {
+            return;
+        };
+        let body = encode(&submission);
+        self.ask(&mut None, Ask::Submit, &submission.id, Some(&body))
+            .await;
+    }
+
+    /// The user was told that it is done: the answer can't be another one.
+    async fn cancel_done(self: Arc<Self>) {
+        let done = lock(&self.done).clone();
+        if let Some(job) = self.one_of(done) {
+            self.ask(&mut None, Ask::Cancel, &job, Some(&[])).await;
+        }
+    }
+
+    /// A job like one of those that are open, under an id that no user has.
+    fn like_an_open_one(&self) -> Option<Submission> {
+        let open = lock(&self.open).values().cloned().collect();
+        let mut submission: Submission = self.one_of(open)?;
+        submission.id = format!("wk-8{:08}", self.host.random() % 100_000_000);
+        submission.needs = Vec::new();
+        Some(submission)
+    }
+
+    async fn submit_impossible(self: Arc<Self>) {
+        let Some(mut submission) = self.like_an_open_one() else {
+            return;
+        };
+        match self.host.random() % 3 {
+            0 => submission.cpus = TOO_MANY_CPUS,
+            1 => submission.types = Some(vec!["no-such-type".to_string()]),
+            _ => submission.team = "nobody".to_string(),
+        }
+        self.world.submitted(as_recorded(&submission));
+        let body = encode(&submission);
+        self.submit(&mut None, &submission.id, &body).await;
+        self.world.close();
+    }
+
+    async fn submit_without_a_field(self: Arc<Self>) {
+        let Some(submission) = self.like_an_open_one() else {
+            return;
+        };
+        let Some(field) = self.one_of(NEEDED.to_vec()) else {
+            return;
+        };
+        let Some(body) = without(&submission, field) else {
+            return;
+        };
+        self.world.record(What::LacksField {
+            job: submission.id.clone(),
+            field: field.to_string(),
+        });
+        self.ask(&mut None, Ask::Submit, &submission.id, Some(&body))
+            .await;
+    }
+}
+
+/// The submission as a body that lacks one field.
+fn without(submission: &Submission, field: &str) -> Option<Vec<u8>> {
+    let mut fields: rmpv::Value = cherrywood_wire::decode(&encode(submission)).ok()?;
+    if let rmpv::Value::Map(fields) = &mut fields {
+        fields.retain(|(name, _)| name.as_str() != Some(field));
+    }
+    Some(encode(&fields))
+}
+
+/// The submission as the history has it.
+fn as_recorded(submission: &Submission) -> Job {
+    Job {
+        id: submission.id.clone(),
+        class: submission.class.clone(),
+        team: submission.team.clone(),
+        standing: submission.kind == Kind::Service,
+        tasks: submission.tasks,
+        cpus: submission.cpus,
+        kinds: submission.types.clone(),
+        zone: submission.zone.clone(),
+        one_zone: submission.one_zone,
+        spread: submission.spread,
+        spot: submission.spot,
+        needs: submission.needs.clone(),
+    }
+}
--- a/crates/emulator/src/state.rs
+++ b/crates/emulator/src/state.rs
@@ -4,7 +4,7 @@
 
 use crate::fabric::{Role, lock};
 use crate::proc::Proc;
-use crate::world::World;
+use crate::world::{Leadership, World};
 use cherrywood_net::Host;
 use cherrywood_net::server::{self, Request, Response};
 use cherrywood_scenario::trouble::Lost;
@@ -81,11 +81,13 @@
 
     /// The controller that holds the leader key.
     pub fn leader(&self) -> Option<String> {
-        let service = lock(&self.service);
-        let item = service.engine.get("L/leader")?;
-        let fields = item.value.as_map()?;
-        let leader = fields.iter().find(|(k, _)| k.as_str() == Some("leader"))?;
-        leader.1.as_str().map(str::to_string)
+        leadership(&lock(&self.service)).map(|l| l.label)
+    }
+
+    /// Something was written, or a lease has ended.
+    fn changed(&self, service: &Service) {
+        self.world.set_leadership(leadership(service));
+        self.changed.notify_waiters();
     }
 
     /// Keys, and bytes of their values.
@@ -179,18 +181,24 @@
         hit.map(|(_, when, late_s)| (when, late_s))
     }
 
-    /// s by which this request is executed after its sender gave up, if it is.
-    fn late(&self, request: &Request) -> Option<f64> {
+    /// How the answer to this transaction is lost, if it is, and s by which it is late.
+    fn late(&self, request: &Request) -> Option<(Lost, f64)> {
         if request.path != "/txn" {
             return None;
         }
         let late = |t: &Trouble| match t {
-            Trouble::LateWrites(t) => Some(t.share),
+            Trouble::LateWrites(t) => Some((t.share, t.at_once)),
             _ => None,
         };
         let all = self.world.now_in(late);
-        let hit = all.into_iter().any(|share| self.chance() < share);
-        hit.then(|| LATE_WRITE_S.0 + self.chance() * (LATE_WRITE_S.1 - LATE_WRITE_S.0))
+        let hit = all.into_iter().find(|(share, _)| self.chance() < *share);
+        hit.map(|(_, at_once)| match at_once {
+            true => (Lost::After, 0.0),
+            false => {
+                let late_s = self.chance() * (LATE_WRITE_S.1 - LATE_WRITE_S.0);
+                (Lost::Late, LATE_WRITE_S.0 + late_s)
+            }
+        })
     }
 
     /// Are watches left waiting?
@@ -208,10 +216,7 @@
         if self.turns_away(node) {
             return Response::empty(503);
         }
-        let lost = match self.late(&request) {
-            Some(late_s) => Some((Lost::Late, late_s)),
-            None => self.loses(),
-        };
+        let lost = self.late(&request).or_else(|| self.loses());
         match lost {
             None => {}
             Some((when, late_s)) => {
@@ -252,7 +257,7 @@
         let before = service.engine.revision();
         let reply = service.answer(request, self.host.now());
         if service.engine.revision() != before {
-            self.changed.notify_waiters();
+            self.changed(&service);
         }
         reply
     }
@@ -285,13 +290,28 @@
                 (at - now).max(0.0) + self.chance() * LEASE_LATE_S
             });
             self.host.sleep(wait.clamp(0.001, LEASE_LATE_S)).await;
-            if !self.down() && lock(&self.service).engine.expire(self.host.now()) > 0 {
-                self.changed.notify_waiters();
+            if self.down() {
+                continue;
+            }
+            let mut service = lock(&self.service);
+            if service.engine.expire(self.host.now()) > 0 {
+                self.changed(&service);
             }
         }
     }
 }
 
+/// What the leader key says.
+fn leadership(service: &Service) -> Option<Leadership> {
+    let item = service.engine.get("L/leader")?;
+    let fields = item.value.as_map()?;
+    let leader = fields.iter().find(|(k, _)| k.as_str() == Some("leader"))?;
+    Some(Leadership {
+        label: leader.1.as_str()?.to_string(),
+        version: item.version,
+    })
+}
+
 pub(crate) fn named(at: SocketAddr, e: &io::Error) -> io::Error {
     io::Error::new(e.kind(), format!("{at}: {e}"))
 }
--- a/crates/emulator/src/troubles.rs
+++ b/crates/emulator/src/troubles.rs
@@ -4,11 +4,15 @@
 use crate::fabric::{Break, Group, Role, lock};
 use crate::proc::Medium;
 use crate::state::{StateHost, who};
+use crate::users::Users;
+use crate::worker::Worker;
 use crate::world::World;
 use cherrywood_checker::What;
-use cherrywood_scenario::trouble::Side;
+use cherrywood_scenario::trouble::{CancelNow, MachineMute, Side};
 use cherrywood_scenario::{Trouble, Who};
+use rand::Rng;
 use rand_pcg::Pcg64;
+use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -34,11 +38,19 @@
     world: Arc<World>,
     state: Arc<StateHost>,
     cloud: Arc<Cloud>,
+    users: Arc<Users>,
     nodes: Arc<dyn Nodes>,
     is: Mutex<Vec<Is>>,
     rng: Mutex<Pcg64>,
 }
 
+/// s that a job's task has to go at least, for its job to have long to go.
+const LONG_TO_GO_S: f64 = 20.0;
+/// s within which such jobs are all cancelled.
+const CANCEL_WITHIN_S: f64 = 0.2;
+/// Machines that stand still at most when jobs are cancelled.
+const HANG_MOST: usize = 8;
+
 async fn wait(s: f64) {
     tokio::time::sleep(Duration::from_secs_f64(s.max(0.0))).await;
 }
@@ -48,6 +60,7 @@
         world: &Arc<World>,
         state: &Arc<StateHost>,
         cloud: &Arc<Cloud>,
+        users: &Arc<Users>,
         nodes: Arc<dyn Nodes>,
     ) -> Arc<Troubles> {
         let count = world.scenario.deployment.controllers as usize;
@@ -55,6 +68,7 @@
             world: world.clone(),
             state: state.clone(),
             cloud: cloud.clone(),
+            users: users.clone(),
             nodes,
             is: Mutex::new(vec![Is::Down; count]),
             rng: Mutex::new(world.rng("troubles")),
@@ -165,6 +179,47 @@
         }
     }
 
+    /// The machines that a trouble makes mute.
+    fn mute(&self, trouble: &MachineMute) -> Vec<Arc<Worker>> {
+        let zone = trouble.zone.as_deref();
+        let mut hit = self.cloud.draw(trouble.count.unwrap_or(u32::MAX), zone, |_| true);
+        if let Some(share) = trouble.share.filter(|_| trouble.count.is_none()) {
+            hit.truncate((hit.len() as f64 * share).round() as usize);
+        }
+        hit.into_iter().map(|(_, worker)| worker).collect()
+    }
+
+    /// Users cancel jobs that have long to go, and machines of theirs stand still.
+    fn cancel_now(&self, trouble: &CancelNow) {
+        let mut jobs: BTreeMap<String, Vec<Arc<Worker>>> = BTreeMap::new();
+        for (_, worker) in self.cloud.draw(u32::MAX, None, |_| true) {
+            for (task, left_s) in worker.running() {
+                if left_s.is_none_or(|s| s >= LONG_TO_GO_S)
+                    && let Some((job, _)) = task.split_once('/')
+                    && self.users.waits_for(job)
+                {
+                    let of = jobs.entry(job.to_string()).or_default();
+                    of.push(worker.clone());
+                }
+            }
+        }
+        let mut jobs: Vec<_> = jobs.into_iter().collect();
+        let mut machines: BTreeMap<Arc<str>, Arc<Worker>> = BTreeMap::new();
+        for _ in 0..trouble.count.min(jobs.len() as u32) {
+            let rng = &mut *lock(&self.rng);
+            let (job, of) = jobs.swap_remove(rng.random_range(0..jobs.len()));
+            let after_s = rng.random_range(0.0..CANCEL_WITHIN_S);
+            self.users.clone().cancel(job, after_s);
+            machines.extend(of.into_iter().map(|w| (w.proc.name.clone(), w)));
+        }
+        let Some(hang_s) = trouble.hang_s else {
+            return;
+        };
+        for worker in machines.into_values().take(HANG_MOST) {
+            tokio::spawn(worker.hang(hang_s));
+        }
+    }
+
     async fn make(self: &Arc<Self>, trouble: &Trouble) {
         if matches!(self.world.medium, Medium::Loopback) && !trouble.on_loopback() {
             return;
@@ -301,6 +356,21 @@
                     worker.set_deaf(false);
                 }
             }
+            Trouble::MachineMute(t) => {
+                let hit = self.mute(t);
+                for worker in &hit {
+                    worker.set_mute(true);
+                }
+                wait(for_s).await;
+                for worker in &hit {
+                    worker.set_mute(false);
+                }
+            }
+            Trouble::CancelNow(t) => {
+                self.cancel_now(t);
+                wait(for_s).await;
+            }
+            Trouble::OddRequests(_) => self.users.clone().odd_requests(for_s).await,
             Trouble::SpotWave(t) => {
                 let all = self.cloud.draw(u32::MAX, None, |spot| spot);
                 let count = (all.len() as f64 * t.share).round() as usize;
@@ -317,7 +387,10 @@
             }
             // The rest is looked up by those whom it concerns.
             Trouble::StateSlow(_)
-            | Trouble::ReportCopies(_)
+            | Trouble::LateReports(_)
+            | Trouble::LateCommands(_)
+            | Trouble::CancelAtEnd(_)
+            | Trouble::CloseLooks(_)
             | Trouble::StateLoses(_)
             | Trouble::LateWrites(_)
             | Trouble::WatchLag(_)
--- a/crates/emulator/src/users.rs
+++ b/crates/emulator/src/users.rs
@@ -11,9 +11,10 @@
 use cherrywood_net::client::{Answer, exchange};
 use cherrywood_net::{Host, Stream};
 use cherrywood_scenario::Trouble;
-use cherrywood_wire::user::{JobState, JobStatus};
+use cherrywood_wire::user::{JobState, JobStatus, Submission};
 use cherrywood_wire::{decode, encode};
 use rand::Rng;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 
@@ -38,19 +39,23 @@
 
 /// The load balancer and all users.
 pub struct Users {
-    world: Arc<World>,
+    pub(crate) world: Arc<World>,
     proc: Arc<Proc>,
-    host: Host,
+    pub(crate) host: Host,
     balancer: Mutex<Balancer>,
     /// Of each node: how often its connections were reset.
     resets: Mutex<Vec<u64>>,
     /// Of each class, and of each stage of each pipeline.
     shop: Vec<Mutex<Shop>>,
     stages: Vec<Vec<Mutex<Shop>>>,
+    /// Accepted jobs whose users wait for their end, and what they submitted.
+    pub(crate) open: Mutex<BTreeMap<String, Submission>>,
+    /// Jobs whose users were told that they are done.
+    pub(crate) done: Mutex<Vec<String>>,
 }
 
 /// A user's connection through the load balancer.
-struct Line {
+pub(crate) struct Line {
     users: Arc<Users>,
     stream: Stream,
     node: usize,
@@ -64,12 +69,25 @@
 }
 
 /// What came of a request.
-struct Told {
+pub(crate) struct Told {
     status: u16,
     state: Option<JobState>,
     retry_after_s: Option<f64>,
 }
 
+impl Told {
+    /// Was the user told that the job is over?
+    pub(crate) fn is_final(&self) -> bool {
+        self.state.is_some_and(|s| state(s).is_final())
+    }
+
+    /// s after which the user asks again.
+    pub(crate) fn retry_s(&self) -> f64 {
+        let wait_s = self.retry_after_s.unwrap_or(RETRY_S);
+        wait_s.clamp(RETRY_S, RETRY_AFTER_MOST_S)
+    }
+}
+
 fn state(s: JobState) -> State {
     match s {
         JobState::Queued => State::Queued,
@@ -94,7 +112,11 @@
             resets: Mutex::new(vec![0; nodes]),
             shop: classes.into_iter().map(Mutex::new).collect(),
             stages: stages.collect(),
+            open: Mutex::default(),
+            done: Mutex::default(),
         });
+        let own = me.clone();
+        me.host.spawn(async move { own.meet_ends().await });
         for node in 0..nodes {
             let own = me.clone();
             me.host.spawn(async move { own.probe(node).await });
@@ -167,27 +189,36 @@
             let to = self.world.addresses.nodes[node].0;
             let connecting = self.host.connect(to);
             match self.host.timeout(ACCEPT_WAIT_S, connecting).await {
-                Ok(Ok(stream)) => {
-                    lock(&self.balancer).connected(node);
-                    return Some(Line {
-                        users: self.clone(),
-                        stream,
-                        node,
-                        resets: lock(&self.resets)[node],
-                    });
-                }
+                Ok(Ok(stream)) => return Some(self.line(stream, node)),
                 _ => lock(&self.balancer).refused(node, self.host.now()),
             }
         }
         None
     }
 
+    fn line(self: &Arc<Self>, stream: Stream, node: usize) -> Line {
+        lock(&self.balancer).connected(node);
+        Line {
+            users: self.clone(),
+            stream,
+            node,
+            resets: lock(&self.resets)[node],
+        }
+    }
+
+    /// A connection to this very node.
+    pub(crate) async fn connect_to(self: &Arc<Self>, node: usize) -> Option<Line> {
+        let connecting = self.host.connect(self.address(node));
+        let stream = self.host.timeout(ACCEPT_WAIT_S, connecting).await;
+        Some(self.line(stream.ok()?.ok()?, node))
+    }
+
     fn address(&self, node: usize) -> SocketAddr {
         self.world.addresses.nodes[node].0
     }
 
     /// One request on the user's connection, or a new one.
-    async fn ask(
+    pub(crate) async fn ask(
         self: &Arc<Self>,
         line: &mut Option<Line>,
         ask: Ask,
@@ -299,6 +330,8 @@
     /// What a user does about an accepted job.
     async fn stay(self: Arc<Self>, mut line: Option<Line>, order: Order, body: Vec<u8>) {
         let id = order.submission.id.clone();
+        lock(&self.open).insert(id.clone(), order.submission.clone());
+        self.look_closely(&id);
         let now = self.host.now();
         let between = |(least, most)| self.host.between(least, most);
         let left = (self.world.scenario.play_s - self.world.now_s()).max(0.0);
@@ -306,7 +339,12 @@
             true => now + s.min(left),
             false => now + s,
         });
-        self.watch(&mut line, &id, cancel_at).await;
+        let end = self.watch(&mut line, &id, cancel_at).await;
+        self.look_closely(&id);
+        lock(&self.open).remove(&id);
+        if end == JobState::Done {
+            lock(&self.done).push(id.clone());
+        }
         self.world.close();
         if self.host.between(0.0, 1.0) < LATER_SHARE {
             self.host.sleep(between(LATER_S)).await;
@@ -399,7 +437,7 @@
     }
 
     /// Submits until it is accepted (true), refused, or given up.
-    async fn submit(self: &Arc<Self>, line: &mut Option<Line>, id: &str, body: &[u8]) -> bool {
+    pub(crate) async fn submit(self: &Arc<Self>, line: &mut Option<Line>, id: &str, body: &[u8]) -> bool {
         let first = self.host.now();
         // Drawn only where a scenario has such users, so that others replay as before.
         let impatient = self.world.scenario.workload.impatient;
@@ -425,7 +463,12 @@
     }
 
     /// Polls until the job is over, and cancels it when its time has come.
-    async fn watch(self: &Arc<Self>, line: &mut Option<Line>, id: &str, cancel_at: Option<f64>) {
+    async fn watch(
+        self: &Arc<Self>,
+        line: &mut Option<Line>,
+        id: &str,
+        cancel_at: Option<f64>,
+    ) -> JobState {
         let every = self.world.scenario.workload.poll_s;
         let mut unwanted = false;
         loop {
@@ -454,14 +497,11 @@
             let told = self
                 .ask(line, ask, id, (ask == Ask::Cancel).then_some(&[]))
                 .await;
-            if told.state.is_some_and(|s| state(s).is_final()) {
-                return;
+            if let Some(end) = told.state.filter(|s| state(*s).is_final()) {
+                return end;
             }
             if told.status != 200 {
-                let wait = told.retry_after_s.unwrap_or(RETRY_S);
-                self.host
-                    .sleep(wait.clamp(RETRY_S, RETRY_AFTER_MOST_S))
-                    .await;
+                self.host.sleep(told.retry_s()).await;
             }
         }
     }
--- a/crates/emulator/src/worker.rs
+++ b/crates/emulator/src/worker.rs
@@ -12,6 +12,7 @@
 use cherrywood_net::{Host, NetError, Stream};
 use cherrywood_scenario::Trouble;
 use cherrywood_scenario::deployment::MachineType;
+use cherrywood_scenario::trouble::LateReports;
 use cherrywood_wire::agent::{Orders, Redirect, ReportAnswer};
 use cherrywood_wire::{decode, encode};
 use std::io;
@@ -32,6 +33,11 @@
 const REPORT_VARIES: f64 = 0.25;
 /// s after which a command that doesn't reach a worker has its connection closed.
 const DEAF_S: f64 = 10.0;
+/// s by which a direct command that is held up comes late.
+const LATE_COMMAND_S: (f64, f64) = (2.0, 16.0);
+/// Copies of reports come at least so many s late, and at most so many leases.
+const LATE_REPORT_S: f64 = 2.0;
+const LATE_REPORT_LEASES: f64 = 2.5;
 /// Connections from controllers.
 const CONNECTIONS: usize = 200;
 const PORT: u16 = 9000;
@@ -47,6 +53,8 @@
     tick: Notify,
     /// No answer and no command reaches it.
     deaf: AtomicBool,
+    /// It reaches no controller.
+    mute: AtomicBool,
 }
 
 /// What to do after a report.
@@ -96,6 +104,7 @@
             changed: Notify::new(),
             tick: Notify::new(),
             deaf: AtomicBool::new(false),
+            mute: AtomicBool::new(false),
         });
         let own = me.clone();
         let on_request = Arc::new(move |request, _: SocketAddr| {
@@ -108,6 +117,9 @@
                         ..Response::empty(503)
                     };
                 }
+                if own.delays(&request) {
+                    return own.serve_late(request).await;
+                }
                 own.serve(request)
             }
         });
@@ -157,6 +169,15 @@
         self.deaf.store(deaf, Ordering::Relaxed);
     }
 
+    pub fn set_mute(&self, mute: bool) {
+        self.mute.store(mute, Ordering::Relaxed);
+    }
+
+    /// Tasks that run, and s that each has to go at least; none for standing ones.
+    pub fn running(&self) -> Vec<(String, Option<f64>)> {
+        lock(&self.machine).running()
+    }
+
     /// The cloud takes it in so many seconds.
     pub fn notice(&self, s: f64) {
         self.with(|m, now| m.notice(now + s));
@@ -237,6 +258,33 @@
         }
     }
 
+    /// Is this direct command held up on its way?
+    fn delays(&self, request: &Request) -> bool {
+        if request.path != "/orders" {
+            return false;
+        }
+        let late = |t: &Trouble| match t {
+            Trouble::LateCommands(t) => Some(t.share),
+            _ => None,
+        };
+        let shares = self.world.now_in(late).into_iter();
+        shares.fold(false, |hit, share| hit | (self.host.between(0.0, 1.0) < share))
+    }
+
+    /// Carries the command out seconds later; its sender gets no answer.
+    async fn serve_late(self: Arc<Self>, request: Request) -> Response {
+        let (own, late_s) = (self.clone(), self.host.between(LATE_COMMAND_S.0, LATE_COMMAND_S.1));
+        self.host.spawn(async move {
+            own.host.sleep(late_s).await;
+            drop(own.serve(request));
+        });
+        self.host.sleep(LATE_COMMAND_S.1).await;
+        Response {
+            close: true,
+            ..Response::empty(503)
+        }
+    }
+
     // --- reports ---
 
     async fn report(&self) {
@@ -272,6 +320,14 @@
                 (encode(&m.report(now)), m.session)
             });
             last = sent;
+            if self.mute.load(Ordering::Relaxed) {
+                kept = None;
+                self.host.sleep(ANSWER_WAIT_S).await;
+                node = (node + 1) % nodes;
+                not_before = self.host.now() + NEXT_NODE_S;
+                next = not_before;
+                continue;
+            }
             next = sent + every * self.host.between(1.0 - REPORT_VARIES, 1.0 + REPORT_VARIES);
             let to = self.world.addresses.nodes[node].0;
             let work = self.send(&mut kept, to, &body);
@@ -296,22 +352,22 @@
         }
     }
 
-    /// A copy of a report that comes late, if such a trouble has it so.
+    /// Copies of a report that come late, if such a trouble has it so.
     fn copy(&self, body: &[u8]) {
         let copies = |t: &Trouble| match t {
-            Trouble::ReportCopies(t) => Some((t.share, t.late_s)),
+            Trouble::LateReports(t) => Some(t.clone()),
             _ => None,
         };
-        for (share, late_s) in self.world.now_in(copies) {
-            if self.host.between(0.0, 1.0) >= share {
+        for trouble in self.world.now_in(copies) {
+            if self.host.between(0.0, 1.0) >= trouble.share {
                 continue;
             }
-            let nodes = &self.world.addresses.nodes;
-            let to = nodes[(self.host.random() % nodes.len() as u64) as usize].0;
-            let (host, body) = (self.host.clone(), body.to_vec());
-            let late = host.between(0.0, late_s);
+            let (world, host, body) = (self.world.clone(), self.host.clone(), body.to_vec());
             self.host.spawn(async move {
-                host.sleep(late).await;
+                let Some(node) = held_back(&world, &host, &trouble).await else {
+                    return;
+                };
+                let to = world.addresses.nodes[node].0;
                 if let Ok(mut stream) = host.connect(to).await {
                     let path = "/agent/beat";
                     let work = exchange(&mut stream, to, "POST", path, Some(&body));
@@ -369,6 +425,22 @@
     }
 }
 
+/// Waits for as long as a copy of a report is held back; the controller that it reaches.
+async fn held_back(world: &World, host: &Host, trouble: &LateReports) -> Option<usize> {
+    if trouble.for_next {
+        return world.next_leader().await;
+    }
+    let nodes = world.addresses.nodes.len() as u64;
+    let node = (host.random() % nodes) as usize;
+    let most_s = LATE_REPORT_LEASES * world.scenario.deployment.workers.lease_s;
+    let late_s = match trouble.late_s {
+        Some(late_s) => host.between(0.0, late_s),
+        None => host.between(LATE_REPORT_S, most_s),
+    };
+    host.sleep(late_s).await;
+    Some(node)
+}
+
 /// Records that a machine is up.
 pub(crate) fn up(world: &World, machine: &str) {
     let machine = machine.to_string();
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -12,6 +12,7 @@
 use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex};
+use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 
 /// Where everybody is.
@@ -77,6 +78,10 @@
     /// Progress of tasks that is kept outside machines, and whether they are
     /// finished.
     progress: BTreeMap<String, (f64, bool)>,
+    /// Of each job: tasks that are finished for good.
+    finished: BTreeMap<String, u32>,
+    /// Jobs whose last task has just finished, until they are taken.
+    finished_jobs: Vec<String>,
     active: Vec<(u64, Trouble)>,
     next_trouble: u64,
     /// Jobs whose users are not done with them.
@@ -85,6 +90,13 @@
     stopped: Option<String>,
 }
 
+/// Who leads, and the version of the leader key that says so.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Leadership {
+    pub label: String,
+    pub version: u64,
+}
+
 #[derive(Debug)]
 pub struct World {
     pub scenario: Scenario,
@@ -94,6 +106,8 @@
     pub addresses: Addresses,
     pub start: Instant,
     core: Mutex<Core>,
+    leadership: watch::Sender<Option<Leadership>>,
+    job_finished: Notify,
 }
 
 impl World {
@@ -138,11 +152,15 @@
                 checker,
                 uploads: BTreeMap::new(),
                 progress: BTreeMap::new(),
+                finished: BTreeMap::new(),
+                finished_jobs: Vec::new(),
                 active: Vec::new(),
                 next_trouble: 0,
                 open: 0,
                 stopped: None,
             }),
+            leadership: watch::Sender::new(None),
+            job_finished: Notify::new(),
             scenario,
         })
     }
@@ -263,11 +281,13 @@
 
     /// Users upload what their job needs before they submit it.
     pub fn upload(&self, upload: Upload, job: Job) {
-        {
-            let mut core = lock(&self.core);
-            core.uploads.insert(job.id.clone(), upload);
-            core.open += 1;
-        }
+        lock(&self.core).uploads.insert(job.id.clone(), upload);
+        self.submitted(job);
+    }
+
+    /// A user is about to submit a job.
+    pub fn submitted(&self, job: Job) {
+        lock(&self.core).open += 1;
         self.record(What::Submitted { job });
     }
 
@@ -328,9 +348,7 @@
                     progress_s,
                     finished,
                 } => {
-                    let mut core = lock(&self.core);
-                    let kept = core.progress.entry(task).or_default();
-                    *kept = (kept.0.max(progress_s), kept.1 || finished);
+                    self.keep(&task, progress_s, finished);
                     continue;
                 }
             };
@@ -338,6 +356,56 @@
         }
     }
 
+    /// Keeps a task's progress outside its machine.
+    fn keep(&self, task: &str, progress_s: f64, finished: bool) {
+        let mut core = lock(&self.core);
+        let kept = core.progress.entry(task.to_string()).or_default();
+        let newly = finished && !kept.1;
+        *kept = (kept.0.max(progress_s), kept.1 || finished);
+        let Some((job, _)) = task.split_once('/').filter(|_| newly) else {
+            return;
+        };
+        let done = core.finished.entry(job.to_string()).or_default();
+        *done += 1;
+        let done = *done;
+        let all = core.uploads.get(job).map(|u| u.sheet.tasks);
+        if all == Some(done) {
+            core.finished_jobs.push(job.to_string());
+            self.job_finished.notify_one();
+        }
+    }
+
+    /// Waits until the last task of some job has finished; those jobs.
+    pub async fn next_finished(&self) -> Vec<String> {
+        loop {
+            let jobs = std::mem::take(&mut lock(&self.core).finished_jobs);
+            if !jobs.is_empty() {
+                return jobs;
+            }
+            self.job_finished.notified().await;
+        }
+    }
+
+    // --- leadership ---
+
+    /// The state service says who leads now.
+    pub fn set_leadership(&self, now: Option<Leadership>) {
+        self.leadership.send_if_modified(|was| {
+            let changed = *was != now;
+            *was = now;
+            changed
+        });
+    }
+
+    /// The controller that leads after the present one, once it does.
+    pub async fn next_leader(&self) -> Option<usize> {
+        let mut leadership = self.leadership.subscribe();
+        let before = leadership.borrow_and_update().clone();
+        let next = leadership.wait_for(|now| now.is_some() && *now != before);
+        let label = next.await.ok()?.as_ref()?.label.clone();
+        (0..self.addresses.nodes.len()).find(|n| self.node_name(*n) == label)
+    }
+
     /// Ends the scenario early.
     pub fn stop(&self, why: &str) {
         lock(&self.core).stopped.get_or_insert(why.to_string());
--- a/crates/scenario/src/check.rs
+++ b/crates/scenario/src/check.rs
@@ -166,6 +166,7 @@
             Trouble::BootsLate(t) => t.zone.as_ref(),
             Trouble::MachineDie(t) => t.zone.as_ref(),
             Trouble::MachineDeaf(t) => t.zone.as_ref(),
+            Trouble::MachineMute(t) => t.zone.as_ref(),
             _ => None,
         };
         if zone.is_some_and(|z| !zones.contains(&z.as_str())) {
--- a/crates/scenario/src/draw.rs
+++ b/crates/scenario/src/draw.rs
@@ -9,11 +9,11 @@
 use serde::{Deserialize, Serialize};
 
 macro_rules! kinds {
-    ($($name:ident),* $(,)?) => {
+    ($($(#[$alias:meta])? $name:ident),* $(,)?) => {
         /// What can be drawn.
         #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
         #[serde(rename_all = "snake_case")]
-        pub enum Kind { $($name),* }
+        pub enum Kind { $($(#[$alias])? $name),* }
         impl Kind {
             pub const ALL: &'static [Kind] = &[$(Kind::$name),*];
         }
@@ -46,11 +46,18 @@
     MachineFaulty,
     MachineCut,
     MachineDeaf,
-    ReportCopies,
+    MachineMute,
+    #[serde(alias = "report_copies")]
+    LateReports,
+    LateCommands,
     SpotWave,
     ZoneCut,
     JobBurst,
     PollStorm,
+    CancelNow,
+    CancelAtEnd,
+    OddRequests,
+    CloseLooks,
 );
 
 /// So many troubles at times drawn from the seed.
@@ -227,6 +234,7 @@
                 at_s,
                 for_s,
                 share: share / 2.0,
+                at_once: times > 4.0,
             }),
             Kind::WatchLag => Trouble::WatchLag(WatchLag { at_s, for_s }),
             Kind::CloudOutage => Trouble::CloudOutage(CloudOutage { at_s, for_s }),
@@ -279,12 +287,21 @@
                 count,
                 zone: None,
             }),
-            Kind::ReportCopies => Trouble::ReportCopies(ReportCopies {
+            Kind::MachineMute => Trouble::MachineMute(MachineMute {
+                at_s,
+                for_s,
+                count: (share <= 0.5).then_some(count),
+                share: None,
+                zone: (share > 0.5).then_some(zone),
+            }),
+            Kind::LateReports => Trouble::LateReports(LateReports {
                 at_s,
                 for_s,
                 share,
-                late_s: for_s,
+                late_s: None,
+                for_next: times > 4.0,
             }),
+            Kind::LateCommands => Trouble::LateCommands(LateCommands { at_s, for_s, share }),
             Kind::SpotWave => Trouble::SpotWave(SpotWave {
                 at_s,
                 share: share / 2.0,
@@ -304,6 +321,14 @@
                 times,
             }),
             Kind::PollStorm => Trouble::PollStorm(PollStorm { at_s, for_s, times }),
+            Kind::CancelNow => Trouble::CancelNow(CancelNow {
+                at_s,
+                count: times.round() as u32 * 2,
+                hang_s: (share > 0.5).then_some(for_s),
+            }),
+            Kind::CancelAtEnd => Trouble::CancelAtEnd(CancelAtEnd { at_s, for_s, share }),
+            Kind::OddRequests => Trouble::OddRequests(OddRequests { at_s, for_s }),
+            Kind::CloseLooks => Trouble::CloseLooks(CloseLooks { at_s, for_s }),
         }
     }
 }
--- a/crates/scenario/src/trouble.rs
+++ b/crates/scenario/src/trouble.rs
@@ -59,6 +59,7 @@
 macro_rules! troubles {
     ($(
         $(#[doc = $about:literal])*
+        $(#[serde(alias = $old_name:literal)])?
         $name:ident {
             $( $(#[$field_meta:meta])* $field:ident : $ty:ty ),* $(,)?
         }
@@ -67,7 +68,11 @@
         #[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema, Validate)]
         #[serde(rename_all = "snake_case", deny_unknown_fields)]
         pub enum Trouble {
-            $( $(#[doc = $about])* $name(#[garde(dive)] $name), )*
+            $(
+                $(#[doc = $about])*
+                $(#[serde(alias = $old_name)])?
+                $name(#[garde(dive)] $name),
+            )*
         }
 
         $(
@@ -204,6 +209,10 @@
         for_s: f64,
         #[garde(range(min = 0.0, max = 1.0))]
         share: f64,
+        /// They are executed at once, and only their answers are lost.
+        #[serde(default)]
+        #[garde(skip)]
+        at_once: bool,
     }
     /// Watches are answered when this is over, while all else is served.
     WatchLag {
@@ -306,15 +315,45 @@
         #[garde(skip)]
         zone: Option<String>,
     }
-    /// Copies of a share of the reports arrive again, at any controller, up to so many s
-    /// later.
-    ReportCopies {
+    /// Workers open no connection to any controller, while direct commands reach them.
+    MachineMute {
+        #[garde(range(min = 0.1, max = 3600.0))]
+        for_s: f64,
+        /// How many; else `share` of them; else all, of the zone if one is given.
+        #[serde(default)]
+        #[garde(inner(range(min = 1, max = 100_000)))]
+        count: Option<u32>,
+        #[serde(default)]
+        #[garde(inner(range(min = 0.0, max = 1.0)))]
+        share: Option<f64>,
+        #[serde(default)]
+        #[garde(skip)]
+        zone: Option<String>,
+    }
+    /// Copies of a share of the reports arrive again, at any controller, from 2 s to well
+    /// over a lease later.
+    #[serde(alias = "report_copies")]
+    LateReports {
+        #[garde(range(min = 0.1, max = 3600.0))]
+        for_s: f64,
+        #[garde(range(min = 0.0, max = 1.0))]
+        share: f64,
+        /// s by which they are late at most, and at least none.
+        #[serde(default)]
+        #[garde(inner(range(min = 0.1, max = 600.0)))]
+        late_s: Option<f64>,
+        /// They are kept until another controller leads, and then arrive there.
+        #[serde(default)]
+        #[garde(skip)]
+        for_next: bool,
+    }
+    /// A share of the direct commands is held up on its way, unanswered, and carried out
+    /// 2 to 16 s late, if token and session still match.
+    LateCommands {
         #[garde(range(min = 0.1, max = 3600.0))]
         for_s: f64,
         #[garde(range(min = 0.0, max = 1.0))]
         share: f64,
-        #[garde(range(min = 0.1, max = 600.0))]
-        late_s: f64,
     }
     /// A share of the spot machines is taken back.
     SpotWave {
@@ -353,6 +392,34 @@
         #[garde(range(min = 1.0, max = 100.0))]
         times: f64,
     }
+    /// Users cancel this many jobs that run and have long to go, within 0.2 s.
+    CancelNow {
+        #[garde(range(min = 1, max = 10_000))]
+        count: u32,
+        /// s for which up to eight machines with tasks of these jobs stand still.
+        #[serde(default)]
+        #[garde(inner(range(min = 0.1, max = 3600.0)))]
+        hang_s: Option<f64>,
+    }
+    /// Users cancel a share of the jobs at the moment at which their last task ends.
+    CancelAtEnd {
+        #[garde(range(min = 0.1, max = 3600.0))]
+        for_s: f64,
+        #[garde(range(min = 0.0, max = 1.0))]
+        share: f64,
+    }
+    /// Users repeat submissions of unfinished jobs, cancel jobs that are done, and submit
+    /// jobs that fit no machine or lack a field.
+    OddRequests {
+        #[garde(range(min = 0.1, max = 3600.0))]
+        for_s: f64,
+    }
+    /// Users ask at all controllers within milliseconds after a job was accepted, ended or
+    /// was cancelled.
+    CloseLooks {
+        #[garde(range(min = 0.1, max = 3600.0))]
+        for_s: f64,
+    }
 }
 
 fn late_s() -> f64 {
@@ -378,6 +445,7 @@
         use Trouble as T;
         match self {
             T::NodeCrash(_) | T::NodeRoll(_) | T::MachineDie(_) | T::StateLimits(_) => None,
+            T::CancelNow(t) => t.hang_s,
             T::NodeEnds(t) => Some(t.every_s * f64::from(t.times)),
             T::SpotWave(t) => Some(t.over_s),
             T::NodeFreeze(t) => Some(t.for_s),
@@ -401,7 +469,12 @@
             T::MachineFaulty(t) => Some(t.for_s),
             T::MachineCut(t) => Some(t.for_s),
             T::MachineDeaf(t) => Some(t.for_s),
-            T::ReportCopies(t) => Some(t.for_s),
+            T::MachineMute(t) => Some(t.for_s),
+            T::LateReports(t) => Some(t.for_s),
+            T::LateCommands(t) => Some(t.for_s),
+            T::CancelAtEnd(t) => Some(t.for_s),
+            T::OddRequests(t) => Some(t.for_s),
+            T::CloseLooks(t) => Some(t.for_s),
             T::ZoneCut(t) => Some(t.for_s),
             T::JobBurst(t) => Some(t.for_s),
             T::PollStorm(t) => Some(t.for_s),
@@ -438,7 +511,13 @@
             T::MachineFaulty(_) => "machine_faulty",
             T::MachineCut(_) => "machine_cut",
             T::MachineDeaf(_) => "machine_deaf",
-            T::ReportCopies(_) => "report_copies",
+            T::MachineMute(_) => "machine_mute",
+            T::LateReports(_) => "late_reports",
+            T::LateCommands(_) => "late_commands",
+            T::CancelNow(_) => "cancel_now",
+            T::CancelAtEnd(_) => "cancel_at_end",
+            T::OddRequests(_) => "odd_requests",
+            T::CloseLooks(_) => "close_looks",
             T::SpotWave(_) => "spot_wave",
             T::ZoneCut(_) => "zone_cut",
             T::JobBurst(_) => "job_burst",
--- /dev/null
+++ b/crates/scenario/tests/scenario.rs
@@ -0,0 +1,146 @@
+//! Scenario files: what is refused and why, and what a seed draws.
+
+use cherrywood_scenario::{Scenario, draw};
+use garde::Validate;
+
+
+fn refused(text: &str) -> String {
+    let err = Scenario::parse("n.yaml", text).unwrap_err().to_string();
+    assert!(!err.contains('\n'), "one line: {err}");
+    err
+}
+
+#[test]
+fn an_error_names_file_line_field_what_was_found_and_what_is_allowed() {
+    let scenario = "name: n\nplay_s: 60\n";
+    assert!(Scenario::parse("n.yaml", scenario).is_ok());
+    let of = |rest: &str| refused(&format!("{scenario}{rest}"));
+    for (rest, parts) in [
+        (
+            "deployment:\n  controllers: 0\n",
+            [
+                "line 4",
+                "deployment.controllers",
+                "lower than 1",
+                "found 0",
+            ],
+        ),
+        (
+            "deployment:\n  controllers: many\n",
+            ["line 4", "controllers", "invalid", "found many"],
+        ),
+        (
+            "deployment:\n  controlers: 3\n",
+            ["line 4", "controlers", "unknown field", "expected one of"],
+        ),
+        (
+            "troubles:\n  - node_crsh: {at_s: 3}\n",
+            ["line 4", "node_crsh", "unknown variant", "node_crash"],
+        ),
+        (
+            "troubles:\n  - node_crash:\n      at_s: 3\n      who: lead\n",
+            ["line 6", "who", "lead", "leader"],
+        ),
+        (
+            "troubles:\n  - state_outage:\n      at_s: 3\n      for_s: -2\n",
+            ["line 6", "troubles[0].for_s", "lower than", "found -2"],
+        ),
+    ] {
+        let err = of(rest);
+        assert!(err.starts_with("n.yaml, "), "{err}");
+        for part in parts {
+            assert!(err.contains(part), "{part:?} not in: {err}");
+        }
+    }
+    assert!(refused("name: N!\nplay_s: 60\n").contains("line 1, name"));
+    assert!(refused("name: [\n").contains("line"));
+}
+
+#[test]
+fn an_impossible_scenario_is_refused_with_the_field_to_blame() {
+    let scenario = "name: n\nplay_s: 60\n";
+    for (rest, parts) in [
+        (
+            "troubles:\n  - state_outage: {at_s: 60, for_s: 3}\n",
+            ["line 4", "after the end of play", "60"],
+        ),
+        (
+            "troubles:\n  - zone_cut: {at_s: 5, for_s: 3, zone: mars}\n",
+            ["line 4", "zone", "mars"],
+        ),
+        (
+            "troubles:\n  - job_burst: {at_s: 5, for_s: 3, class: nope, times: 2}\n",
+            ["line 4", "class", "nope"],
+        ),
+        (
+            "workload:\n  classes:\n    - name: big\n      team: day\n      cpus: 900\n      run_s: {median: 5}\n      tasks: {median: 2}\n",
+            ["line 7", "cpus", "fits no machine type"],
+        ),
+        (
+            "workload:\n  classes:\n    - name: lost\n      team: nobody\n      cpus: 1\n      run_s: {median: 5}\n      tasks: {median: 2}\n",
+            ["line 6", "team", "nobody"],
+        ),
+        ("deployment:\n  zones: []\n", ["line 4", "zones", ""]),
+    ] {
+        let err = refused(&format!("{scenario}{rest}"));
+        for part in parts {
+            assert!(err.contains(part), "{part:?} not in: {err}");
+        }
+    }
+}
+
+#[test]
+fn drawn_troubles_come_from_the_seed_alone() {
+    let text = "name: n\nplay_s: 300\ndrawn:\n  - {count: 5, from_s: 60, to_s: 200}\n";
+    let scenario = Scenario::parse("n.yaml", text).unwrap();
+    let a = scenario.all_troubles(7);
+    assert_eq!(a.len(), 5);
+    assert_eq!(a, scenario.all_troubles(7));
+    assert_ne!(a, scenario.all_troubles(8));
+    assert!(a.iter().all(|t| (60.0..200.0).contains(&t.at_s())));
+    assert!(a.windows(2).all(|w| w[0].at_s() <= w[1].at_s()));
+    // Each that can be drawn is drawn by some seed, and is possible.
+    let mut kinds = std::collections::BTreeSet::new();
+    for seed in 0..200 {
+        for t in scenario.all_troubles(seed) {
+            kinds.insert(t.name());
+            let with = Scenario {
+                troubles: vec![t.clone()],
+                ..scenario.clone()
+            };
+            with.validate().unwrap_or_else(|e| panic!("{t:?}: {e}"));
+        }
+    }
+    assert_eq!(kinds.len(), draw::Kind::ALL.len(), "{kinds:?}");
+}
+
+#[test]
+fn a_drawn_fleet_comes_from_the_seed_and_is_possible() {
+    let text = "name: n\nplay_s: 300\ndrawn_fleet: {controllers: [3, 7], \
+                restart_s: [0.1, 2], times: [0.5, 2.5], one_type: 0.4}\n";
+    let scenario = Scenario::parse("n.yaml", text).unwrap();
+    let (mut controllers, mut types) = (std::collections::BTreeSet::new(), 0);
+    for seed in 0..60 {
+        let drawn = scenario.clone().with_fleet(seed);
+        assert_eq!(drawn, scenario.clone().with_fleet(seed));
+        drawn.validate().unwrap_or_else(|e| panic!("{seed}: {e}"));
+        let d = &drawn.deployment;
+        assert!((0.1..=2.0).contains(&d.node.restart_s) && d.controllers <= 7);
+        controllers.insert(d.controllers);
+        types += u32::from(d.capacity.iter().any(|c| c.count == 0));
+    }
+    assert_eq!(controllers.len(), 5, "{controllers:?}");
+    assert!((10..40).contains(&types), "{types} of one type");
+}
+
+#[test]
+fn a_size_changes_machines_teams_and_traffic_alike() {
+    let scenario = Scenario::parse("n.yaml", "name: n\nplay_s: 60\n").unwrap();
+    let ten = scenario.clone().scaled(10.0);
+    let machines = |n: &Scenario| -> u32 {
+        let all = n.deployment.capacity.iter();
+        all.map(|c| c.count + c.spot).sum()
+    };
+    assert_eq!(machines(&ten), 10 * machines(&scenario));
+    assert!(ten.validate().is_ok());
+}
--- a/crates/simulation/src/play.rs
+++ b/crates/simulation/src/play.rs
@@ -146,7 +146,7 @@
             (Controllers::Processes(all.clone()), all)
         }
     };
-    let troubles = Troubles::new(&world, &state, &cloud, nodes);
+    let troubles = Troubles::new(&world, &state, &cloud, &users, nodes);
     troubles.start();
     let scene = Scene {
         world: &world,
