--- a/crates/emulator/src/odd.rs
+++ b/crates/emulator/src/odd.rs
@@ -92,7 +92,8 @@
         for node in 0..nodes {
             let repeat = submission.clone().filter(|_| node == repeats_at);
             let (own, job) = (self.clone(), job.to_string());
-            self.host.spawn(async move { own.look(node, &job, repeat).await });
+            self.host
+                .spawn(async move { own.look(node, &job, repeat).await });
         }
     }
 
@@ -109,7 +110,8 @@
             && let Some(line) = self.connect_to(node).await
         {
             let body = encode(&submission);
-            self.ask(&mut Some(line), Ask::Submit, job, Some(&body)).await;
+            self.ask(&mut Some(line), Ask::Submit, job, Some(&body))
+                .await;
         }
     }
 
--- a/crates/emulator/src/troubles.rs
+++ b/crates/emulator/src/troubles.rs
@@ -182,7 +182,9 @@
     /// The machines that a trouble makes mute.
     fn mute(&self, trouble: &MachineMute) -> Vec<Arc<Worker>> {
         let zone = trouble.zone.as_deref();
-        let mut hit = self.cloud.draw(trouble.count.unwrap_or(u32::MAX), zone, |_| true);
+        let mut hit = self
+            .cloud
+            .draw(trouble.count.unwrap_or(u32::MAX), zone, |_| true);
         if let Some(share) = trouble.share.filter(|_| trouble.count.is_none()) {
             hit.truncate((hit.len() as f64 * share).round() as usize);
         }
--- a/crates/emulator/src/users.rs
+++ b/crates/emulator/src/users.rs
@@ -437,7 +437,12 @@
     }
 
     /// Submits until it is accepted (true), refused, or given up.
-    pub(crate) async fn submit(self: &Arc<Self>, line: &mut Option<Line>, id: &str, body: &[u8]) -> bool {
+    pub(crate) async fn submit(
+        self: &Arc<Self>,
+        line: &mut Option<Line>,
+        id: &str,
+        body: &[u8],
+    ) -> bool {
         let first = self.host.now();
         // Drawn only where a scenario has such users, so that others replay as before.
         let impatient = self.world.scenario.workload.impatient;
--- a/crates/emulator/src/worker.rs
+++ b/crates/emulator/src/worker.rs
@@ -268,12 +268,17 @@
             _ => None,
         };
         let shares = self.world.now_in(late).into_iter();
-        shares.fold(false, |hit, share| hit | (self.host.between(0.0, 1.0) < share))
+        shares.fold(false, |hit, share| {
+            hit | (self.host.between(0.0, 1.0) < share)
+        })
     }
 
     /// Carries the command out seconds later; its sender gets no answer.
     async fn serve_late(self: Arc<Self>, request: Request) -> Response {
-        let (own, late_s) = (self.clone(), self.host.between(LATE_COMMAND_S.0, LATE_COMMAND_S.1));
+        let (own, late_s) = (
+            self.clone(),
+            self.host.between(LATE_COMMAND_S.0, LATE_COMMAND_S.1),
+        );
         self.host.spawn(async move {
             own.host.sleep(late_s).await;
             drop(own.serve(request));
--- /dev/null
+++ b/crates/emulator/tests/troubles.rs
@@ -0,0 +1,529 @@
+//! Each trouble of users, reports and commands does what its description says, against
+//! controllers that are written out here.
+
+use cherrywood_checker::What;
+use cherrywood_checker::history::{Ask, Off};
+use cherrywood_emulator::fabric::Role;
+use cherrywood_emulator::{Cloud, Nodes, Proc, StateHost, Troubles, Users, World};
+use cherrywood_net::client::exchange;
+use cherrywood_net::server::{self, Request, Response};
+use cherrywood_scenario::Scenario;
+use cherrywood_wire::agent::{Command, Orders, Report, ReportAnswer, TaskState};
+use cherrywood_wire::state::{Change, LeaderValue, Txn};
+use cherrywood_wire::user::{JobState, JobStatus, Submission};
+use cherrywood_wire::{decode, encode};
+use std::collections::{BTreeMap, BTreeSet};
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// A report, when it came and at which controller.
+#[derive(Debug, Clone)]
+struct Came {
+    at_s: f64,
+    node: usize,
+    report: Report,
+}
+
+/// Controllers that share one memory: they accept what has every field and fits, start
+/// its tasks on any machine that reports, and believe every report.
+#[derive(Debug, Default)]
+struct Memory {
+    jobs: BTreeMap<String, (Submission, JobState)>,
+    done: BTreeMap<String, u32>,
+    /// Jobs whose tasks were given to a machine.
+    given: BTreeSet<String>,
+    came: Vec<Came>,
+    /// Are tasks started by answers to reports?
+    starts: bool,
+}
+
+impl Memory {
+    fn submitted(&mut self, body: &[u8]) -> Response {
+        let Ok(job) = Submission::read(body) else {
+            return Response::empty(400);
+        };
+        if job.cpus > 100.0 || job.types.is_some() || job.team == "nobody" {
+            return Response::empty(422);
+        }
+        let id = job.id.clone();
+        let status = if self.jobs.contains_key(&id) {
+            200
+        } else {
+            201
+        };
+        self.jobs
+            .entry(id.clone())
+            .or_insert((job, JobState::Running));
+        self.status(status, &id)
+    }
+
+    fn status(&self, status: u16, id: &str) -> Response {
+        let Some((_, state)) = self.jobs.get(id) else {
+            return Response::empty(404);
+        };
+        let (id, state) = (id.to_string(), *state);
+        let (done, running) = (None, None);
+        let body = JobStatus {
+            id,
+            state,
+            done,
+            running,
+        };
+        Response::new(status, encode(&body))
+    }
+
+    fn reported(&mut self, came: Came) -> ReportAnswer {
+        let mut commands = Vec::new();
+        for t in came
+            .report
+            .tasks
+            .iter()
+            .filter(|t| t.state == TaskState::Exited)
+        {
+            let (task, attempt) = (t.task.clone(), t.attempt);
+            let job = task.split_once('/').unwrap().0.to_string();
+            let done = self.done.entry(job.clone()).or_default();
+            *done += 1;
+            if let Some((submission, state)) = self.jobs.get_mut(&job)
+                && *state == JobState::Running
+                && *done >= submission.tasks
+            {
+                *state = JobState::Done;
+            }
+            commands.push(Command::Forget { task, attempt });
+        }
+        let started = came.report.tasks.len();
+        self.came.push(came);
+        for (id, (job, state)) in &self.jobs {
+            let fresh = *state == JobState::Running && !self.given.contains(id);
+            if self.starts && fresh && started == 0 && commands.len() < 4 {
+                self.given.insert(id.clone());
+                let task = |n: u32| format!("{id}/{n}");
+                let start = |n| Command::Start {
+                    task: task(n),
+                    attempt: 1,
+                };
+                commands.extend((0..job.tasks).map(start));
+            }
+        }
+        ReportAnswer { token: 1, commands }
+    }
+}
+
+struct Stage {
+    world: Arc<World>,
+    state: Arc<StateHost>,
+    cloud: Arc<Cloud>,
+    memory: Arc<Mutex<Memory>>,
+    nodes: Vec<Arc<Proc>>,
+}
+
+/// The controllers here aren't hit by troubles.
+struct Unhurt;
+
+impl Nodes for Unhurt {
+    fn start(&self, _: usize) {}
+    fn kill(&self, _: usize) {}
+    fn freeze(&self, _: usize) {}
+    fn thaw(&self, _: usize) {}
+    fn slow(&self, _: usize, _: f64) {}
+}
+
+fn answer(memory: &Mutex<Memory>, node: usize, at_s: f64, request: &Request) -> Response {
+    let mut memory = memory.lock().unwrap();
+    let job = request
+        .path
+        .strip_prefix("/submissions/")
+        .unwrap_or_default();
+    match (request.method.as_str(), request.path.as_str()) {
+        ("GET", "/healthz") => Response::empty(200),
+        ("POST", "/submissions") => memory.submitted(&request.body),
+        ("POST", "/agent/beat") => {
+            let report = decode::<Report>(&request.body).unwrap();
+            let told = memory.reported(Came { at_s, node, report });
+            Response::new(200, encode(&told))
+        }
+        ("GET", _) => memory.status(200, job),
+        _ => {
+            let job = job.trim_end_matches("/cancel");
+            if let Some((_, state)) = memory.jobs.get_mut(job)
+                && *state == JobState::Running
+            {
+                *state = JobState::Cancelled;
+            }
+            memory.status(200, job)
+        }
+    }
+}
+
+impl Stage {
+    async fn set(text: &str) -> Stage {
+        let scenario = Scenario::parse("test.yaml", text).unwrap();
+        let world = World::new(scenario, 1, None);
+        let state = StateHost::start(&world).await.unwrap();
+        let cloud = Cloud::start(&world).await.unwrap();
+        let memory = Arc::new(Mutex::new(Memory {
+            starts: true,
+            ..Memory::default()
+        }));
+        let mut nodes = Vec::new();
+        for (node, (at, _)) in world.addresses.nodes.iter().enumerate() {
+            let name = world.node_name(node);
+            let proc = world.proc(&name, at.ip(), Role::Node, Some("north"));
+            let listener = proc.host().bind(*at).await.unwrap();
+            let (memory, clock) = (memory.clone(), world.clone());
+            let on_request = Arc::new(move |request: Request, _: SocketAddr| {
+                let told = answer(&memory, node, clock.now_s(), &request);
+                async move { told }
+            });
+            let host = proc.host();
+            proc.host()
+                .spawn(server::serve(host, listener, 500, on_request));
+            nodes.push(proc);
+        }
+        let users = Users::start(&world);
+        Troubles::new(&world, &state, &cloud, &users, Arc::new(Unhurt)).start();
+        Stage {
+            world,
+            state,
+            cloud,
+            memory,
+            nodes,
+        }
+    }
+
+    fn reports(&self, from_s: f64, to_s: f64) -> usize {
+        let memory = self.memory.lock().unwrap();
+        let in_time = |c: &&Came| (from_s..to_s).contains(&c.at_s);
+        memory.came.iter().filter(in_time).count()
+    }
+
+    fn events<T>(&self, of: impl Fn(u64, &What) -> Option<T>) -> Vec<T> {
+        let all = |events: &[cherrywood_checker::history::Event]| {
+            events.iter().filter_map(|e| of(e.at_ms, &e.what)).collect()
+        };
+        self.world.look(|history, _| all(&history.events))
+    }
+
+    /// A request of the first controller, and whether an answer came within so many s.
+    async fn ask(&self, to: SocketAddr, path: &str, body: &[u8], wait_s: f64) -> Option<u16> {
+        let host = self.nodes[0].host();
+        let mut stream = host.connect(to).await.ok()?;
+        let work = exchange(&mut stream, to, "POST", path, Some(body));
+        Some(host.timeout(wait_s, work).await.ok()?.ok()?.0.status)
+    }
+
+    /// Says in the state service that this controller leads.
+    async fn lead(&self, node: usize) {
+        let value = LeaderValue {
+            leader: self.world.node_name(node),
+            epoch: 1,
+            nonce: 1,
+        };
+        self.write("L/leader", encode(&value), 5.0).await.unwrap();
+    }
+
+    async fn write(&self, key: &str, value: Vec<u8>, wait_s: f64) -> Option<u16> {
+        let value: rmpv::Value = decode(&value).unwrap();
+        let (key, lease) = (key.to_string(), None);
+        let changes = vec![Change::Put { key, value, lease }];
+        let body = encode(&Txn {
+            guards: Vec::new(),
+            changes,
+        });
+        self.ask(self.world.addresses.state[0], "/txn", &body, wait_s)
+            .await
+    }
+}
+
+/// Plays in virtual time.
+fn play<F: Future<Output = ()>>(text: &str, test: impl FnOnce(Stage) -> F) {
+    let rt = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .unwrap();
+    rt.block_on(async { test(Stage::set(text).await).await });
+}
+
+async fn until(s: f64, stage: &Stage) {
+    let left = s - stage.world.now_s();
+    sleep(Duration::from_secs_f64(left.max(0.0))).await;
+}
+
+/// Three controllers, four machines that are up, and jobs of one task.
+fn scenario(run_s: u32, troubles: &str) -> String {
+    format!(
+        "name: test
+play_s: 120
+deployment:
+  capacity: [{{type: c8, zone: north, count: 4, up: 4}}]
+  network: {{loss: 0}}
+workload:
+  impossible: 0
+  repeats: 0
+  strangers_per_minute: 0
+  classes:
+    - {{name: singles, team: day, per_minute: 30, tasks: {{median: 1, most: 1}}, cpus: 1, ram_gb: 1, run_s: {{median: {run_s}}}}}
+troubles:
+{troubles}"
+    )
+}
+
+#[test]
+fn jobs_with_long_to_go_are_cancelled_at_once_and_their_machines_hang() {
+    let text = scenario(200, "  - cancel_now: {at_s: 40, count: 3, hang_s: 20}\n");
+    play(&text, |stage| async move {
+        until(59.0, &stage).await;
+        let wanted = stage.events(|at_ms, what| match what {
+            What::Unwanted { job } => Some((at_ms, job.clone())),
+            _ => None,
+        });
+        assert_eq!(wanted.len(), 3, "{wanted:?}");
+        assert!(wanted.iter().all(|(at, _)| (40_000..=40_201).contains(at)));
+        let memory = stage.memory.lock().unwrap();
+        for (_, job) in &wanted {
+            assert_eq!(memory.jobs[job].1, JobState::Cancelled);
+            let on = |c: &&Came| c.report.tasks.iter().any(|t| t.task == format!("{job}/0"));
+            let late = memory.came.iter().filter(on).map(|c| c.at_s);
+            assert!(late.fold(0.0, f64::max) < 41.0, "its machine stands still");
+        }
+    });
+}
+
+#[test]
+fn jobs_are_cancelled_at_the_moment_at_which_their_last_task_ends() {
+    let text = scenario(10, "  - cancel_at_end: {at_s: 50, for_s: 50, share: 1}\n");
+    play(&text, |stage| async move {
+        until(110.0, &stage).await;
+        let ends = stage.events(|at_ms, what| match what {
+            What::Off {
+                task,
+                why: Off::Done,
+                ..
+            } => Some((task.clone(), at_ms)),
+            _ => None,
+        });
+        let ends: BTreeMap<String, u64> = ends.into_iter().collect();
+        let wanted = stage.events(|at_ms, what| match what {
+            What::Unwanted { job } => Some((at_ms, job.clone())),
+            _ => None,
+        });
+        assert!(wanted.len() >= 5, "{wanted:?}");
+        for (at_ms, job) in wanted {
+            let end = ends[&format!("{job}/0")];
+            assert!(
+                (end..=end + 301).contains(&at_ms),
+                "{job} at {at_ms}, {end}"
+            );
+        }
+        let early = ends.values().filter(|at| **at < 50_000).count();
+        assert!(early > 0, "some ended before, uncancelled");
+    });
+}
+
+#[test]
+fn a_mute_machine_reaches_no_controller_and_is_reached_by_commands() {
+    let text = scenario(
+        200,
+        "  - machine_mute: {at_s: 40, for_s: 20, zone: north}\n",
+    );
+    play(&text, |stage| async move {
+        until(50.0, &stage).await;
+        assert!(stage.reports(30.0, 40.0) > 8);
+        let (_, worker) = stage.cloud.draw(1, None, |_| true).remove(0);
+        let to = SocketAddr::new(worker.proc.ip, 9000);
+        let (session, commands) = (1, Vec::new());
+        let orders = encode(&Orders {
+            token: 9,
+            session,
+            commands,
+        });
+        // Its lease ended at 50 s: the command comes from the session before.
+        let told = stage.ask(to, "/orders", &orders, 2.0).await;
+        assert!(matches!(told, Some(200 | 409)), "{told:?}");
+        until(90.0, &stage).await;
+        assert_eq!(stage.reports(40.1, 60.0), 0);
+        assert!(stage.reports(66.0, 90.0) > 8);
+    });
+}
+
+#[test]
+fn only_the_answer_of_a_late_write_at_once_is_lost() {
+    let text = scenario(
+        9,
+        "  - late_writes: {at_s: 10, for_s: 20, share: 1, at_once: true}\n",
+    );
+    play(&text, |stage| async move {
+        until(12.0, &stage).await;
+        let value = encode(&LeaderValue {
+            leader: "node-2".into(),
+            epoch: 3,
+            nonce: 1,
+        });
+        let told = stage.write("L/leader", value, 2.0).await;
+        assert_eq!(told, None, "no answer");
+        assert_eq!(stage.state.leader().as_deref(), Some("node-2"));
+        until(31.0, &stage).await;
+        stage.lead(1).await;
+        assert_eq!(stage.state.leader().as_deref(), Some("node-1"));
+    });
+}
+
+#[test]
+fn copies_of_reports_come_late_or_when_another_controller_leads() {
+    let trouble = "  - late_reports: {at_s: 20, for_s: 10, share: 1, for_next: true}\n";
+    play(&scenario(200, trouble), |stage| async move {
+        stage.lead(0).await;
+        until(60.0, &stage).await;
+        let copies = |stage: &Stage| {
+            let memory = stage.memory.lock().unwrap();
+            let mut seen = BTreeSet::new();
+            let again = |c: &&Came| !seen.insert((c.report.machine.clone(), c.report.seq));
+            memory
+                .came
+                .iter()
+                .filter(again)
+                .cloned()
+                .collect::<Vec<Came>>()
+        };
+        assert!(copies(&stage).is_empty(), "they wait for the next leader");
+        stage.lead(2).await;
+        sleep(Duration::from_secs(1)).await;
+        let came = copies(&stage);
+        assert!(came.len() >= 8, "{}", came.len());
+        assert!(came.iter().all(|c| c.node == 2 && c.at_s >= 60.0));
+    });
+    let trouble = "  - late_reports: {at_s: 20, for_s: 20, share: 1}\n";
+    play(&scenario(200, trouble), |stage| async move {
+        until(110.0, &stage).await;
+        let memory = stage.memory.lock().unwrap();
+        let mut first: BTreeMap<(String, u64), f64> = BTreeMap::new();
+        let mut late = Vec::new();
+        for c in &memory.came {
+            let key = (c.report.machine.clone(), c.report.seq);
+            match first.get(&key) {
+                Some(at_s) => late.push(c.at_s - at_s),
+                None => drop(first.insert(key, c.at_s)),
+            }
+        }
+        assert!(
+            late.len() >= 20 && late.iter().all(|s| *s > 1.9),
+            "{late:?}"
+        );
+        assert!(late.iter().any(|s| *s > 12.0), "over a lease: {late:?}");
+    });
+}
+
+#[test]
+fn a_late_command_gets_no_answer_and_is_carried_out_seconds_later() {
+    let text = scenario(200, "  - late_commands: {at_s: 20, for_s: 20, share: 1}\n");
+    play(&text, |stage| async move {
+        stage.memory.lock().unwrap().starts = false;
+        until(22.0, &stage).await;
+        let (_, worker) = stage.cloud.draw(1, None, |_| true).remove(0);
+        let job = stage
+            .memory
+            .lock()
+            .unwrap()
+            .jobs
+            .keys()
+            .next()
+            .unwrap()
+            .clone();
+        let task = format!("{job}/0");
+        let commands = vec![Command::Start { task, attempt: 1 }];
+        let orders = encode(&Orders {
+            token: 1,
+            session: 1,
+            commands,
+        });
+        let to = SocketAddr::new(worker.proc.ip, 9000);
+        assert_eq!(stage.ask(to, "/orders", &orders, 1.9).await, None);
+        assert_eq!(worker.load(), (0, 0), "not yet");
+        until(39.0, &stage).await;
+        let (running, fetching) = worker.load();
+        assert_eq!(running + fetching, 1);
+    });
+}
+
+#[test]
+fn odd_requests_repeat_cancel_what_is_done_and_send_what_must_be_refused() {
+    let text = scenario(5, "  - odd_requests: {at_s: 20, for_s: 60}\n");
+    play(&text, |stage| async move {
+        until(100.0, &stage).await;
+        let told = stage.events(|_, what| match what {
+            What::Told {
+                ask, job, status, ..
+            } => Some((*ask, job.clone(), *status)),
+            _ => None,
+        });
+        let count =
+            |of: &dyn Fn(&(Ask, String, u16)) -> bool| told.iter().filter(|t| of(t)).count();
+        let repeats = count(&|(ask, _, status)| *ask == Ask::Submit && *status == 200);
+        let refused = count(&|(_, _, status)| *status == 422);
+        let cancels = count(&|(ask, _, status)| *ask == Ask::Cancel && *status == 200);
+        assert!(repeats > 5 && refused > 5 && cancels > 5, "{told:?}");
+        let lacking = stage.events(|_, what| match what {
+            What::LacksField { job, .. } => Some(job.clone()),
+            _ => None,
+        });
+        assert!(lacking.len() > 5);
+        for job in &lacking {
+            assert_eq!(count(&|(_, id, status)| id == job && *status == 400), 1);
+        }
+        let unwanted = stage.events(|_, what| matches!(what, What::Unwanted { .. }).then_some(()));
+        assert!(unwanted.is_empty(), "a job that is done stays so");
+    });
+}
+
+#[test]
+fn users_look_at_all_nodes_within_milliseconds_of_an_answer_or_an_end() {
+    let text = scenario(5, "  - close_looks: {at_s: 20, for_s: 60}\n");
+    play(&text, |stage| async move {
+        until(100.0, &stage).await;
+        let told = stage.events(|at_ms, what| match what {
+            What::Told {
+                ask,
+                job,
+                status,
+                node,
+                ..
+            } => Some((at_ms, *ask, job.clone(), *status, node.clone())),
+            _ => None,
+        });
+        let accepted: Vec<_> = told.iter().filter(|t| t.3 == 201).collect();
+        let (during, before): (Vec<_>, Vec<_>) = accepted
+            .into_iter()
+            .partition(|t| (20_000..80_000).contains(&t.0));
+        let nodes = |at_ms: u64, job: &str| {
+            let close = |t: &&(u64, Ask, String, u16, String)| {
+                t.1 == Ask::Poll && t.2 == job && t.0 > at_ms && t.0 <= at_ms + 120
+            };
+            let at: BTreeSet<_> = told.iter().filter(close).map(|t| &t.4).collect();
+            at.len()
+        };
+        assert!(during.len() > 10 && !before.is_empty());
+        assert!(during.iter().all(|t| nodes(t.0, &t.2) == 3));
+        assert!(before.iter().all(|t| nodes(t.0, &t.2) == 0));
+        let ends = stage.events(|at_ms, what| match what {
+            What::Off {
+                task,
+                why: Off::Done,
+                ..
+            } => Some((at_ms, task.clone())),
+            _ => None,
+        });
+        let ends = ends
+            .into_iter()
+            .filter(|(at, _)| (20_000..80_000).contains(at));
+        for (at_ms, task) in ends {
+            assert_eq!(nodes(at_ms, task.trim_end_matches("/0")), 3, "{task}");
+        }
+        let repeats = told.iter().filter(|t| t.1 == Ask::Submit && t.3 == 200);
+        assert!(repeats.count() > 10);
+    });
+}
--- a/crates/scenario/src/check.rs
+++ b/crates/scenario/src/check.rs
@@ -178,13 +178,20 @@
             bad(at("class"), one_of("class", &classes));
         }
     }
-    for (i, draw) in scenario.drawn.iter().enumerate() {
-        let at = |field| root().join("drawn").join(i).join(field);
-        if draw.to_s <= draw.from_s {
-            bad(at("to_s"), format!("not after from_s, {} s", draw.from_s));
-        } else if draw.to_s > scenario.play_s {
+    let mut span = |path: Path, from_s: f64, to_s: f64| {
+        if to_s <= from_s {
+            bad(path, format!("not after from_s, {from_s} s"));
+        } else if to_s > scenario.play_s {
             let why = format!("after the end of play, which is at {} s", scenario.play_s);
-            bad(at("to_s"), why);
+            bad(path, why);
         }
+    };
+    for (i, draw) in scenario.drawn.iter().enumerate() {
+        let path = root().join("drawn").join(i).join("to_s");
+        span(path, draw.from_s, draw.to_s);
+    }
+    if let Some(compound) = &scenario.drawn_compound {
+        let path = root().join("drawn_compound").join("to_s");
+        span(path, compound.from_s, compound.to_s);
     }
 }
--- /dev/null
+++ b/crates/scenario/src/compound.rs
@@ -0,0 +1,394 @@
+//! Compound failures: several failures that meet within seconds around an election, drawn
+//! from the seed, on a deployment that the seed may draw too.
+
+use crate::trouble::*;
+use crate::{Deployment, Scenario, Trouble};
+use garde::Validate;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+/// The stream of chance that draws them.
+const STREAM: u64 = 0x636f_6d70_6f75_6e64;
+/// Failures that meet in one compound failure, at least and at most.
+const MEET: (usize, usize) = (2, 3);
+/// s around the election in which they begin.
+const AROUND_S: f64 = 4.0;
+/// s that users and machines have at least before the first of them, and play goes on
+/// after the last.
+const MARGIN_S: f64 = 5.0;
+/// s for which the state service is away when that outlasts `cancel_s`: this much longer.
+const BEYOND_CANCEL_S: f64 = 5.0;
+
+macro_rules! failures {
+    ($( $(#[doc = $about:literal])* $name:ident ),* $(,)?) => {
+        /// One failure of the catalogue.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+        #[serde(rename_all = "snake_case")]
+        pub enum Failure { $( $(#[doc = $about])* $name, )* }
+
+        impl Failure {
+            pub const ALL: &'static [Failure] = &[$(Failure::$name),*];
+        }
+    };
+}
+
+failures!(
+    /// Jobs are cancelled while one controller's work changes hands.
+    CancelDuringHandover,
+    /// Jobs bound to one zone lose machines.
+    ZoneBoundLoseMachines,
+    /// Jobs are cancelled whose machines hang or are cut off, and the leader changes.
+    CancelOnLostMachines,
+    /// Tasks of a job end far apart across changes of leader.
+    EndsFarApart,
+    /// Old reports reach the next leader as it begins.
+    OldReportsAtElection,
+    /// Commands are held up, and their machines go on later.
+    LateCommands,
+    /// The state service is slow, refuses the leader and then all for longer than
+    /// `cancel_s`, while users ask.
+    StateAway,
+    /// Transactions are executed, and only their answers are lost, while users ask
+    /// everywhere.
+    LostAnswers,
+    /// Workers open no connection while direct commands reach them.
+    CommandsOnly,
+    /// A leader is cut from the state service and its peers, and jobs are cancelled
+    /// through the next.
+    CutLeader,
+    /// Ten leaders in two minutes, also inside an outage.
+    ManyLeaders,
+    /// Jobs are cancelled as the state service refuses the leader; then it is away for
+    /// longer than `cancel_s`.
+    CancelAtRefusal,
+    /// Machines can't be asked, and jobs are cancelled meanwhile.
+    CancelWhileUnreached,
+    /// Small jobs come much more often, a quarter of them cancelled.
+    ManySmallJobs,
+    /// A zone is cut off for longer than a lease.
+    ZoneCut,
+    /// New machines get work at once while writes are late.
+    WorkBeforeWrites,
+    /// Reports are held back until a new leader has acted.
+    ReportsForNext,
+    /// Machines with long tasks can't be reached, or don't hear the new leader.
+    UnreachedLongTasks,
+    /// More work than room.
+    Overload,
+    /// Users ask at all controllers, and repeat submissions, right after anything.
+    CloseLooks,
+    /// Old reports arrive after newer ones.
+    OldReports,
+    /// Cancellations, questions and repeats meet the end of a job's last task.
+    RequestsAtEnd,
+    /// Transactions are executed late, after newer ones.
+    LateTransactions,
+    /// All controllers are away for longer than a lease.
+    AllAway,
+    /// Controllers hand over and back, all end, and one returns.
+    HandOverAndBack,
+);
+
+/// So many compound failures at times drawn from the seed.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct Compound {
+    #[garde(range(min = 1, max = 50))]
+    pub count: u32,
+    #[garde(range(min = 0.0, max = 86_400.0))]
+    pub from_s: f64,
+    #[garde(range(min = 0.0, max = 86_400.0))]
+    pub to_s: f64,
+    /// Of these failures; all if none is given.
+    #[serde(default)]
+    #[garde(skip)]
+    pub of: Vec<Failure>,
+    /// The seed draws the deployment too: 2 to 14 controllers, back after 0.2 s or more,
+    /// machines that boot in 1 s, limits at a third, slow links.
+    #[serde(default)]
+    #[garde(skip)]
+    pub deployment: bool,
+}
+
+impl Scenario {
+    /// The same scenario with all that the seed draws written out: the deployment, and
+    /// every trouble at its time.
+    #[must_use]
+    pub fn with_draws(self, seed: u64) -> Scenario {
+        let mut scenario = self.with_fleet(seed);
+        if let Some(compound) = scenario.drawn_compound.take() {
+            let mut rng = Pcg64::seed_from_u64(seed ^ STREAM);
+            if compound.deployment {
+                draw_deployment(&mut scenario.deployment, &mut rng);
+            }
+            for _ in 0..compound.count {
+                let troubles = draw_one(&scenario, &compound, &mut rng);
+                scenario.troubles.extend(troubles);
+            }
+        }
+        scenario.troubles = scenario.all_troubles(seed);
+        scenario.drawn.clear();
+        scenario
+    }
+}
+
+fn draw_deployment(d: &mut Deployment, rng: &mut Pcg64) {
+    d.controllers = rng.random_range(2..=14);
+    d.node.restart_s = [0.2, 1.0, 3.0][rng.random_range(0..3)];
+    if rng.random_bool(0.5) {
+        for machine_type in &mut d.machine_types {
+            machine_type.boot_s = 1.0;
+        }
+    }
+    if rng.random_bool(0.5) {
+        for team in &mut d.teams {
+            team.cpus = (team.cpus / 3.0).floor();
+            team.cpus_max = (team.cpus_max / 3.0).floor();
+        }
+    }
+    if rng.random_bool(0.4) {
+        d.network.same_zone_ms = 15.0;
+        d.network.cross_zone_ms = 60.0;
+        d.network.loss = 0.005;
+    }
+}
+
+/// An election, and two or three failures within seconds of it.
+fn draw_one(scenario: &Scenario, compound: &Compound, rng: &mut Pcg64) -> Vec<Trouble> {
+    let of = match compound.of.as_slice() {
+        [] => Failure::ALL,
+        of => of,
+    };
+    let at_s = rng.random_range(compound.from_s..compound.to_s.max(compound.from_s + 0.1));
+    let mut troubles = vec![election(at_s, rng)];
+    for _ in 0..rng.random_range(MEET.0..=MEET.1) {
+        let failure = of[rng.random_range(0..of.len())];
+        let begins_s = at_s + rng.random_range(-AROUND_S..AROUND_S);
+        troubles.extend(failure.troubles(scenario, begins_s, rng));
+    }
+    let last_s = (scenario.play_s - MARGIN_S).max(MARGIN_S);
+    for trouble in &mut troubles {
+        let at_s = trouble.at_s().clamp(MARGIN_S, last_s);
+        trouble.set_at_s((at_s * 10.0).round() / 10.0);
+    }
+    troubles
+}
+
+/// What makes another controller lead.
+fn election(at_s: f64, rng: &mut Pcg64) -> Trouble {
+    let who = Who::Leader;
+    match rng.random_range(0..5) {
+        0 => Trouble::NodeFreeze(NodeFreeze {
+            at_s,
+            for_s: 12.0,
+            who,
+        }),
+        1 => Trouble::NodeRefused(NodeRefused {
+            at_s,
+            for_s: 12.0,
+            who,
+        }),
+        2 => Trouble::NodeEnds(NodeEnds {
+            at_s,
+            every_s: 0.5,
+            times: 4,
+            who,
+        }),
+        3 => Trouble::NodeCrash(NodeCrash {
+            at_s,
+            who: Who::All,
+        }),
+        _ => Trouble::NodeCrash(NodeCrash { at_s, who }),
+    }
+}
+
+impl Failure {
+    /// Its troubles, from this time on.
+    pub fn troubles(self, scenario: &Scenario, at_s: f64, rng: &mut Pcg64) -> Vec<Trouble> {
+        let d = &scenario.deployment;
+        let (who, lease_s) = (Who::Leader, d.workers.lease_s);
+        let away_s = d.workers.cancel_s + BEYOND_CANCEL_S;
+        let zone = d.zones[rng.random_range(0..d.zones.len())].clone();
+        let classes = &scenario.workload.classes;
+        let class = classes[rng.random_range(0..classes.len())].name.clone();
+        let machines: u32 = d.capacity.iter().map(|c| c.count + c.spot).sum();
+        let some = (machines / 4).max(1);
+        let mode = [Cut::Hold, Cut::Reset][rng.random_range(0..2)];
+        let cancel = |at_s, hang_s| {
+            Trouble::CancelNow(CancelNow {
+                at_s,
+                count: 8,
+                hang_s,
+            })
+        };
+        let cancel_at_end = |share| {
+            Trouble::CancelAtEnd(CancelAtEnd {
+                at_s,
+                for_s: 30.0,
+                share,
+            })
+        };
+        let ends = |every_s, times| {
+            Trouble::NodeEnds(NodeEnds {
+                at_s,
+                every_s,
+                times,
+                who,
+            })
+        };
+        let crash = |at_s, who| Trouble::NodeCrash(NodeCrash { at_s, who });
+        let outage = |at_s, for_s| Trouble::StateOutage(StateOutage { at_s, for_s });
+        let refused = |for_s| Trouble::NodeRefused(NodeRefused { at_s, for_s, who });
+        let writes = |share, at_once| {
+            Trouble::LateWrites(LateWrites {
+                at_s,
+                for_s: 25.0,
+                share,
+                at_once,
+            })
+        };
+        let reports = |at_s, share, for_next| {
+            let (for_s, late_s) = (40.0, None);
+            Trouble::LateReports(LateReports {
+                at_s,
+                for_s,
+                share,
+                late_s,
+                for_next,
+            })
+        };
+        let machines_cut = |for_s| {
+            Trouble::MachineCut(MachineCut {
+                at_s,
+                count: some,
+                for_s,
+                mode,
+            })
+        };
+        let burst = |times| {
+            Trouble::JobBurst(JobBurst {
+                at_s,
+                for_s: 30.0,
+                class: class.clone(),
+                times,
+            })
+        };
+        let looks = Trouble::CloseLooks(CloseLooks { at_s, for_s: 40.0 });
+        let odd = Trouble::OddRequests(OddRequests { at_s, for_s: 30.0 });
+        match self {
+            Failure::CancelDuringHandover => vec![cancel(at_s, None), crash(at_s + 0.5, Who::Any)],
+            Failure::ZoneBoundLoseMachines => {
+                let zone = Some(zone);
+                vec![Trouble::MachineDie(MachineDie {
+                    at_s,
+                    count: some,
+                    zone,
+                })]
+            }
+            Failure::CancelOnLostMachines => vec![
+                cancel(at_s, Some(lease_s * 1.5)),
+                machines_cut(lease_s * 1.5),
+                crash(at_s + 1.0, who),
+            ],
+            Failure::EndsFarApart => vec![ends(8.0, 4)],
+            Failure::OldReportsAtElection => vec![reports(at_s - 15.0, 0.5, true)],
+            Failure::LateCommands => {
+                let share = 0.5;
+                let late = super::trouble::LateCommands {
+                    at_s,
+                    for_s: 30.0,
+                    share,
+                };
+                let hang = MachineHang {
+                    at_s: at_s + 2.0,
+                    count: some,
+                    for_s: lease_s / 2.0,
+                };
+                vec![Trouble::LateCommands(late), Trouble::MachineHang(hang)]
+            }
+            Failure::StateAway => {
+                let slow = StateSlow {
+                    at_s,
+                    for_s: 20.0,
+                    share: 0.5,
+                    ms: 1000.0,
+                };
+                let polls = PollStorm {
+                    at_s,
+                    for_s: away_s,
+                    times: 5.0,
+                };
+                vec![
+                    Trouble::StateSlow(slow),
+                    Trouble::PollStorm(polls),
+                    refused(10.0),
+                    outage(at_s + 8.0, away_s),
+                    cancel(at_s + 4.0, None),
+                ]
+            }
+            Failure::LostAnswers => vec![writes(0.3, true), looks],
+            Failure::CommandsOnly => {
+                let (count, share, zone) = (None, Some(0.5), None);
+                let for_s = lease_s * 2.0;
+                let mute = MachineMute {
+                    at_s,
+                    for_s,
+                    count,
+                    share,
+                    zone,
+                };
+                vec![Trouble::MachineMute(mute), cancel(at_s + 3.0, None)]
+            }
+            Failure::CutLeader => {
+                let from = vec![Side::State, Side::Peers];
+                let cut = NodeCut {
+                    at_s,
+                    for_s: 30.0,
+                    who,
+                    from,
+                    mode,
+                };
+                vec![Trouble::NodeCut(cut), cancel(at_s + 12.0, None)]
+            }
+            Failure::ManyLeaders => vec![ends(12.0, 10), outage(at_s + 20.0, 15.0)],
+            Failure::CancelAtRefusal => {
+                vec![cancel(at_s, None), refused(2.0), outage(at_s + 1.0, away_s)]
+            }
+            Failure::CancelWhileUnreached => vec![machines_cut(20.0), cancel(at_s + 3.0, None)],
+            Failure::ManySmallJobs => vec![burst(4.0), cancel_at_end(0.25)],
+            Failure::ZoneCut => {
+                let for_s = lease_s * 1.5;
+                vec![Trouble::ZoneCut(super::trouble::ZoneCut {
+                    at_s,
+                    for_s,
+                    zone,
+                    mode,
+                })]
+            }
+            Failure::WorkBeforeWrites => vec![burst(4.0), writes(0.3, false)],
+            Failure::ReportsForNext => vec![reports(at_s - 5.0, 1.0, true)],
+            Failure::UnreachedLongTasks => {
+                let (count, zone) = (some, Some(zone));
+                let deaf = MachineDeaf {
+                    at_s,
+                    for_s: lease_s * 2.0,
+                    count,
+                    zone,
+                };
+                vec![Trouble::MachineDeaf(deaf), machines_cut(lease_s)]
+            }
+            Failure::Overload => vec![burst(6.0)],
+            Failure::CloseLooks => vec![looks, odd, cancel(at_s + 1.0, None)],
+            Failure::OldReports => vec![reports(at_s, 0.8, false)],
+            Failure::RequestsAtEnd => vec![cancel_at_end(0.8), looks, odd],
+            Failure::LateTransactions => vec![writes(0.4, false)],
+            Failure::AllAway => {
+                let (for_s, who) = (lease_s * 1.5, Who::All);
+                vec![Trouble::NodeFreeze(NodeFreeze { at_s, for_s, who })]
+            }
+            Failure::HandOverAndBack => vec![ends(1.0, 5), crash(at_s + 5.5, Who::All)],
+        }
+    }
+}
--- a/crates/scenario/src/lib.rs
+++ b/crates/scenario/src/lib.rs
@@ -3,12 +3,14 @@
 //! described by a JSON Schema.
 
 pub mod check;
+pub mod compound;
 pub mod deployment;
 pub mod draw;
 pub mod file;
 pub mod trouble;
 pub mod workload;
 
+pub use compound::Compound;
 pub use deployment::{Aim, Deployment};
 pub use draw::{Draw, Fleet};
 pub use file::FileError;
@@ -55,6 +57,14 @@
     #[serde(default)]
     #[garde(dive)]
     pub drawn_fleet: Option<Fleet>,
+    /// Compound failures drawn from the seed, and a deployment for them.
+    #[serde(default)]
+    #[garde(dive)]
+    pub drawn_compound: Option<Compound>,
+    /// The seed to play it with, if the command gives none.
+    #[serde(default)]
+    #[garde(skip)]
+    pub seed: Option<u64>,
 }
 
 fn plain(name: &str, _: &()) -> garde::Result {
@@ -82,6 +92,10 @@
         for d in &mut self.drawn {
             d.to_s = d.to_s.min(s);
         }
+        self.drawn_compound = self.drawn_compound.filter(|c| c.from_s < s);
+        if let Some(compound) = &mut self.drawn_compound {
+            compound.to_s = compound.to_s.min(s);
+        }
         self
     }
 
--- a/crates/scenario/src/trouble.rs
+++ b/crates/scenario/src/trouble.rs
@@ -90,6 +90,10 @@
             pub fn at_s(&self) -> f64 {
                 match self { $( Trouble::$name(t) => t.at_s, )* }
             }
+
+            pub fn set_at_s(&mut self, at_s: f64) {
+                match self { $( Trouble::$name(t) => t.at_s = at_s, )* }
+            }
         }
     };
 }
--- a/crates/scenario/tests/scenario.rs
+++ b/crates/scenario/tests/scenario.rs
@@ -3,7 +3,6 @@
 use cherrywood_scenario::{Scenario, draw};
 use garde::Validate;
 
-
 fn refused(text: &str) -> String {
     let err = Scenario::parse("n.yaml", text).unwrap_err().to_string();
     assert!(!err.contains('\n'), "one line: {err}");
@@ -144,3 +143,81 @@
     assert_eq!(machines(&ten), 10 * machines(&scenario));
     assert!(ten.validate().is_ok());
 }
+
+#[test]
+fn the_troubles_of_users_and_late_reports_are_read_and_checked() {
+    let scenario = "name: n\nplay_s: 60\ntroubles:\n";
+    let good = "  - cancel_now: {at_s: 5, count: 3, hang_s: 8}\n\
+                \x20 - cancel_at_end: {at_s: 5, for_s: 3, share: 0.5}\n\
+                \x20 - machine_mute: {at_s: 5, for_s: 3, zone: north}\n\
+                \x20 - odd_requests: {at_s: 5, for_s: 3}\n\
+                \x20 - close_looks: {at_s: 5, for_s: 3}\n\
+                \x20 - late_writes: {at_s: 5, for_s: 3, share: 0.5, at_once: true}\n\
+                \x20 - late_reports: {at_s: 5, for_s: 3, share: 0.5, for_next: true}\n\
+                \x20 - report_copies: {at_s: 5, for_s: 3, share: 0.5, late_s: 9}\n\
+                \x20 - late_commands: {at_s: 5, for_s: 3, share: 0.5}\n";
+    let read = Scenario::parse("n.yaml", &format!("{scenario}{good}")).unwrap();
+    let names: Vec<&str> = read.troubles.iter().map(|t| t.name()).collect();
+    assert_eq!(names[7], "late_reports", "its earlier name is read");
+    assert_eq!(read.troubles[0].for_s(), Some(8.0));
+    for (rest, parts) in [
+        (
+            "  - machine_mute: {at_s: 5, for_s: 3, zone: mars}\n",
+            ["line 4", "zone", "mars"],
+        ),
+        (
+            "  - cancel_now: {at_s: 5, count: 0}\n",
+            ["line 4", "count", "found 0"],
+        ),
+        (
+            "  - cancel_at_end: {at_s: 5, for_s: 3, share: 2}\n",
+            ["line 4", "share", "found 2"],
+        ),
+    ] {
+        let err = refused(&format!("{scenario}{rest}"));
+        for part in parts {
+            assert!(err.contains(part), "{part:?} not in: {err}");
+        }
+    }
+}
+
+#[test]
+fn a_compound_failure_meets_within_seconds_of_an_election() {
+    let text = "name: n\nplay_s: 300\n\
+                drawn_compound: {count: 1, from_s: 100, to_s: 101, deployment: true}\n";
+    let scenario = Scenario::parse("n.yaml", text).unwrap();
+    let mut controllers = std::collections::BTreeSet::new();
+    let mut names = std::collections::BTreeSet::new();
+    for seed in 0..300 {
+        let drawn = scenario.clone().with_draws(seed);
+        assert_eq!(drawn, scenario.clone().with_draws(seed));
+        assert_eq!(
+            drawn,
+            drawn.clone().with_draws(seed),
+            "nothing is left to draw"
+        );
+        drawn.validate().unwrap_or_else(|e| panic!("{seed}: {e}"));
+        let troubles = &drawn.troubles;
+        assert!(troubles.len() >= 3, "{troubles:?}");
+        let around = |t: &cherrywood_scenario::Trouble| (75.0..=130.0).contains(&t.at_s());
+        assert!(troubles.iter().all(around), "{troubles:?}");
+        names.extend(troubles.iter().map(|t| t.name()));
+        controllers.insert(drawn.deployment.controllers);
+    }
+    assert_eq!(controllers, (2..=14).collect());
+    for name in ["cancel_now", "machine_mute", "close_looks", "odd_requests"] {
+        assert!(names.contains(name), "{name} not in {names:?}");
+    }
+}
+
+#[test]
+fn a_span_of_compound_failures_must_lie_in_the_play() {
+    let text = "name: n\nplay_s: 300\ndrawn_compound: {count: 1, from_s: 100, to_s: 400}\n";
+    let err = refused(text);
+    assert!(
+        err.contains("drawn_compound") && err.contains("after the end of play"),
+        "{err}"
+    );
+    let text = "name: n\nplay_s: 300\ndrawn_compound: {count: 1, from_s: 100, to_s: 90}\n";
+    assert!(refused(text).contains("not after from_s"));
+}
--- a/crates/simulation/src/command.rs
+++ b/crates/simulation/src/command.rs
@@ -1,5 +1,6 @@
 //! `cherrywood simulate`, and `cherrywood schema`.
 
+use crate::exit::{BAD_INPUT, BROKEN, GOOD};
 use crate::experiment::{self, Experiment, compare};
 use crate::live::Live;
 use crate::log::Log;
@@ -16,11 +17,6 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use tracing::Level;
 
-/// Exit codes: everything settled and no rule broken; not so; bad input.
-pub const GOOD: u8 = 0;
-pub const BROKEN: u8 = 1;
-pub const BAD_INPUT: u8 = 2;
-
 /// The scenario that is played if none is named.
 pub const QUIET: &str = include_str!("../../../scenarios/quiet.yaml");
 
@@ -29,9 +25,10 @@
 pub struct SimulateArgs {
     /// The scenario (YAML); a quiet one if it isn't given.
     pub scenario: Option<PathBuf>,
-    /// Draws everything; the same seed replays the same scenario.
-    #[arg(long, default_value_t = 1)]
-    pub seed: u64,
+    /// Draws everything; the same seed replays the same scenario. That of the file, or 1,
+    /// if it isn't given.
+    #[arg(long)]
+    pub seed: Option<u64>,
     /// Write report.html, report.json, history.jsonl and controllers.log here.
     #[arg(long, value_name = "DIR")]
     pub report: Option<PathBuf>,
@@ -61,6 +58,9 @@
     /// Play so many seeds on all cores, from --seed on, and say what was not good.
     #[arg(long, value_name = "N", conflicts_with_all = ["report", "live", "processes", "trace", "log"])]
     pub search: Option<u64>,
+    /// Write the smallest scenario that fails in the same way, of each that fails, here.
+    #[arg(long, value_name = "DIR", requires = "search")]
+    pub shrink: Option<PathBuf>,
     /// Print the life of one job across all controllers.
     #[arg(long, value_name = "ID")]
     pub trace: Option<String>,
@@ -110,7 +110,7 @@
         None => cherrywood_node::settings::Operator::default(),
     };
     let options = Options {
-        seed: args.seed,
+        seed: args.seed.or(scenario.seed).unwrap_or(1),
         operator,
         processes: args.processes.then_some(args.port),
     };
@@ -122,8 +122,12 @@
         scenario = scenario.first(s);
     }
     if options.processes.is_some() {
-        let out = scenario.all_troubles(options.seed);
-        let out = out.iter().filter(|t| !t.on_loopback()).map(|t| t.name());
+        let drawn = scenario.clone().with_draws(options.seed);
+        let out = drawn
+            .troubles
+            .iter()
+            .filter(|t| !t.on_loopback())
+            .map(|t| t.name());
         for name in out.collect::<std::collections::BTreeSet<_>>() {
             eprintln!("cherrywood: {name} can't be made with processes, and is left out");
         }
@@ -147,7 +151,7 @@
     };
     let stop = interrupted();
     if let Some(seeds) = args.search {
-        return search(&scenario, &options, seeds, &stop);
+        return search(&scenario, &options, seeds, args.shrink.as_deref(), &stop);
     }
     let bar = ProgressBar::new(scenario.play_s as u64);
     if let Ok(style) = ProgressStyle::with_template("{bar:40} {pos}/{len} s of play  {msg}") {
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -2,6 +2,7 @@
 //! systems, in virtual time on one thread or as real processes on loopback.
 
 pub mod command;
+pub mod exit;
 pub mod experiment;
 pub mod live;
 pub mod log;
@@ -11,6 +12,7 @@
 pub mod processes;
 pub mod report;
 pub mod search;
+pub mod shrink;
 pub mod summary;
 pub mod timeline;
 
--- a/crates/simulation/src/play.rs
+++ b/crates/simulation/src/play.rs
@@ -130,7 +130,7 @@
     log: &Log,
     watch: &mut dyn FnMut(&Scene) -> Verdict,
 ) -> anyhow::Result<Outcome> {
-    let scenario = scenario.with_fleet(options.seed);
+    let scenario = scenario.with_draws(options.seed);
     let world = World::new(scenario.clone(), options.seed, options.processes);
     log.begin();
     let state = StateHost::start(&world).await?;
