Emulator: one form in which a submission is recorded

Cause: the history's job was built in two places, and after the join one of them lacked the accelerators and memory that the checker reads. Change: jobs::as_recorded serves both.

--- a/crates/emulator/src/jobs.rs
+++ b/crates/emulator/src/jobs.rs
@@ -217,22 +217,7 @@
         } else if impossible {
             submission.types = Some(vec!["no-such-type".into()]);
         }
-        let job = Job {
-            id: id.clone(),
-            class: submission.class.clone(),
-            team: submission.team.clone(),
-            standing,
-            tasks,
-            cpus: submission.cpus,
-            gpus: submission.gpus,
-            ram_gb: submission.memory_gb,
-            kinds: submission.types.clone(),
-            zone: submission.zone.clone(),
-            one_zone: c.one_zone,
-            spread: c.spread,
-            spot: c.spot,
-            needs: Vec::new(),
-        };
+        let job = as_recorded(&submission);
         let sheet = Sheet {
             job: id,
             tasks,
@@ -258,3 +243,23 @@
         }
     }
 }
+
+/// The submission as the history has it.
+pub(crate) fn as_recorded(submission: &Submission) -> Job {
+    Job {
+        id: submission.id.clone(),
+        class: submission.class.clone(),
+        team: submission.team.clone(),
+        standing: submission.kind == Kind::Service,
+        tasks: submission.tasks,
+        cpus: submission.cpus,
+        gpus: submission.gpus,
+        ram_gb: submission.memory_gb,
+        kinds: submission.types.clone(),
+        zone: submission.zone.clone(),
+        one_zone: submission.one_zone,
+        spread: submission.spread,
+        spot: submission.spot,
+        needs: submission.needs.clone(),
+    }
+}
--- a/crates/emulator/src/odd.rs
+++ b/crates/emulator/src/odd.rs
@@ -2,12 +2,13 @@
 //! that make no sense, and questions at all controllers within milliseconds.
 
 use crate::fabric::lock;
+use crate::jobs::as_recorded;
 use crate::users::Users;
 use cherrywood_checker::What;
-use cherrywood_checker::history::{Ask, Job};
+use cherrywood_checker::history::Ask;
 use cherrywood_scenario::Trouble;
 use cherrywood_wire::encode;
-use cherrywood_wire::user::{Kind, Submission};
+use cherrywood_wire::user::Submission;
 use std::sync::Arc;
 
 /// s after the end of a job's last task within which it is cancelled.
@@ -205,21 +206,3 @@
     }
     Some(encode(&fields))
 }
-
-/// The submission as the history has it.
-fn as_recorded(submission: &Submission) -> Job {
-    Job {
-        id: submission.id.clone(),
-        class: submission.class.clone(),
-        team: submission.team.clone(),
-        standing: submission.kind == Kind::Service,
-        tasks: submission.tasks,
-        cpus: submission.cpus,
-        kinds: submission.types.clone(),
-        zone: submission.zone.clone(),
-        one_zone: submission.one_zone,
-        spread: submission.spread,
-        spot: submission.spot,
-        needs: submission.needs.clone(),
-    }
-}
