Answer users from what is read last; known comes before impossible

Cause: a poll asked the state service and the leader at the same time, and a repeated submission read the job as live and then waited for the leader's counts: both could call a job queued after another controller had confirmed its cancellation. A submission was refused with 400 or 422 before anybody looked whether the job is known, so that a controller with other machine types or settings refused an accepted job for good. While the leader hangs, each poll and repeat waited 0.4 s for its counts.

The tests of 400 and 422 in tests/api.rs ask a state service now, since a refusal needs its proof; they check the same statuses.

--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -338,7 +338,8 @@
 pub const CANCEL_TRIES: u32 = 3;
 /// s between two requests for the polls that came meanwhile; users wait 2 s.
 pub const POLL_GAP_S: f64 = 0.1;
-/// s that a poll waits for the leader's counts, which are only for display.
+/// s that a poll waits for the leader's counts, which are only for display, before the
+/// state service is asked: with that request's own wait well below the users' 2 s.
 pub const COUNTS_WAIT_S: f64 = 0.4;
 
 /// s for which an unused connection is kept, and how many to one address.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,15 +1,19 @@
 //! The controller process as a library: the daemon runs one of it, a rehearsal
-//! several. Arrows point one way: settings, polls, gate, slots < node < lookup, parts < api, loops.
+//! several. Arrows point one way: settings, polls, gate, slots < node < lookup, parts,
+//! responses < submissions, cancellations < api, loops.
 
 pub mod api;
+mod cancellations;
 pub mod gate;
 pub mod lookup;
 pub mod loops;
 pub mod node;
 pub mod parts;
 pub mod polls;
+mod responses;
 pub mod settings;
 pub mod slots;
+mod submissions;
 
 use anyhow::Context as _;
 use cherrywood_net::{Host, Listener};
--- a/crates/node/src/loops/polls.rs
+++ b/crates/node/src/loops/polls.rs
@@ -32,11 +32,14 @@
 /// says held at one moment: with neither, the job is unknown. Under overload most who
 /// ask are users whose submission has no room, and two reads for each of them once took
 /// all that a follower may ask of the state service: nine of ten got 503, not 429.
+/// The leader is asked for its counts first: the comparison is what the answers' truth
+/// rests on, and nothing is waited for between it and them. Asked beside it, a leader that
+/// took its time let jobs be called queued after their cancellation was confirmed.
 async fn answer(node: Arc<Node>, batch: Waiting) {
     let ids: Vec<String> = batch.keys().cloned().collect();
+    let counts = node.counts(&ids).await;
     let keys = ids.iter().flat_map(|id| [keys::job(id), keys::ended(id)]);
-    let (existing, counts) =
-        tokio::join!(node.state.existing(keys, Class::Poll), node.counts(&ids));
+    let existing = node.state.existing(keys, Class::Poll).await;
     let existing: HashSet<String> = match existing {
         Ok(keys) => keys.into_iter().collect(),
         Err(e) => {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -454,7 +454,7 @@
     }
 
     /// (done, running) of each job, for display: (0, 0) if the leader can't be
-    /// asked.
+    /// asked. One that has been silent for long isn't: who asks waits for nothing.
     pub async fn counts(&self, jobs: &[String]) -> Vec<(u32, u32)> {
         let now = self.now();
         let nothing = vec![(0, 0); jobs.len()];
@@ -466,7 +466,8 @@
                     .map(|j| l.counts(j, now).unwrap_or_default())
                     .collect();
             }
-            core.known.clone()
+            let silent = now - core.leader_ok > limits::LEADER_LOST_S;
+            core.known.clone().filter(|_| !silent)
         };
         let Some(peer) = self.peers.iter().find(|p| Some(&p.label) == known.as_ref()) else {
             return nothing;
--- a/crates/node/tests/api.rs
+++ b/crates/node/tests/api.rs
@@ -4,80 +4,73 @@
 
 use cherrywood_wire::encode;
 use cherrywood_wire::user::{Kind, Submission};
-use common::{ask, example as node, job, types};
+use common::{World, ask, example as node, job, run, types};
 
 #[test]
 fn bad_submissions_are_400() {
-    let node = node();
-    node.core().types = types();
-    let bad = |change: &dyn Fn(&mut Submission)| {
-        let mut j = job("wk-000001", &[]);
-        change(&mut j);
-        ask(&node, "POST", "/submissions", encode(&j)).status
-    };
-    assert_eq!(bad(&|j| j.id = "000412".into()), 400);
-    assert_eq!(bad(&|j| j.id = "wk-12x456".into()), 400);
-    assert_eq!(bad(&|j| j.tasks = 0), 400);
-    assert_eq!(bad(&|j| j.tasks = 100_001), 400);
-    assert_eq!(bad(&|j| j.cpus = f64::NAN), 400);
-    assert_eq!(bad(&|j| j.memory_gb = -1.0), 400);
-    assert_eq!(bad(&|j| j.deadline_s = Some(f64::INFINITY)), 400);
-    assert_eq!(bad(&|j| j.image.clear()), 400);
-    let raw = |body: Vec<u8>| ask(&node, "POST", "/submissions", body).status;
-    assert_eq!(raw(b"{\"name_id\":1}".to_vec()), 400, "not MessagePack");
-    assert_eq!(raw(vec![0x91, 0x01]), 400, "not a map");
-    assert_eq!(raw(vec![0x80]), 400, "fields missing");
-    assert_eq!(raw(vec![]), 400);
-    let mut wrong_type = encode(&job("wk-000001", &[]));
-    let at = wrong_type.windows(6).position(|w| w == b"chores").unwrap() + 6;
-    wrong_type[at] = 0xc0;
-    assert_eq!(raw(wrong_type), 400);
-    let mut trailing = encode(&job("wk-000001", &[]));
-    trailing.push(0);
-    assert_eq!(raw(trailing), 400);
+    run(async {
+        let w = World::new().await;
+        let post = async |body| w.post("/submissions", body).await.status;
+        let bad = async |change: &dyn Fn(&mut Submission)| {
+            let mut j = job("wk-000001", &[]);
+            change(&mut j);
+            post(encode(&j)).await
+        };
+        assert_eq!(bad(&|j| j.id = "000412".into()).await, 400);
+        assert_eq!(bad(&|j| j.id = "wk-12x456".into()).await, 400);
+        assert_eq!(bad(&|j| j.tasks = 0).await, 400);
+        assert_eq!(bad(&|j| j.tasks = 100_001).await, 400);
+        assert_eq!(bad(&|j| j.cpus = f64::NAN).await, 400);
+        assert_eq!(bad(&|j| j.memory_gb = -1.0).await, 400);
+        assert_eq!(bad(&|j| j.deadline_s = Some(f64::INFINITY)).await, 400);
+        assert_eq!(bad(&|j| j.image.clear()).await, 400);
+        assert_eq!(post(b"{\"name_id\":1}".to_vec()).await, 400, "JSON");
+        assert_eq!(post(vec![0x91, 0x01]).await, 400, "not a map");
+        assert_eq!(post(vec![0x80]).await, 400, "fields missing");
+        assert_eq!(post(vec![]).await, 400);
+        let mut wrong_type = encode(&job("wk-000001", &[]));
+        let at = wrong_type.windows(6).position(|w| w == b"chores").unwrap() + 6;
+        wrong_type[at] = 0xc0;
+        assert_eq!(post(wrong_type).await, 400);
+        let mut trailing = encode(&job("wk-000001", &[]));
+        trailing.push(0);
+        assert_eq!(post(trailing).await, 400);
+    });
 }
 
 #[test]
 fn impossible_jobs_are_422_and_undecidable_ones_503() {
-    let node = node();
-    let send = |j: &Submission| ask(&node, "POST", "/submissions", encode(j));
-    let answer = send(&job("wk-000001", &[]));
-    assert_eq!(
-        (answer.status, answer.retry_after_s),
-        (503, Some(1)),
-        "types unknown"
-    );
-    node.core().types = types();
-    assert_eq!(
-        send(&Submission {
+    run(async {
+        let w = World::new().await;
+        let possible = job("wk-000001", &[]);
+        let post = async |j: &Submission| w.post("/submissions", encode(j)).await;
+        w.node.core().types.clear();
+        let answer = post(&possible).await;
+        let told = (answer.status, answer.retry_after_s);
+        assert_eq!(told, (503, Some(1)), "types unknown");
+        w.node.core().types = types();
+        let stranger = Submission {
             team: "x".into(),
-            ..job("wk-000001", &[])
-        })
-        .status,
-        422
-    );
-    assert_eq!(
-        send(&Submission {
+            ..possible.clone()
+        };
+        assert_eq!(post(&stranger).await.status, 422);
+        let large = Submission {
             cpus: 9.0,
-            ..job("wk-000001", &[])
-        })
-        .status,
-        422
-    );
-    assert_eq!(
-        send(&Submission {
+            ..possible.clone()
+        };
+        assert_eq!(post(&large).await.status, 422);
+        let elsewhere = Submission {
             types: Some(vec!["y".into()]),
-            ..job("wk-000001", &[])
-        })
-        .status,
-        422
-    );
-    let service = Submission {
-        kind: Kind::Service,
-        tasks: 9,
-        ..job("wk-000001", &[])
-    };
-    assert_eq!(send(&service).status, 422, "18 of 16 CPUs");
+            ..possible.clone()
+        };
+        assert_eq!(post(&elsewhere).await.status, 422);
+        let service = Submission {
+            kind: Kind::Service,
+            tasks: 9,
+            ..possible
+        };
+        assert_eq!(post(&service).await.status, 422, "18 of 16 CPUs");
+    });
 }
 
 #[test]
--- a/crates/wire/src/user.rs
+++ b/crates/wire/src/user.rs
@@ -153,6 +153,16 @@
     }
 }
 
+/// The id in a submission that may be malformed otherwise; None if there is no valid one.
+pub fn submitted_id(body: &[u8]) -> Option<String> {
+    #[derive(Deserialize)]
+    struct Named {
+        name_id: String,
+    }
+    let id = crate::decode::<Named>(body).ok()?.name_id;
+    valid_id(&id).then_some(id)
+}
+
 /// Job ids have the form `wk-000412`.
 pub fn valid_id(id: &str) -> bool {
     id.strip_prefix("wk-")
