Test: users poll, repeat and cancel at three controllers while a job ends

no_controller_answers_with_anything_older_whatever_meets: also with a state service that is slow, refuses or loses answers.

--- a/crates/node/tests/answers.rs
+++ b/crates/node/tests/answers.rs
@@ -7,6 +7,7 @@
 use cherrywood_wire::encode;
 use cherrywood_wire::user::Submission;
 use common::*;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::task::JoinHandle;
 
@@ -234,3 +235,154 @@
         assert!(w.script.count() - before <= 2, "{}", w.script.count());
     });
 }
+
+// --- everything at once ---
+
+/// An answer about a job: when its request was sent and answered, and what it said.
+struct Seen {
+    sent: Instant,
+    at: Instant,
+    answer: (u16, String),
+}
+
+/// Accepted is 0, over is 1; None tells nothing.
+fn stage(answer: &(u16, String)) -> Option<u8> {
+    match (answer.0, answer.1.as_str()) {
+        (200 | 201, "Queued" | "Running") => Some(0),
+        (200 | 201, "Done" | "Cancelled") => Some(1),
+        _ => None,
+    }
+}
+
+/// Nothing that was asked after an answer had come may be answered with anything older,
+/// and no final state may differ from another.
+fn check(seen: &[Seen]) {
+    for first in seen {
+        let Some(stage_of_first) = stage(&first.answer) else {
+            continue;
+        };
+        for later in seen.iter().filter(|later| later.sent > first.at) {
+            let told = format!("{:?}, and later {:?}", first.answer, later.answer);
+            assert!(!matches!(later.answer.0, 400 | 404 | 422), "{told}");
+            let Some(stage_of_later) = stage(&later.answer) else {
+                continue;
+            };
+            assert!(stage_of_later >= stage_of_first, "{told}");
+            if stage_of_first == 1 {
+                assert_eq!(later.answer.1, first.answer.1);
+            }
+        }
+    }
+}
+
+/// What the leader writes when a job's last task has ended.
+async fn finish(w: &World, id: &str) {
+    use cherrywood_control::keys;
+    use cherrywood_net::budget::Class;
+    use cherrywood_wire::state::{Change, FinalValue, Guard, JobValue, Txn, Value};
+    let state = &w.node.state;
+    let Ok(Some(job)) = state.get::<JobValue>(&keys::job(id)).await else {
+        return;
+    };
+    let done = FinalValue {
+        ended: cherrywood_wire::user::JobState::Done,
+        tasks: 1,
+        at_ms: None,
+    };
+    let (live, over) = (keys::job(id), keys::ended(id));
+    let guard = |key: &String, version| Guard {
+        key: key.clone(),
+        version,
+    };
+    let guards = vec![guard(&live, job.version), guard(&over, 0)];
+    let (value, lease) = (Value::Final(done), None);
+    let changes = vec![
+        Change::Delete { key: live },
+        Change::Put {
+            key: over,
+            value,
+            lease,
+        },
+    ];
+    let txn = Txn { guards, changes };
+    let _ = state.txn(&txn, Class::First).await;
+}
+
+/// Users poll and repeat at all controllers, some cancel, and the job ends, all within
+/// milliseconds of each other, while the state service is slow, refuses, or loses answers.
+async fn job_in_a_storm(w: &World, number: u64) {
+    let spec = job(&format!("wk-{number:06}"), &[]);
+    let id = spec.id.clone();
+    let mut asks: Vec<JoinHandle<Vec<Seen>>> = Vec::new();
+    for n in 0..w.nodes.len() {
+        let (at, spec, id) = (w.at(n), spec.clone(), id.clone());
+        asks.push(tokio::spawn(async move {
+            let mut seen = Vec::new();
+            // The first is the submission; others ask on while it is open.
+            for round in 0..12 {
+                let sent = Instant::now();
+                let answer = match (round + n) % 3 {
+                    0 => at.submit(&spec).await,
+                    _ if round == 0 => continue,
+                    _ => at.poll(&id).await,
+                };
+                let at = Instant::now();
+                seen.push(Seen { sent, at, answer });
+            }
+            seen
+        }));
+    }
+    for n in 0..2 {
+        let (at, id) = (w.at(n), id.clone());
+        asks.push(tokio::spawn(async move {
+            tokio::time::sleep(Duration::from_millis(150 + number % 7 * 40)).await;
+            let mut seen = Vec::new();
+            for _ in 0..3 {
+                let sent = Instant::now();
+                if number % 3 == 0 {
+                    finish(&at, &id).await;
+                } else {
+                    let path = format!("/submissions/{id}/cancel");
+                    let answer = said(&at.post(&path, Vec::new()).await);
+                    let at = Instant::now();
+                    seen.push(Seen { sent, at, answer });
+                }
+                if number % 2 == 0 {
+                    finish(&at, &id).await;
+                }
+            }
+            seen
+        }));
+    }
+    let mut seen = Vec::new();
+    for ask in asks {
+        seen.extend(ask.await.unwrap());
+    }
+    check(&seen);
+}
+
+#[test]
+fn no_controller_answers_with_anything_older_whatever_meets() {
+    run(async {
+        for trouble in [
+            Trouble::default(),
+            Trouble {
+                slow: 50,
+                refused: 10,
+                lost: 5,
+            },
+        ] {
+            let w = Arc::new(World::of(3, None).await);
+            w.script.trouble(trouble);
+            let jobs: Vec<_> = (0..20)
+                .map(|number| {
+                    let w = w.clone();
+                    tokio::spawn(async move { job_in_a_storm(&w, number).await })
+                })
+                .collect();
+            for job in jobs {
+                job.await.unwrap();
+            }
+        }
+    });
+}
