--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -325,7 +325,7 @@
     Delete(Vec<String>),
 }
 
-/// Nothing that it does may depend on the order of a hash map: a rehearsal must
+/// Nothing that it does may depend on the order of a hash map: a simulation must
 /// replay to the byte, and an incident as well.
 #[derive(Debug)]
 pub struct Leader {
--- a/crates/control/tests/compound_failures.rs
+++ b/crates/control/tests/compound_failures.rs
@@ -132,7 +132,7 @@
     beside_room: BTreeMap<String, f64>,
     truth: Truth,
     /// How often each failure was brought about.
-    met: BTreeMap<&'static str, u32>,
+    injected: BTreeMap<&'static str, u32>,
 }
 
 impl World {
@@ -157,7 +157,7 @@
             viewed: BTreeSet::new(),
             beside_room: BTreeMap::new(),
             truth: Truth::default(),
-            met: BTreeMap::new(),
+            injected: BTreeMap::new(),
         };
         world.leader.set_types(equipped());
         for zone in ["a", "a", "b", "b"] {
@@ -170,8 +170,8 @@
         self.rng.random_bool(p)
     }
 
-    fn meet(&mut self, what: &'static str) {
-        *self.met.entry(what).or_default() += 1;
+    fn record(&mut self, what: &'static str) {
+        *self.injected.entry(what).or_default() += 1;
     }
 
     fn add_machine(&mut self, zone: &str, up_at: f64) -> String {
@@ -251,7 +251,7 @@
         if troubled && self.chance(0.2) {
             let at = self.now + self.rng.random_range(0.5..4.0);
             self.in_flight = Some((at, batch, outcome));
-            self.meet("ledger write answered late");
+            self.record("ledger write answered late");
             return;
         }
         self.leader.ledger_done(batch, &outcome);
@@ -317,7 +317,7 @@
         self.check_starts(&commands);
         self.check_forgets(&report, &commands);
         if self.machines[at].link == Link::Deaf || troubled && self.chance(0.15) {
-            self.meet("answer lost");
+            self.record("answer lost");
             return;
         }
         let m = &mut self.machines[at];
@@ -459,16 +459,16 @@
         let writes: Vec<_> = self.late_writes.extract_if(.., |w| due(w.0)).collect();
         for (_, txn) in writes {
             if now >= self.outage && matches!(self.store.apply(&txn), Outcome::Applied(_)) {
-                self.meet("late write applied");
+                self.record("late write applied");
             } else {
-                self.meet("late write turned away");
+                self.record("late write turned away");
             }
             self.check();
         }
         let orders: Vec<_> = self.late_orders.extract_if(.., |o| due(o.0)).collect();
         for (_, machine, orders) in orders {
             let executed = self.obey(&machine, &orders);
-            self.meet(if executed {
+            self.record(if executed {
                 "late order executed"
             } else {
                 "late order fenced"
@@ -480,7 +480,7 @@
         let reports: Vec<_> = self.late_reports.extract_if(.., |r| due(r.0)).collect();
         for (_, report) in reports {
             if self.leader.report("other", &report, &[], now).is_some() {
-                self.meet("old report taken");
+                self.record("old report taken");
                 let commands = self.leader.commands(&report, now);
                 self.check_starts(&commands);
             }
@@ -520,7 +520,7 @@
             }
         }
         for _ in 0..ended {
-            self.meet("lease ended");
+            self.record("lease ended");
         }
     }
 
@@ -535,7 +535,7 @@
             let until = self.now + self.rng.random_range(3.0..most);
             let m = &mut self.machines[at];
             (m.link, m.until) = (link, until);
-            self.meet(match link {
+            self.record(match link {
                 Link::Cut => "machine cut off",
                 Link::Deaf => "machine deaf",
                 Link::Stranded => "machine stranded with its controller",
@@ -544,11 +544,11 @@
         }
         if self.now >= self.outage && self.chance(0.006) {
             self.outage = self.now + self.rng.random_range(1.0..20.0);
-            self.meet("outage");
+            self.record("outage");
         }
         if self.now >= self.away && self.chance(0.003) {
             self.away = self.now + self.rng.random_range(LEASE_S * 0.5..LEASE_S * 2.0);
-            self.meet("all controllers away");
+            self.record("all controllers away");
         }
     }
 
@@ -580,14 +580,14 @@
     /// A cloud in trouble deletes nothing for a while, or its answer is lost.
     fn delete(&mut self, names: &[String], troubled: bool) {
         if troubled && self.chance(0.98) {
-            self.meet("deletion refused");
+            self.record("deletion refused");
             return;
         }
         self.machines.retain(|m| !names.contains(&m.worker.name));
         if !troubled || self.chance(0.7) {
             self.leader.deleted(names, self.now);
         }
-        self.meet("machine deleted");
+        self.record("machine deleted");
     }
 
     /// New machines are up within two seconds, and the answer that names them may be lost.
@@ -598,7 +598,7 @@
         for _ in 0..count {
             let up_at = self.now + self.rng.random_range(0.0..2.0);
             names.push(self.add_machine(&rent.zone, up_at));
-            self.meet("machine up at once");
+            self.record("machine up at once");
         }
         if !troubled || self.chance(0.7) {
             let got = (count > 0).then_some(names.as_slice());
@@ -613,7 +613,7 @@
         let returns = self.away > 0.0;
         if returns || self.chance(self.leader_ends) {
             self.away = 0.0;
-            self.meet("leader ended");
+            self.record("leader ended");
             self.elect();
         }
     }
@@ -668,7 +668,7 @@
                 m.link != Link::Open && m.worker.tasks.iter().any(on)
             });
             if away {
-                self.meet("cancelled on a machine out of reach");
+                self.record("cancelled on a machine out of reach");
             }
         }
     }
@@ -682,7 +682,7 @@
         for id in services {
             self.store.cancel(&id);
             self.truth.cancelled.insert(id);
-            self.meet("service outlives all troubles");
+            self.record("service outlives all troubles");
         }
     }
 
@@ -757,7 +757,7 @@
 
 #[test]
 fn nothing_is_doubled_lost_or_invented_when_troubles_meet() {
-    let mut met: BTreeMap<&str, u32> = BTreeMap::new();
+    let mut injected: BTreeMap<&str, u32> = BTreeMap::new();
     for seed in 0..seeds() {
         let mut w = World::new(seed);
         w.play();
@@ -771,12 +771,13 @@
             assert!(used.abs() < 1e-6, "seed {seed}: {team} uses {used}");
         }
         if w.leader_ends == LEADER_ENDS[0] {
-            let changes = w.met.get("leader ended").copied().unwrap_or(0);
-            *met.entry("ten changes of leader in two minutes")
+            let changes = w.injected.get("leader ended").copied().unwrap_or(0);
+            *injected
+                .entry("ten changes of leader in two minutes")
                 .or_default() += u32::from(changes >= 10);
         }
-        for (what, n) in w.met {
-            *met.entry(what).or_default() += n;
+        for (what, n) in w.injected {
+            *injected.entry(what).or_default() += n;
         }
     }
     // Each failure was brought about, not once by chance.
@@ -803,8 +804,8 @@
         ("all controllers away", 10),
         ("ten changes of leader in two minutes", 3),
     ] {
-        let n = met.get(what).copied().unwrap_or_default();
-        assert!(n >= least, "{what}: {n} of {met:?}");
+        let n = injected.get(what).copied().unwrap_or_default();
+        assert!(n >= least, "{what}: {n} of {injected:?}");
     }
 }
 
