Begun jobs of a limited team get a task every 75 s as well

Change: sched::overdue counts from the last placement; 75 s if something of the job is on a machine, 45 s if not. A new leader takes what is on machines as placed just now.

--- a/crates/control/src/leader/jobs.rs
+++ b/crates/control/src/leader/jobs.rs
@@ -32,6 +32,8 @@
             };
             Some((aim, o.within_s))
         });
+        // What is on a machine is taken to have been placed just now.
+        let on_machines = placed.is_some_and(|tasks| !tasks.is_empty());
         self.jobs.insert(
             no,
             Job {
@@ -51,7 +53,7 @@
                 } else {
                     at
                 },
-                served_at: f64::NEG_INFINITY,
+                served_at: if on_machines { now } else { f64::NEG_INFINITY },
                 waits: !ready,
                 rank: spec.priority,
                 latest: None,
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -114,11 +114,9 @@
         self.spec.tasks.saturating_sub(gone)
     }
 
-    /// Since when a job has had no task placed, if none is on a machine. Gangs wait for
-    /// room for all of them.
+    /// Since when a job has had no task placed. Gangs wait for room for all of them.
     fn unserved_since(&self) -> Option<f64> {
-        let unserved = self.spec.kind != Kind::Gang && self.on.is_empty();
-        unserved.then(|| self.born.max(self.served_at))
+        (self.spec.kind != Kind::Gang).then(|| self.born.max(self.served_at))
     }
 
     /// Failed on several machines and succeeded nowhere meanwhile: it is tried
--- a/crates/control/src/leader/placing/waiting.rs
+++ b/crates/control/src/leader/placing/waiting.rs
@@ -97,7 +97,8 @@
         let since = job.unserved_since()?;
         let unserved = Unserved {
             waited_s: now - since,
-            begun: job.proven(),
+            begun: job.proven() || !job.on.is_empty(),
+            served: !job.on.is_empty(),
             limited: now - self.limited_at[team] < limits::LIMITED_FOR_S,
         };
         unserved.overdue().then_some(since)
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -219,6 +219,9 @@
 /// of its team are served: half of the 90 s that operators count. A task is on its machine
 /// only after a write, a report and an image, and one placement may be lost on the way.
 pub const PASSED_BY_S: f64 = 45.0;
+/// The same for a job that has something on a machine: longer than most tasks run, or
+/// such jobs would share what comes free evenly, and all be done late.
+pub const PASSED_BY_BEGUN_S: f64 = 75.0;
 /// s for which a team counts as limited after its limit last refused a task: tasks that
 /// end together leave room for a moment, until the next pass.
 pub const LIMITED_FOR_S: f64 = 10.0;
--- a/crates/sched/src/overdue.rs
+++ b/crates/sched/src/overdue.rs
@@ -1,4 +1,4 @@
-//! How long the order may pass a job by while nothing of it is on a machine.
+//! How long the order may pass a job by.
 //!
 //! Ranks, aims, levels and clocks decide who is served next. Where a team's limit binds,
 //! they alone would let newer jobs overtake an older one for as long as they keep coming,
@@ -7,13 +7,15 @@
 
 use cherrywood_limits as limits;
 
-/// How a job without a task on a machine stands.
+/// How a job with tasks that wait stands.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Unserved {
     /// s since a task of it was last placed, or since it could first run.
     pub waited_s: f64,
-    /// Has any of its tasks ever been done?
+    /// Has any of its tasks ever been done, or is one on a machine?
     pub begun: bool,
+    /// Is one on a machine?
+    pub served: bool,
     /// Was a task of its team refused by the team's limit just now?
     pub limited: bool,
 }
@@ -22,7 +24,11 @@
     /// Must it get a task before all else?
     pub fn overdue(&self) -> bool {
         if self.limited {
-            self.waited_s >= limits::PASSED_BY_S
+            let most_s = match self.served {
+                true => limits::PASSED_BY_BEGUN_S,
+                false => limits::PASSED_BY_S,
+            };
+            self.waited_s >= most_s
         } else {
             !self.begun && self.waited_s > limits::admission::BEGIN_S
         }
@@ -36,6 +42,7 @@
     const LIMITED: Unserved = Unserved {
         waited_s: limits::PASSED_BY_S,
         begun: true,
+        served: false,
         limited: true,
     };
 
@@ -52,6 +59,16 @@
             ..LIMITED
         };
         assert!(!recent.overdue());
+        let served = Unserved {
+            served: true,
+            ..LIMITED
+        };
+        assert!(!served.overdue());
+        let long_ago = Unserved {
+            waited_s: limits::PASSED_BY_BEGUN_S,
+            ..served
+        };
+        assert!(long_ago.overdue());
     }
 
     #[test]
