--- a/crates/simulation/src/play.rs
+++ b/crates/simulation/src/play.rs
@@ -141,7 +141,7 @@
     log: &Log,
     watch: &mut dyn FnMut(&Scene) -> Verdict,
 ) -> anyhow::Result<Outcome> {
-    let scenario = scenario.with_fleet(options.seed);
+    let scenario = scenario.with_draws(options.seed);
     let world = World::new(scenario.clone(), options.seed, options.processes);
     log.begin();
     let state = StateHost::start(&world).await?;
@@ -157,7 +157,7 @@
             (Controllers::Processes(all.clone()), all)
         }
     };
-    let troubles = Troubles::new(&world, &state, &cloud, nodes);
+    let troubles = Troubles::new(&world, &state, &cloud, &users, nodes);
     troubles.start();
     let scene = Scene {
         world: &world,
