--- /dev/null
+++ b/crates/simulation/tests/shrink.rs
@@ -0,0 +1,65 @@
+//! A scenario that fails is made as small as it can be while it still does.
+
+use cherrywood_scenario::{Scenario, Trouble};
+use cherrywood_simulation::shrink::{self, Failure, Shrinker};
+use cherrywood_simulation::{Options, search};
+use std::sync::atomic::AtomicBool;
+
+fn scenario() -> Scenario {
+    let text = "name: n\nplay_s: 200\nsettle_s: 0\ntroubles:\n\
+                \x20 - node_crash: {at_s: 10}\n\
+                \x20 - state_outage: {at_s: 20, for_s: 40}\n\
+                \x20 - poll_storm: {at_s: 25, for_s: 10, times: 4}\n\
+                \x20 - node_ends: {at_s: 30, every_s: 1, times: 12, who: leader}\n\
+                \x20 - machine_die: {at_s: 40, count: 1}\n";
+    Scenario::parse("n.yaml", text).unwrap()
+}
+
+/// Fails with an outage of 9 s or more and ends of a leader.
+fn fails(scenario: &Scenario) -> bool {
+    let outage = |t: &Trouble| matches!(t, Trouble::StateOutage(t) if t.for_s >= 9.0);
+    let ends = |t: &Trouble| matches!(t, Trouble::NodeEnds(_));
+    scenario.troubles.iter().any(outage) && scenario.troubles.iter().any(ends)
+}
+
+#[test]
+fn troubles_that_are_not_needed_go_and_the_others_are_shortened() {
+    let mut played = 0;
+    let smallest = Shrinker::smallest(scenario(), |candidate: &Scenario| {
+        played += 1;
+        fails(candidate)
+    });
+    let left: Vec<(&str, Option<f64>)> = smallest
+        .troubles
+        .iter()
+        .map(|t| (t.name(), t.for_s()))
+        .collect();
+    assert_eq!(
+        left,
+        [("state_outage", Some(10.0)), ("node_ends", Some(1.0))]
+    );
+    assert_eq!(smallest.play_s, 51.0, "20 s after the last");
+    assert!(played <= 150, "{played}");
+}
+
+#[test]
+fn one_that_fails_is_written_as_a_file_that_fails_in_the_same_way() {
+    let stop = AtomicBool::new(false);
+    let options = Options {
+        seed: 7,
+        ..Options::default()
+    };
+    let scenario = scenario().first(40.0);
+    let outcome = search::quietly(scenario.clone(), &options, &stop).unwrap();
+    let failure = Failure::of(&outcome);
+    assert!(failure.is_some(), "it has no time to settle");
+    let dir = tempfile::tempdir().unwrap();
+    let path = shrink::write(dir.path(), &scenario, &options, &outcome, &stop).unwrap();
+    assert!(path.to_str().unwrap().ends_with("-7.yaml"));
+    let smallest = Scenario::load(&path).unwrap();
+    assert_eq!(smallest.seed, Some(7));
+    assert!(smallest.troubles.len() < scenario.troubles.len());
+    assert!(smallest.drawn.is_empty() && smallest.drawn_compound.is_none());
+    let again = search::quietly(smallest, &options, &stop).unwrap();
+    assert_eq!(Failure::of(&again), failure);
+}
