--- a/crates/control/tests/limited_teams.rs
+++ b/crates/control/tests/limited_teams.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use cherrywood_control::{Leader, keys};
+use cherrywood_control::{Leader, Settings, keys};
 use cherrywood_wire::agent::Why;
 use cherrywood_wire::state::Value;
 use cherrywood_wire::user::{Priority, Submission};
@@ -13,6 +13,8 @@
 const PATIENCE_S: f64 = 90.0;
 /// s that each task runs.
 const RUN_S: f64 = 10.0;
+/// The same for tasks of jobs called long.
+const LONG_RUN_S: f64 = 300.0;
 /// CPUs that team `t` may use (`common::settings`), and those of a machine.
 const LIMIT: f64 = 16.0;
 const MACHINES: usize = 8;
@@ -50,15 +52,21 @@
     /// Jobs whose waits are measured.
     watched: Vec<String>,
     waits: Waits,
+    /// Jobs whose tasks run long.
+    long: Vec<String>,
 }
 
 impl Limited {
     fn new() -> Limited {
+        Limited::with(settings())
+    }
+
+    fn with(settings: Settings) -> Limited {
         let mut store = Store {
             tells_time: true,
             ..Store::default()
         };
-        let leader = store.elect(1, 0.0);
+        let leader = store.elect_with(settings, 1, 0.0);
         Limited {
             store,
             leader,
@@ -69,6 +77,7 @@
             submitted: 0,
             watched: Vec::new(),
             waits: Waits::default(),
+            long: Vec::new(),
         }
     }
 
@@ -98,8 +107,10 @@
     fn second(&mut self, now: f64) {
         for (at, worker) in self.workers.iter_mut().enumerate() {
             for (task, attempt, why) in &mut worker.tasks {
+                let long = self.long.iter().any(|id| task.starts_with(id.as_str()));
+                let run_s = if long { LONG_RUN_S } else { RUN_S };
                 let end = self.ends.entry((at, task.clone(), *attempt));
-                if why.is_none() && now >= *end.or_insert(now + RUN_S) {
+                if why.is_none() && now >= *end.or_insert(now + run_s) {
                     *why = Some(Why::Done);
                 }
             }
@@ -148,6 +159,32 @@
     assert!(least_used >= LIMIT - 2.0, "{least_used} CPUs used");
 }
 
+/// A job whose one task runs for minutes waited with all others until it ended. Floors
+/// are left out: they serve a class, not each job of it.
+#[test]
+fn a_job_with_one_long_task_on_a_machine_gets_others() {
+    let mut settings = settings();
+    settings.policy.admission.floors = false;
+    let mut f = Limited::with(settings);
+    let mut id = String::new();
+    for s in 0..260 {
+        let now = f64::from(s);
+        if s % 8 == 0 {
+            f.submit(Priority::High, 8, 2.0, now);
+        }
+        if s == 20 {
+            id = f.submit(Priority::Normal, 40, 2.0, now);
+            f.long.push(id.clone());
+        }
+        f.second(now);
+    }
+    let own = format!("{id}/");
+    let held = f.leader.held();
+    let tasks = held.iter().filter(|h| h.1.starts_with(&own)).count();
+    // One after 45 s, and another each 75 s, or the s until a task of others ends.
+    assert!(tasks >= 3, "{tasks} tasks in 240 s");
+}
+
 /// What comes free is always too little for a larger task while smaller ones wait: its
 /// team's room is kept for it, until it fits.
 #[test]
