--- a/crates/checker/src/lib.rs
+++ b/crates/checker/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod failed_day;
 pub mod groups;
 pub mod history;
+mod placement;
 mod possible;
 mod room;
 pub mod rules;
--- a/crates/checker/src/rules.rs
+++ b/crates/checker/src/rules.rs
@@ -5,21 +5,21 @@
 use crate::cancelled::CancelledStarts;
 use crate::failed_day::{self, Failure};
 use crate::groups::{self, GroupFigures};
-use crate::history::{Ask, Event, Facts, Job, Off, State, What, job_of};
-use crate::possible;
+use crate::history::{Event, Facts, Job, Off, What, job_of};
+use crate::placement::Place;
 use crate::starved::{Least, Starved};
 use crate::unanswered::Unanswered;
 use crate::waiting::{Wait, Waiting};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
+mod starts;
+mod told;
+
 /// ms for which every poll for a job must fail to call it forgotten.
 const SILENT_MS: u64 = 90_000;
 /// CPUs that sums of decimal amounts may be off by.
 const ROUNDING: f64 = 1e-6;
 
-/// A rule that an answer breaks, since when, and why.
-type Found = (Rule, u64, String);
-
 #[derive(Debug)]
 struct Known {
     job: Job,
@@ -59,18 +59,12 @@
     }
 }
 
-#[derive(Debug)]
-struct Machine {
-    kind: String,
-    zone: String,
-    spot: bool,
-}
-
+/// Takes the events one by one, and names every rule that they break.
 #[derive(Debug, Default)]
 pub struct Checker {
     facts: Option<Facts>,
     jobs: BTreeMap<String, Known>,
-    machines: HashMap<String, Machine>,
+    machines: HashMap<String, Place>,
     /// CPUs of each team on machines, and when a task of it last started.
     used: BTreeMap<String, (f64, u64)>,
     polls: Polls,
@@ -144,12 +138,12 @@
                 spot,
                 ..
             } => {
-                let m = Machine {
+                let place = Place {
                     kind: kind.clone(),
                     zone: zone.clone(),
                     spot: *spot,
                 };
-                self.machines.insert(machine.clone(), m);
+                self.machines.insert(machine.clone(), place);
             }
             What::On { machine, task, .. } => self.on(machine, task, at),
             What::Off {
@@ -173,155 +167,11 @@
         self.jobs.entry(job.id.clone()).or_insert(known);
     }
 
-    /// What came of a request about a job.
-    fn told(&mut self, id: &str, answer: &Answer, node: &str) {
-        if answer.ask == Ask::Poll {
-            self.polls.count(answer);
-        }
-        let breach = |rule, since_ms, why: String| Breach {
-            rule,
-            what: id.to_string(),
-            place: node.to_string(),
-            since_ms,
-            at_ms: answer.at_ms,
-            why,
-        };
-        let Some(known) = self.jobs.get(id) else {
-            if matches!(answer.status, 200 | 201) {
-                let why = "nobody has submitted it; asked".to_string();
-                self.breach(breach(Rule::Invented, answer.sent_ms, why));
-            }
-            return;
-        };
-        let contradictions = known.told.contradictions(answer);
-        let older = contradictions
-            .into_iter()
-            .map(|c| (c.rule, c.since_ms, c.why));
-        let found: Vec<_> = older
-            .chain(self.silent_while_others_heard(id, answer))
-            .chain(self.accepted_wrongly(id, answer))
-            .chain(self.state_is_wrong(id, answer))
-            .map(|(rule, since_ms, why)| breach(rule, since_ms, why))
-            .collect();
-        self.breaches.extend(found);
-        self.hear(id, answer);
-    }
-
-    /// Takes the answer into what is known of its job.
-    fn hear(&mut self, id: &str, answer: &Answer) {
-        let Some(known) = self.jobs.get_mut(id) else {
-            return;
-        };
-        if answer.ask == Ask::Poll && known.told.accepted_ms.is_some() {
-            match answer.status {
-                200 | 201 | 404 => known.silent = None,
-                _ => {
-                    known.silent.get_or_insert(answer.sent_ms);
-                }
-            }
-        }
-        if known.told.hear(answer) && answer.state == Some(State::Cancelled) {
-            let deadline = answer.at_ms + self.cancel_ms();
-            self.overdue.insert((deadline, id.to_string()));
-        }
-    }
-
-    /// Every poll for it has failed for long, while most others were answered.
-    fn silent_while_others_heard(&mut self, id: &str, answer: &Answer) -> Option<Found> {
-        let known = self.jobs.get_mut(id)?;
-        if answer.ask != Ask::Poll || matches!(answer.status, 200 | 201 | 404) {
-            return None;
-        }
-        let since_ms = known.silent?;
-        let long = answer.at_ms - since_ms >= SILENT_MS;
-        if !long || !self.polls.mostly_answered(since_ms, answer.at_ms) {
-            return None;
-        }
-        known.silent = None;
-        let why = "every poll has failed while most others were answered, since";
-        Some((Rule::Forgotten, since_ms, why.into()))
-    }
-
-    /// A job was accepted that had to be refused.
-    fn accepted_wrongly(&self, id: &str, answer: &Answer) -> Option<Found> {
-        let known = self.jobs.get(id)?;
-        if known.told.accepted_ms.is_some() || !matches!(answer.status, 200 | 201) {
-            return None;
-        }
-        let lacks = self
-            .lacking
-            .get(id)
-            .map(|field| format!("it lacks {field}"));
-        let facts = self.facts.as_ref()?;
-        let why = lacks.or_else(|| possible::impossible(facts, &known.job))?;
-        let why = format!("accepted, but {why}; asked");
-        Some((Rule::AcceptedImpossible, answer.sent_ms, why))
-    }
-
-    /// States that other events than the user's own answers forbid.
-    fn state_is_wrong(&self, id: &str, answer: &Answer) -> Vec<Found> {
-        let (Some(known), 200 | 201, Some(state)) =
-            (self.jobs.get(id), answer.status, answer.state)
-        else {
-            return Vec::new();
-        };
-        let mut found = Vec::new();
-        let orphan_ms = self.orphaned_since(id);
-        let orphan_ms = orphan_ms.filter(|ms| answer.sent_ms > ms + self.cancel_ms());
-        if let Some(since_ms) = orphan_ms
-            && !state.is_final()
-        {
-            let why = format!("called {state:?}, but a job before it was told cancelled");
-            found.push((Rule::Orphaned, since_ms, why));
-        }
-        if state == State::Cancelled && !self.wanted_cancelled(id, answer.at_ms) {
-            let why = "called cancelled, which its user never asked for; asked".to_string();
-            found.push((Rule::WentBack, answer.sent_ms, why));
-        }
-        let (done, tasks) = (known.done.len() as u32, known.job.tasks);
-        if state == State::Done && (known.job.standing || done < tasks) {
-            let why = format!("called done with {done} of {tasks} tasks done; asked");
-            found.push((Rule::NotDone, answer.sent_ms, why));
-        }
-        found
-    }
-
     /// ms after the telling within which all tasks of a cancelled job must be gone.
     fn cancel_ms(&self) -> u64 {
         (self.facts.as_ref().map_or(0.0, |f| f.cancel_s) * 1000.0) as u64
     }
 
-    /// All jobs that this one needs, directly or through others.
-    fn before(&self, id: &str) -> BTreeSet<&str> {
-        let mut found: BTreeSet<&str> = BTreeSet::new();
-        let needs = |id: &str| self.jobs.get(id).map_or(&[][..], |k| &k.job.needs);
-        let mut next: Vec<&String> = needs(id).iter().collect();
-        while let Some(id) = next.pop() {
-            if found.insert(id) {
-                next.extend(needs(id));
-            }
-        }
-        found
-    }
-
-    /// When the first of the jobs before it was told cancelled.
-    fn orphaned_since(&self, id: &str) -> Option<u64> {
-        let told = |id: &str| match self.jobs.get(id)?.told.ended? {
-            (State::Cancelled, at) => Some(at),
-            _ => None,
-        };
-        self.before(id).into_iter().filter_map(told).min()
-    }
-
-    /// Did its user, or that of a job before it, want it cancelled by then?
-    fn wanted_cancelled(&self, id: &str, at: u64) -> bool {
-        let unwanted = |id: &str| {
-            let known = self.jobs.get(id);
-            known.and_then(|k| k.unwanted).is_some_and(|t| t <= at)
-        };
-        unwanted(id) || self.before(id).into_iter().any(unwanted)
-    }
-
     /// Cancelled jobs whose time to be gone is over.
     fn expire(&mut self, now: u64) {
         while let Some((deadline, id)) = self.overdue.first().cloned()
@@ -349,99 +199,6 @@
         }
     }
 
-    fn on(&mut self, machine: &str, task: &str, at: u64) {
-        self.starts += 1;
-        let mut found = Vec::new();
-        let breach = |rule, since_ms, why: String| Breach {
-            rule,
-            what: task.to_string(),
-            place: machine.to_string(),
-            since_ms,
-            at_ms: at,
-            why,
-        };
-        let number = task.split_once('/').and_then(|(_, n)| n.parse().ok());
-        let undone = |id: &&String| {
-            let known = self.jobs.get(*id);
-            known.is_none_or(|k| (k.done.len() as u32) < k.job.tasks)
-        };
-        let cancel_ms = self.cancel_ms();
-        let needs = self.jobs.get(job_of(task)).map(|k| &k.job.needs);
-        let early = needs.and_then(|n| n.iter().find(undone)).cloned();
-        let (Some(known), Some(n)) = (self.jobs.get_mut(job_of(task)), number) else {
-            let why = "nobody has submitted it; it started".to_string();
-            self.breach(breach(Rule::Invented, at, why));
-            return;
-        };
-        if let Some(need) = early {
-            let why = format!("started before {need} was done; it began");
-            found.push(breach(Rule::TooEarly, at, why));
-        }
-        if let Some((other, since)) = known.on.get(&n).and_then(|on| on.first()) {
-            let why = format!("it is on {other} since");
-            found.push(breach(Rule::RanTwice, *since, why));
-        }
-        if let Some((State::Cancelled, told)) = known.told.ended
-            && at > told + cancel_ms
-        {
-            let why = "started, and its job was told cancelled".to_string();
-            found.push(breach(Rule::RanCancelled, told, why));
-        }
-        if let Some(m) = self.machines.get(machine) {
-            let job = &known.job;
-            let kinds = job.kinds.as_ref();
-            let mut wrong = None;
-            if kinds.is_some_and(|k| !k.contains(&m.kind)) {
-                wrong = Some(format!("its job doesn't allow the type {}", m.kind));
-            } else if job.zone.as_ref().is_some_and(|z| *z != m.zone) {
-                wrong = Some(format!("its job doesn't allow the zone {}", m.zone));
-            } else if m.spot && !job.spot {
-                wrong = Some("its job doesn't allow spot machines".to_string());
-            }
-            let machines = &self.machines;
-            let zone_of = |name: &String| machines.get(name).map(|m| m.zone.as_str());
-            let others = || {
-                let on = known.on.iter().filter(|(k, _)| **k != n);
-                on.flat_map(|(_, on)| on.iter().map(|(name, since)| (zone_of(name), *since)))
-            };
-            let mut since = at;
-            if job.one_zone
-                && let Some((zone, s)) = others().find(|(z, _)| *z != Some(m.zone.as_str()))
-            {
-                since = s;
-                wrong = Some(format!("its job must be in one zone, and is in {zone:?}"));
-            }
-            let here = others()
-                .filter(|(z, _)| *z == Some(m.zone.as_str()))
-                .count();
-            let most = job.tasks.div_ceil(2) as usize;
-            if job.spread && here + 1 > most {
-                wrong = Some(format!("{here} of at most {most} tasks are in its zone"));
-            }
-            if let Some(why) = wrong {
-                found.push(breach(Rule::WrongPlace, since, why + ", seen"));
-            }
-        }
-        let (team, cpus) = (known.job.team.clone(), known.job.cpus);
-        let on = known.on.entry(n).or_default();
-        on.push((machine.to_string(), at));
-        let used = self.used.entry(team.clone()).or_default();
-        let before = std::mem::replace(&mut used.1, at);
-        used.0 += cpus;
-        let facts = self.facts.as_ref();
-        let limit = facts
-            .and_then(|f| f.teams.iter().find(|t| t.name == team))
-            .map(|t| t.cpus_max)
-            .filter(|most| *most > 0.0);
-        if let Some(limit) = limit
-            && used.0 > limit + ROUNDING
-        {
-            let why = format!("{team} uses {} of {limit} CPUs; its last start", used.0);
-            found.push(breach(Rule::Quota, before, why));
-        }
-        self.breaches.extend(found);
-    }
-
     fn off(&mut self, machine: &str, task: &str, why: Off, at: u64) {
         let number = task.split_once('/').and_then(|(_, n)| n.parse().ok());
         let (Some(known), Some(n)) = (self.jobs.get_mut(job_of(task)), number) else {
--- a/crates/emulator/src/odd.rs
+++ b/crates/emulator/src/odd.rs
@@ -215,6 +215,8 @@
         standing: submission.kind == Kind::Service,
         tasks: submission.tasks,
         cpus: submission.cpus,
+        gpus: submission.gpus,
+        ram_gb: submission.memory_gb,
         kinds: submission.types.clone(),
         zone: submission.zone.clone(),
         one_zone: submission.one_zone,
