--- a/crates/checker/src/rules/told.rs
+++ b/crates/checker/src/rules/told.rs
@@ -23,8 +23,14 @@
         };
         let Some(known) = self.jobs.get(id) else {
             if matches!(answer.status, 200 | 201) {
-                let why = "nobody has submitted it; asked".to_string();
-                self.breach(breach(Rule::Invented, answer.sent_ms, why));
+                let (rule, why) = match self.lacking.get(id) {
+                    Some(field) => {
+                        let why = format!("accepted, but it lacks {field}; asked");
+                        (Rule::AcceptedImpossible, why)
+                    }
+                    None => (Rule::Invented, "nobody has submitted it; asked".into()),
+                };
+                self.breach(breach(rule, answer.sent_ms, why));
             }
             return;
         };
--- a/crates/checker/tests/troubles.rs
+++ b/crates/checker/tests/troubles.rs
@@ -441,6 +441,15 @@
     });
     let breach = script.accepted(plain()).only(Rule::AcceptedImpossible);
     assert!(breach.why.contains("lacks crew"), "{breach}");
+    // Also if it stands in the history as no job.
+    let mut script = beside(4.0);
+    script.at(10).add(What::LacksField {
+        job: "wk-000001".into(),
+        field: "crew".into(),
+    });
+    let told = Some(State::Queued);
+    script.told(Ask::Submit, "wk-000001", 0, 201, told);
+    script.only(Rule::AcceptedImpossible);
     // An array needs room for one task at a time only.
     beside(4.0).at(10).accepted(plain()).none();
 }
