Close looks: nobody asks about a job whose user gave it up

A fault of the emulator, not of the controllers. Change: looks at the end of a job's last task only while its user waits. Tests: emulator/tests/troubles.rs (8 pass).

--- a/crates/emulator/src/odd.rs
+++ b/crates/emulator/src/odd.rs
@@ -59,8 +59,12 @@
     pub(crate) async fn meet_ends(self: Arc<Self>) {
         loop {
             for job in self.world.next_finished().await {
+                // One whose user gave it up is nobody's to ask about.
+                if !self.waits_for(&job) {
+                    continue;
+                }
                 self.look_closely(&job);
-                if self.cancels_at_end() && self.waits_for(&job) {
+                if self.cancels_at_end() {
                     let after_s = self.host.between(0.0, AT_END_S);
                     self.clone().cancel(job, after_s);
                 }
