Checker: a job that can never run is wanted by nobody, refused or not

Cause: such a job left the count only when a controller had refused it with 400 or 422. Change: what can never run isn't wanted unless it was accepted. All others count as before. Test: jobs_that_can_never_run_are_wanted_by_nobody, seen failing before.

--- a/crates/checker/src/starved.rs
+++ b/crates/checker/src/starved.rs
@@ -2,7 +2,8 @@
 //! although what the others got beyond that would have been enough.
 
 use crate::breach::{Breach, Rule};
-use crate::history::{Event, Job, MachineType, Off, What, job_of};
+use crate::history::{Event, Facts, Job, MachineType, Off, What, job_of};
+use crate::possible;
 use cherrywood_scenario::deployment::Served;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -10,8 +11,10 @@
 struct Seen {
     job: Job,
     at: u64,
-    /// Nobody waits for it: its user wants it cancelled, or it can never run.
+    /// Nobody waits for it: its user wants it cancelled, or it was refused for good.
     void: bool,
+    /// It can never run: wanted by nobody, also if its user gave up before it was refused.
+    impossible: bool,
     done: BTreeSet<String>,
     done_at: Option<u64>,
     accepted: bool,
@@ -21,6 +24,8 @@
 #[derive(Debug, Default)]
 pub struct Starved {
     asked: Option<Served>,
+    /// What can run at all.
+    facts: Option<Facts>,
     jobs: BTreeMap<String, Seen>,
     /// Run time that was of use, CPU seconds, and tasks done, by class.
     useful: BTreeMap<String, (f64, u32)>,
@@ -85,12 +90,25 @@
     }
 }
 
+impl Seen {
+    /// Does anybody wait for it? What was accepted counts, whether it can run or not.
+    fn wanted(&self) -> bool {
+        !self.void && (self.accepted || !self.impossible)
+    }
+}
+
 impl Starved {
+    fn can_never_run(&self, job: &Job) -> bool {
+        let facts = self.facts.as_ref();
+        facts.is_some_and(|facts| possible::impossible(facts, job).is_some())
+    }
+
     pub fn feed(&mut self, event: &Event) {
         match &event.what {
             What::Begins { facts, .. } => {
                 self.asked = facts.served;
                 self.kinds.clone_from(&facts.kinds);
+                self.facts = Some(facts.clone());
             }
             What::Rented { machine, kind, .. } => {
                 let kind = self.kinds.iter().find(|k| k.name == *kind);
@@ -112,6 +130,7 @@
                     job: job.clone(),
                     at: event.at_ms,
                     void: job.standing,
+                    impossible: self.can_never_run(job),
                     done: BTreeSet::new(),
                     done_at: None,
                     accepted: false,
@@ -194,7 +213,7 @@
     /// The largest tenth of each class, by their work.
     fn largest_tenths(&self) -> BTreeSet<&str> {
         let mut classes: BTreeMap<&str, Vec<(f64, &str)>> = BTreeMap::new();
-        for s in self.jobs.values().filter(|s| !s.void) {
+        for s in self.jobs.values().filter(|s| s.wanted()) {
             let of = classes.entry(&s.job.class).or_default();
             of.push((self.work(&s.job), &s.job.id));
         }
@@ -236,7 +255,7 @@
     fn groups(&self, within_ms: u64, at: u64) -> BTreeMap<(&str, &str), Group> {
         let mut groups: BTreeMap<(&str, &str), Group> = BTreeMap::new();
         let largest = self.largest();
-        for s in self.jobs.values().filter(|s| !s.void) {
+        for s in self.jobs.values().filter(|s| s.wanted()) {
             // One that waits for others counts from when they are done.
             let Some(from) = self.ready_at(s) else {
                 continue;
@@ -276,7 +295,7 @@
     pub(crate) fn shares(&self) -> BTreeMap<Members<'_>, Share> {
         let largest = self.largest_tenths();
         let mut shares: BTreeMap<Members<'_>, Share> = BTreeMap::new();
-        let wanted = self.jobs.values().filter(|s| !s.void);
+        let wanted = self.jobs.values().filter(|s| s.wanted());
         for seen in wanted.filter(|s| self.ready_at(s).is_some()) {
             let job = &seen.job;
             let tenth = largest.contains(job.id.as_str());
@@ -305,7 +324,7 @@
             .min_by(|a, b| a.1.share().total_cmp(&b.1.share()));
         let ((what, name), group) = least?;
         let longest = self.longest_start(at);
-        let open = self.jobs.values().filter(|s| !s.void);
+        let open = self.jobs.values().filter(|s| s.wanted());
         let last = open.clone().map(|s| s.at + within_ms).max().unwrap_or(0);
         let up = |m: &(f64, Option<u64>, Option<u64>)| {
             let (from, to) = (m.1.unwrap_or(last), m.2.unwrap_or(last).min(last));
--- a/crates/checker/tests/troubles.rs
+++ b/crates/checker/tests/troubles.rs
@@ -582,6 +582,25 @@
     assert!(!half.contains(&group("class c", 5, 10)), "{half:?}");
 }
 
+/// Its user may give up before any controller could refuse it (an outage answers 503).
+#[test]
+fn jobs_that_can_never_run_are_wanted_by_nobody() {
+    let mut script = Script::new();
+    script.machine("vm-1", "a");
+    for (id, team, cpus) in [("wk-000001", "nobody", 2.0), ("wk-000002", "free", 1.0e6)] {
+        let odd = Job {
+            team: team.into(),
+            cpus,
+            ..job(id, 1)
+        };
+        script.at(10).add(What::Submitted { job: odd });
+        script.at(70).told(Ask::Submit, id, 5, 503, None);
+    }
+    let checker = script.at(300).checked();
+    assert_eq!(checker.failures, []);
+    assert_eq!(checker.breaches, []);
+}
+
 #[test]
 fn figures_stand_for_each_class_and_team() {
     let mut script = beside(2.0);
