--- a/crates/checker/tests/troubles.rs
+++ b/crates/checker/tests/troubles.rs
@@ -587,6 +587,10 @@
 fn jobs_that_can_never_run_are_wanted_by_nobody() {
     let mut script = Script::new();
     script.machine("vm-1", "a");
+    let task = "wk-000003/0";
+    script.at(1).accepted(job("wk-000003", 1));
+    script.at(2).starts("vm-1", task).on("vm-1", task);
+    script.off("vm-1", task, Off::Done);
     for (id, team, cpus) in [("wk-000001", "nobody", 2.0), ("wk-000002", "free", 1.0e6)] {
         let odd = Job {
             team: team.into(),
