Leader: one question whether a start was ever sent

Cause: Placement::unsent() stood beside two copies of its condition, in orders() and in the sums of a machine's rows.

--- a/crates/control/src/leader/orders.rs
+++ b/crates/control/src/leader/orders.rs
@@ -25,7 +25,7 @@
                     commands.push(stop(p, job));
                     continue;
                 }
-                let first = p.sent == 0 && !p.seen && !p.inherited;
+                let first = p.unsent();
                 if live && first && p.stage == Stage::Durable && p.session == m.session {
                     p.sent = 1;
                     crate::life!(p.id, machine = name, holder = m.holder, "start sent");
--- a/crates/control/src/leader/rows.rs
+++ b/crates/control/src/leader/rows.rs
@@ -63,7 +63,7 @@
                 s.ending += p.cpus;
             }
             s.waits |= !p.running;
-            s.calls |= p.stop == Stop::Due || p.sent == 0 && !p.seen && !p.inherited;
+            s.calls |= p.stop == Stop::Due || p.unsent();
         }
         s
     }
