Ledger: a transaction that fills up marks exactly what it holds

The recovering leader counted nothing of it on the first.

Cause: `draft_planned` evaluated `full |= !wait && (!room || !draft.add(..))`, whose right side runs also when `full` is set. On the machine at which a transaction filled up, later placements that still fitted (a row of a job that the entry named already) went into the draft but stayed `Planned`. `record_written` looked for them in `Writing`, didn't find them and noted them as freed; the next transaction carried that mark and, in the same or a later entry, the placements again, under the same attempt. This leader started them; a recovery took them for freed and placed their tasks a second time. It needs a full transaction: small values and a burst of placements, as after a failover.

Change: one function adds a placement to the draft and marks it `Writing`, and stops at the first that doesn't fit, so the two sets can't differ. What was written and is still planned becomes durable instead of being taken for freed. The guards of a transaction have a type of their own.

--- a/crates/control/src/leader/ledger.rs
+++ b/crates/control/src/leader/ledger.rs
@@ -18,9 +18,11 @@
 
 mod draft;
 mod inherit;
+mod job_guards;
 mod outcome;
 
 use draft::Draft;
+use job_guards::JobGuards;
 
 /// An entry in the state service.
 #[derive(Debug, Default)]
@@ -87,6 +89,17 @@
     }
 }
 
+/// How much of what is planned on a machine a draft took.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum DraftedPart {
+    /// All of it.
+    All,
+    /// All but placements of jobs that have to wait.
+    AllButWaiting,
+    /// What came before the first placement that the transaction has no room for.
+    UntilFull,
+}
+
 impl Leader {
     /// The guard of every transaction of this leader: none is applied once the leader key changed.
     pub fn leader_guard(&self) -> Guard {
@@ -122,9 +135,9 @@
         let most = self.store_limits.value_bytes.min(limits::TXN_BYTES_MAX);
         // Half of the changes are left for the deletion of old entries.
         let mut draft = Draft::new(most, ops / 2);
-        let mut guards = vec![self.leader_guard()];
+        let mut guards = JobGuards::new(self.leader_guard(), ops);
         let freed = self.draft_freed(&mut draft);
-        self.draft_planned(&mut draft, &mut guards, ops);
+        self.draft_planned(&mut draft, &mut guards);
         // What compaction writes again is no reason for a transaction by itself.
         let has_new_placements = draft.rows() > 0;
         let dropped_entries = self.compact_oldest_entries(&mut draft, ops);
@@ -133,7 +146,7 @@
         if !has_new_placements && !worthwhile {
             return None;
         }
-        Some(self.assemble_batch(draft, guards, dropped_entries, freed))
+        Some(self.assemble_batch(draft, guards.into_guards(), dropped_entries, freed))
     }
 
     /// Adds what was freed. It goes before new placements: a task that is placed again is then
@@ -147,55 +160,54 @@
     }
 
     /// Adds the planned placements, as many as fit, and a guard for each of their jobs.
-    fn draft_planned(&mut self, draft: &mut Draft, guards: &mut Vec<Guard>, ops: usize) {
-        let mut guarded = HashSet::new();
-        let mut full = false;
-        for name in self.machines_to_record.clone() {
-            let Some(m) = self.machines.get_mut(&name) else {
-                self.machines_to_record.remove(&name);
-                continue;
-            };
-            let mut written = Vec::new();
-            let mut left = false;
-            for (at, p) in m.placements.iter().enumerate() {
-                if p.stage != PlacementStage::Planned {
-                    continue;
-                }
-                let job = p.job.and_then(|no| self.jobs.get(&no));
-                // The last check: nothing of a job starts before all that it needs is known
-                // to be done, however it came to be planned.
-                let wait = job.is_some_and(|j| {
-                    j.awaiting_dependencies || self.keys_to_reread.contains(&keys::job(&j.spec.id))
-                });
-                // The first placement of a job adds a guard: a key and a revision.
-                let new = p.job.filter(|no| !guarded.contains(no));
-                let room = new.is_none()
-                    || guards.len() + ops / 2 + 1 < ops * 4 && draft.left > limits::GUARD_BYTES;
-                full |= !wait && (!room || !draft.add(&name, m, p));
-                if wait || full {
-                    left = true;
-                    continue;
+    fn draft_planned(&mut self, draft: &mut Draft, guards: &mut JobGuards) {
+        for machine in self.machines_to_record.clone() {
+            match self.draft_planned_on(&machine, draft, guards) {
+                DraftedPart::All => {
+                    self.machines_to_record.remove(&machine);
                 }
-                if let (Some(no), Some(job)) = (new, job) {
-                    guarded.insert(no);
-                    draft.left = draft.left.saturating_sub(limits::GUARD_BYTES);
-                    guards.push(Guard {
-                        key: keys::job(&job.spec.id),
-                        revision: job.revision,
-                    });
-                }
-                written.push(at);
+                DraftedPart::AllButWaiting => {}
+                DraftedPart::UntilFull => break,
+            }
+        }
+    }
+
+    /// Adds the planned placements of one machine. What the draft takes is in `Writing` from
+    /// here on, and nothing else is.
+    fn draft_planned_on(
+        &mut self,
+        name: &str,
+        draft: &mut Draft,
+        guards: &mut JobGuards,
+    ) -> DraftedPart {
+        let Some(machine) = self.machines.get_mut(name) else {
+            return DraftedPart::All;
+        };
+        let mut part = DraftedPart::All;
+        for index in 0..machine.placements.len() {
+            let placement = &machine.placements[index];
+            if placement.stage != PlacementStage::Planned {
+                continue;
             }
-            for at in written {
-                m.placements[at].stage = PlacementStage::Writing;
+            let job = placement.job.and_then(|index| self.jobs.get(&index));
+            // The last check: nothing of a job starts before all that it needs is known
+            // to be done, however it came to be planned.
+            let must_wait = job.is_some_and(|job| {
+                job.awaiting_dependencies || self.keys_to_reread.contains(&keys::job(&job.spec.id))
+            });
+            if must_wait {
+                part = DraftedPart::AllButWaiting;
+                continue;
             }
-            if !left {
-                self.machines_to_record.remove(&name);
+            if !guards.have_room_for(placement.job, draft) || !draft.add(name, machine, placement) {
+                return DraftedPart::UntilFull;
             }
-            if full {
-                break;
+            if let (Some(index), Some(job)) = (placement.job, job) {
+                guards.add(index, job, draft);
             }
+            machine.placements[index].stage = PlacementStage::Writing;
         }
+        part
     }
 
     /// The transaction of a draft: its entries under new numbers, and the deletion of old ones.
--- /dev/null
+++ b/crates/control/src/leader/ledger/job_guards.rs
@@ -0,0 +1,47 @@
+//! The guards of a ledger transaction: the leader's key, and the record of each job placed.
+
+use super::Draft;
+use crate::leader::*;
+
+/// Guards being collected, one for each job.
+pub(super) struct JobGuards {
+    guards: Vec<Guard>,
+    guarded: HashSet<JobIndex>,
+    /// Guards that the jobs may have.
+    most: usize,
+}
+
+impl JobGuards {
+    /// The leader's guard, in a transaction of at most `changes` changes: half of them may be
+    /// new entries, which have a guard each.
+    pub(super) fn new(leader: Guard, changes: usize) -> JobGuards {
+        JobGuards {
+            guards: vec![leader],
+            guarded: HashSet::new(),
+            most: (changes * limits::store::GUARDS_PER_CHANGE).saturating_sub(changes / 2 + 1),
+        }
+    }
+
+    /// Whether a placement of this job may be added: its first needs a guard.
+    pub(super) fn have_room_for(&self, job: Option<JobIndex>, draft: &Draft) -> bool {
+        let is_guarded = job.is_none_or(|index| self.guarded.contains(&index));
+        is_guarded || self.guards.len() < self.most && draft.left > limits::GUARD_BYTES
+    }
+
+    /// Guards the job's record, if it isn't yet.
+    pub(super) fn add(&mut self, index: JobIndex, job: &Job, draft: &mut Draft) {
+        if !self.guarded.insert(index) {
+            return;
+        }
+        draft.left = draft.left.saturating_sub(limits::GUARD_BYTES);
+        self.guards.push(Guard {
+            key: keys::job(&job.spec.id),
+            revision: job.revision,
+        });
+    }
+
+    /// All guards.
+    pub(super) fn into_guards(self) -> Vec<Guard> {
+        self.guards
+    }
+}
--- a/crates/control/src/leader/ledger/outcome.rs
+++ b/crates/control/src/leader/ledger/outcome.rs
@@ -38,7 +38,7 @@
                 for p in m.into_iter().flat_map(|m| m.placements.iter_mut()) {
                     // A placement of an older entry, which this one holds again.
                     let again = p.stage == PlacementStage::Durable && p.ledger_entry < id;
-                    if (p.stage == PlacementStage::Writing || again) && row.covers(p) {
+                    if (p.stage != PlacementStage::Durable || again) && row.covers(p) {
                         crate::trace_job!(
                             p.task_id,
                             machine = row.machine,
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -98,6 +98,12 @@
                 nonce: epoch,
             }),
         );
+        let from = self.recovered_state(overlap_s, now);
+        Leader::new(epoch, mark, settings, machine_types(), from, now)
+    }
+
+    /// What a new leader reads.
+    pub fn recovered_state(&self, overlap_s: f64, now: f64) -> RecoveredState {
         let mut from = RecoveredState {
             overlap_s,
             wall_clock_ms: if self.tells_time {
@@ -122,7 +128,7 @@
                 _ => {}
             }
         }
-        Leader::new(epoch, mark, settings, machine_types(), from, now)
+        from
     }
 
     /// A user's submission that some node accepted.
--- /dev/null
+++ b/crates/control/tests/ledger_recovery.rs
@@ -0,0 +1,80 @@
+//! What a new leader recovers from the placement ledger: all that may run.
+
+mod common;
+
+use cherrywood_control::settings::{NextLimits, Settings};
+use cherrywood_wire::agent::ExitCause;
+use cherrywood_wire::user::Submission;
+use common::*;
+use std::collections::BTreeSet;
+
+/// Sizes of a value at which a transaction fills up at different groups, bytes.
+const VALUE_BYTES: std::ops::Range<usize> = 512..1_536;
+/// CPUs of the tasks beside which the two of the divided job are placed.
+const SMALL_TASK_CPUS: f64 = 0.1;
+/// Small jobs that use all CPUs that the first task of the divided job leaves.
+const SMALL_JOBS: usize = 10;
+
+/// A store whose transactions take one ledger entry, of so many bytes.
+fn one_small_entry_a_transaction(value_bytes: usize) -> Settings {
+    let mut settings = settings();
+    settings.state.next = Some(NextLimits {
+        value_kb: Some(value_bytes as f64 / 1024.0),
+        txn_ops: Some(2),
+        ..NextLimits::default()
+    });
+    settings
+}
+
+fn wide_job_of(id: &str, tasks: u32, cpus: f64) -> Submission {
+    Submission {
+        cpus,
+        ..wide_job(id, tasks)
+    }
+}
+
+/// Tasks that run on the worker, with their attempts, as a leader counts them.
+fn running_on(worker: &Worker) -> BTreeSet<(String, String, u64)> {
+    let running = worker.tasks.iter().filter(|task| task.is_running());
+    running
+        .map(|task| (worker.name.clone(), task.task.clone(), task.attempt))
+        .collect()
+}
+
+/// Places a job's two tasks on one machine as two groups, with small jobs between them.
+fn place_a_divided_job(cluster: &mut TestCluster, worker: &mut Worker) {
+    cluster.submit(&wide_job_of("wk-000001", 1, 5.0), 0.0);
+    cluster.heartbeat(worker, "n1", 1.0);
+    cluster.heartbeat(worker, "n1", 2.0);
+    assert_eq!(worker.running(), 1, "room for one task of the next job");
+    cluster.submit(&wide_job_of("wk-000002", 2, 2.0), 3.0);
+    cluster.leader.place_pending(3.0);
+    for id in 0..SMALL_JOBS {
+        let id = format!("wk-{:06}", 100 + id);
+        cluster.submit(&wide_job_of(&id, 1, SMALL_TASK_CPUS), 3.0);
+    }
+    cluster.leader.place_pending(3.0);
+    worker.tasks[0].exit = Some(ExitCause::Done);
+    let report = worker.report();
+    cluster.leader.take_heartbeat("n1", &report, &[], 4.0);
+    cluster.leader.place_pending(4.0);
+}
+
+#[test]
+fn a_task_placed_as_its_transaction_fills_up_is_not_taken_for_freed_after_a_failover() {
+    for value_bytes in VALUE_BYTES {
+        let settings = one_small_entry_a_transaction(value_bytes);
+        let mut store = Store::default();
+        let leader = store.elect_with(settings.clone(), 1, 0.0);
+        let mut cluster = TestCluster { store, leader };
+        let mut worker = Worker::new("vm-1");
+        place_a_divided_job(&mut cluster, &mut worker);
+        cluster.write_all();
+        cluster.heartbeat(&mut worker, "n1", 5.0);
+        let running = running_on(&worker);
+        assert_eq!(running.len(), 2 + SMALL_JOBS);
+        let recovered = cluster.store.elect_with(settings, 2, 6.0);
+        let lost = &running - &recovered.placements_held();
+        assert!(lost.is_empty(), "values of {value_bytes} bytes: {lost:?}");
+    }
+}
--- a/crates/limits/src/store.rs
+++ b/crates/limits/src/store.rs
@@ -15,6 +15,9 @@
 /// Bytes, counted as JSON, of a transaction.
 pub const TXN_BYTES_MAX: usize = 64 * 1024;
 
+/// Guards that a transaction may have for each change that it may have.
+pub const GUARDS_PER_CHANGE: usize = 4;
+
 /// Changes kept for watches; older ones are compacted.
 pub const CHANGE_LOG_MAX: usize = 10_000;
 
--- a/crates/store/src/validation.rs
+++ b/crates/store/src/validation.rs
@@ -6,9 +6,6 @@
 use rmpv::Value;
 use std::collections::BTreeSet;
 
-/// Guards that a transaction may have for each change that it may have (protocol).
-const GUARDS_PER_CHANGE: usize = 4;
-
 /// Size limits that a deployment sets; the others are the protocol's own.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct SizeLimits {
@@ -59,7 +56,7 @@
     changes: &[Change<Value>],
     size_limits: &SizeLimits,
 ) -> Result<(), InvalidRequest> {
-    let too_many_guards = guards.len() > size_limits.txn_changes * GUARDS_PER_CHANGE;
+    let too_many_guards = guards.len() > size_limits.txn_changes * limits::GUARDS_PER_CHANGE;
     if changes.len() > size_limits.txn_changes || too_many_guards {
         return Err(InvalidRequest::TooManyOperations);
     }
