Recovery: a freed mark counts for older entries alone

Cause: a mark in the placement ledger names an attempt and a task, not an entry. A recovery collected all marks first, so a mark hid every later write of the placement too. `placed_tasks_by_job` (which tasks are queued) and `recover_ledger` (which are counted on machines) each decided for themselves what a mark hides.

Change: `LogReplay` decides for both: the newest entry that names a placement holds it, unless a later one calls it freed. `ledger/inherit.rs` is `ledger/recovery.rs`.

Evidence: a_freed_mark_does_not_hide_a_placement_that_is_written_again failed before this change and passes with it; a_freed_mark_frees_what_older_entries_hold passes on both.

--- a/crates/control/src/leader/ledger.rs
+++ b/crates/control/src/leader/ledger.rs
@@ -17,9 +17,12 @@
 };
 
 mod draft;
-mod inherit;
 mod job_guards;
 mod outcome;
+mod recovery;
+mod replay;
+
+pub(super) use replay::LogReplay;
 
 use draft::Draft;
 use job_guards::JobGuards;
--- a/crates/control/src/leader/ledger/inherit.rs
+++ b/crates/control/src/leader/ledger/recovery.rs
@@ -1,30 +1,18 @@
 //! Failover: how a new leader recovers placements from the ledger.
 
-use super::{LedgerEntry, LedgerRow, LoggedPlacement, PlacementLogRecord};
+use super::{LedgerEntry, LedgerRow, LogReplay, LoggedPlacement, PlacementLogRecord};
 use crate::leader::*;
 
 impl Leader {
-    /// Recovers the placements in the log that no entry calls freed. `entries` are sorted, the
-    /// oldest first. The last leader may act for `overlap_s` from now.
+    /// Recovers the placements that the replay of the entries shows as live. `entries` are
+    /// sorted, the oldest first. The last leader may act for `overlap_s` from now.
     pub(in crate::leader) fn recover_ledger(
         &mut self,
         entries: Vec<(u64, PlacementLogRecord)>,
+        replay: &LogReplay,
         overlap_s: f64,
         now: f64,
     ) {
-        let freed: HashSet<(u64, u32)> = entries
-            .iter()
-            .flat_map(|(_, v)| v.freed.iter().copied())
-            .collect();
-        // A placement that was written again counts for its newest entry only.
-        let mut newest: HashMap<(u64, u32), u64> = HashMap::new();
-        for (id, v) in &entries {
-            for LoggedPlacement(_, _, _, _, attempt, first, n) in &v.placements {
-                for task in *first..first.saturating_add(*n) {
-                    newest.insert((*attempt, task), *id);
-                }
-            }
-        }
         for (id, v) in entries {
             let mut entry = LedgerEntry::default();
             for LoggedPlacement(name, place, session, job, attempt, first, n) in v.placements {
@@ -39,8 +27,7 @@
                     continue;
                 };
                 for task in first..first.saturating_add(n) {
-                    let here = newest.get(&(attempt, task)) == Some(&id);
-                    if !here || freed.contains(&(attempt, task)) {
+                    if !replay.is_live_in(id, attempt, task) {
                         continue;
                     }
                     entry.live += 1;
--- /dev/null
+++ b/crates/control/src/leader/ledger/replay.rs
@@ -0,0 +1,50 @@
+//! Which placements the entries of a log hold: the one rule for all that is recovered from it.
+
+use super::{LoggedPlacement, PlacementLogRecord};
+use std::collections::HashMap;
+
+/// An attempt and the index of a task: what names a placement in the log.
+type LoggedTask = (u64, u32);
+
+/// What the entries of a log say of each placement.
+#[derive(Debug)]
+pub(in crate::leader) struct LogReplay {
+    /// The newest entry that holds it.
+    written_in: HashMap<LoggedTask, u64>,
+    /// The newest entry that calls it freed.
+    freed_in: HashMap<LoggedTask, u64>,
+}
+
+impl LogReplay {
+    /// Replays entries with their numbers, the oldest first.
+    pub(in crate::leader) fn new(entries: &[(u64, PlacementLogRecord)]) -> LogReplay {
+        let mut written_in = HashMap::new();
+        let mut freed_in = HashMap::new();
+        for (entry, record) in entries {
+            for placement in &record.placements {
+                written_in.extend(tasks_of(placement).map(|task| (task, *entry)));
+            }
+            freed_in.extend(record.freed.iter().map(|task| (*task, *entry)));
+        }
+        LogReplay {
+            written_in,
+            freed_in,
+        }
+    }
+
+    /// Whether this entry is what holds the placement: the newest that does, and no later one
+    /// calls it freed.
+    pub(in crate::leader) fn is_live_in(&self, entry: u64, attempt: u64, task_index: u32) -> bool {
+        let task = (attempt, task_index);
+        let is_newest = self.written_in.get(&task) == Some(&entry);
+        let is_freed = self.freed_in.get(&task).is_some_and(|freed| *freed > entry);
+        is_newest && !is_freed
+    }
+}
+
+/// The attempt and the index of each task of a logged placement.
+fn tasks_of(placement: &LoggedPlacement) -> impl Iterator<Item = LoggedTask> {
+    let LoggedPlacement(_, _, _, _, attempt, first_task, task_count) = *placement;
+    let tasks = first_task..first_task.saturating_add(task_count);
+    tasks.map(move |task_index| (attempt, task_index))
+}
--- a/crates/control/src/leader/recovery.rs
+++ b/crates/control/src/leader/recovery.rs
@@ -1,6 +1,7 @@
 //! Failover: what a new leader reads from the state service, and how it becomes its state.
 
 use super::Leader;
+use super::ledger::LogReplay;
 use crate::keys;
 use cherrywood_admission::AdmissionValue;
 use cherrywood_wire::records::{
@@ -48,7 +49,8 @@
     pub(super) fn recover(&mut self, from: RecoveredState, now: f64) {
         let mut progress = progress_by_job(from.progress);
         // Needed before any job is taken in: tasks that may be on a machine are not queued.
-        let placed = placed_tasks_by_job(&from.ledger);
+        let replay = LogReplay::new(&from.ledger);
+        let placed = placed_tasks_by_job(&from.ledger, &replay);
         let mut jobs = from.jobs;
         jobs.sort_by_key(|(record, _)| record.accepted_at_ms);
         for (record, revision) in jobs {
@@ -63,7 +65,7 @@
             self.obsolete_keys.extend(keys);
         }
         self.recover_image_hints(from.images.unwrap_or_default());
-        self.recover_ledger(from.ledger, from.overlap_s, now);
+        self.recover_ledger(from.ledger, &replay, from.overlap_s, now);
     }
 }
 
@@ -87,20 +89,19 @@
     by_job
 }
 
-/// Tasks of each job that the ledger places somewhere and no entry frees.
-fn placed_tasks_by_job(ledger: &[(u64, PlacementLogRecord)]) -> HashMap<String, HashSet<u32>> {
-    let freed: HashSet<(u64, u32)> = ledger
-        .iter()
-        .flat_map(|(_, entry)| entry.freed.iter().copied())
-        .collect();
+/// Tasks of each job that the ledger places somewhere.
+fn placed_tasks_by_job(
+    ledger: &[(u64, PlacementLogRecord)],
+    replay: &LogReplay,
+) -> HashMap<String, HashSet<u32>> {
     let mut placed: HashMap<String, HashSet<u32>> = HashMap::new();
-    for (_, entry) in ledger {
+    for (id, entry) in ledger {
         for LoggedPlacement(_, _, _, job, attempt, first, n) in &entry.placements {
             let Some(job) = entry.jobs.get(*job) else {
                 continue;
             };
             let tasks = (*first..first.saturating_add(*n))
-                .filter(|task| !freed.contains(&(*attempt, *task)));
+                .filter(|task| replay.is_live_in(*id, *attempt, *task));
             placed.entry(job.id.clone()).or_default().extend(tasks);
         }
     }
--- a/crates/control/tests/ledger_recovery.rs
+++ b/crates/control/tests/ledger_recovery.rs
@@ -3,7 +3,11 @@
 mod common;
 
 use cherrywood_control::settings::{NextLimits, Settings};
+use cherrywood_control::{Leader, keys};
 use cherrywood_wire::agent::ExitCause;
+use cherrywood_wire::records::{
+    LoggedJob, LoggedMachineClass, LoggedPlacement, PlacementLogRecord, StoredRecord,
+};
 use cherrywood_wire::user::Submission;
 use common::*;
 use std::collections::BTreeSet;
@@ -12,6 +16,8 @@
 const VALUE_BYTES: std::ops::Range<usize> = 512..1_536;
 /// CPUs of the tasks beside which the two of the divided job are placed.
 const SMALL_TASK_CPUS: f64 = 0.1;
+/// The attempt of the placement in ledger entries that are written by hand.
+const ATTEMPT: u64 = (1 << 32) + 7;
 /// Small jobs that use all CPUs that the first task of the divided job leaves.
 const SMALL_JOBS: usize = 10;
 
@@ -78,3 +84,70 @@
         assert!(lost.is_empty(), "values of {value_bytes} bytes: {lost:?}");
     }
 }
+
+/// A ledger entry with one placement of task 0 under `ATTEMPT`, and with what it calls freed.
+fn entry(is_placed: bool, freed: &[(u64, u32)]) -> StoredRecord {
+    let placement = LoggedPlacement("vm-1".into(), 0, 1, 0, ATTEMPT, 0, 1);
+    StoredRecord::PlacementLog(PlacementLogRecord {
+        jobs: vec![LoggedJob {
+            id: "wk-000001".into(),
+            team: "t".into(),
+            cpus: 2.0,
+            gpus: 0.0,
+            memory_gb: 1.0,
+        }],
+        machine_classes: vec![LoggedMachineClass {
+            machine_type: "m8".into(),
+            zone: "a".into(),
+            spot: true,
+        }],
+        placements: is_placed.then_some(placement).into_iter().collect(),
+        freed: freed.to_vec(),
+    })
+}
+
+/// A leader that reads these ledger entries and the job of their placement.
+fn recovered_from(entries: impl IntoIterator<Item = StoredRecord>) -> Leader {
+    let mut store = Store::default();
+    store.accept(&job("wk-000001", 1));
+    for (number, entry) in (1..).zip(entries) {
+        store.put(&keys::ledger(number), entry);
+    }
+    store.elect(2, 0.0)
+}
+
+/// Whether the task is counted as placed, or else queued.
+fn is_placed(leader: &Leader) -> bool {
+    let placed = !leader.placements_held().is_empty();
+    let queued = leader.queue_lengths().iter().sum::<u32>() > 0;
+    assert_ne!(placed, queued, "a task is either placed or queued");
+    placed
+}
+
+#[test]
+fn a_freed_mark_frees_what_older_entries_hold() {
+    let freed = [(ATTEMPT, 0)];
+    assert!(!is_placed(&recovered_from([
+        entry(true, &[]),
+        entry(false, &freed)
+    ])));
+    assert!(!is_placed(&recovered_from([
+        entry(true, &[]),
+        entry(true, &[]),
+        entry(false, &freed)
+    ])));
+}
+
+#[test]
+fn a_freed_mark_does_not_hide_a_placement_that_is_written_again() {
+    let freed = [(ATTEMPT, 0)];
+    assert!(is_placed(&recovered_from([
+        entry(true, &[]),
+        entry(false, &freed),
+        entry(true, &[])
+    ])));
+    assert!(is_placed(&recovered_from([
+        entry(true, &[]),
+        entry(true, &freed)
+    ])));
+}
--- a/crates/wire/src/records.rs
+++ b/crates/wire/src/records.rs
@@ -163,8 +163,8 @@
     /// New placements.
     #[serde(rename = "rows")]
     pub placements: Vec<LoggedPlacement>,
-    /// Attempt and task index of placements, in this entry or older ones, that are off
-    /// their machines.
+    /// Attempt and task index of placements in older entries that are off their machines. An
+    /// entry that holds a placement again is not older than itself: it counts.
     pub freed: Vec<(u64, u32)>,
 }
 
