Recovery: nobody leads over a ledger that can't be read whole

What callers would see: a task runs twice, if an entry of the placement ledger is of another version or damaged.

Cause: `StoreClient::list` left out what it couldn't read, for the ledger too, and `recover_ledger` skipped a placement whose job or machine class the entry doesn't have, as `placed_tasks_by_job` did: what can't be read then counted as not running, and its tasks were queued.

Change: `StoreClient::list` returns a `Listing` that names the keys it couldn't read. A recovery fails with a typed error that names the key if one of them is in the ledger, or if `LogReplay` finds a placement without its job or machine class; the controller gives the lease back, as after a read without an answer, so that one that can read the entry may lead. Unreadable hints, progress and job records are passed over as before.

--- a/crates/control/src/leader/ledger.rs
+++ b/crates/control/src/leader/ledger.rs
@@ -22,6 +22,7 @@
 mod recovery;
 mod replay;
 
+pub use replay::InvalidLedgerEntry;
 pub(super) use replay::LogReplay;
 
 use draft::Draft;
--- a/crates/control/src/leader/ledger/recovery.rs
+++ b/crates/control/src/leader/ledger/recovery.rs
@@ -22,10 +22,8 @@
                     first_task: first,
                     task_count: n,
                 });
-                let (Some(place), Some(job)) = (v.machine_classes.get(place), v.jobs.get(job))
-                else {
-                    continue;
-                };
+                // The replay has checked that the entry has both.
+                let (place, job) = (&v.machine_classes[place], &v.jobs[job]);
                 for task in first..first.saturating_add(n) {
                     if !replay.is_live_in(id, attempt, task) {
                         continue;
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -54,7 +54,7 @@
 pub use dependencies::COUNTS_WITHHELD;
 pub use direct_commands::{AddressedCommands, CommandOutcome};
 pub use job_batch::JobBatch;
-pub use ledger::LedgerBatch;
+pub use ledger::{InvalidLedgerEntry, LedgerBatch};
 pub use recovery::RecoveredState;
 pub use transactions::WriteOutcome;
 pub use worker_restarts::StatusQuery;
@@ -133,6 +133,10 @@
 impl Leader {
     /// A leader for the term `epoch`, whose leader key has the revision `mark`, with the state
     /// that it read in the state service.
+    ///
+    /// # Errors
+    ///
+    /// [`InvalidLedgerEntry`] if what the ledger places isn't known: nobody may lead then.
     pub fn new(
         epoch: u64,
         mark: u64,
@@ -140,7 +144,7 @@
         types: Vec<MachineType>,
         from: RecoveredState,
         now: f64,
-    ) -> Leader {
+    ) -> Result<Leader, InvalidLedgerEntry> {
         let timing = LeaseTiming::new(settings.workers.lease_s, settings.workers.cancel_s);
         let predictor = match &from.histograms {
             Some(h) => Predictor::restore(&snapshots::predictor_snapshot(h), now),
@@ -179,8 +183,8 @@
             keys_to_reread: BTreeSet::new(),
             deposed: false,
         };
-        leader.recover(from, now);
-        leader
+        leader.recover(from, now)?;
+        Ok(leader)
     }
 
     /// Is its term new, with most of the workers that it knows of still to be heard? Their leases
--- a/crates/control/src/leader/recovery.rs
+++ b/crates/control/src/leader/recovery.rs
@@ -1,7 +1,7 @@
 //! Failover: what a new leader reads from the state service, and how it becomes its state.
 
 use super::Leader;
-use super::ledger::LogReplay;
+use super::ledger::{InvalidLedgerEntry, LogReplay};
 use crate::keys;
 use cherrywood_admission::AdmissionValue;
 use cherrywood_wire::records::{
@@ -46,10 +46,18 @@
 impl Leader {
     /// Takes in what was read, in an order that matters: jobs before the ledger, whose
     /// placements refer to them, and image hints before the machines that the ledger names.
-    pub(super) fn recover(&mut self, from: RecoveredState, now: f64) {
+    ///
+    /// # Errors
+    ///
+    /// [`InvalidLedgerEntry`] if what the ledger places isn't known.
+    pub(super) fn recover(
+        &mut self,
+        from: RecoveredState,
+        now: f64,
+    ) -> Result<(), InvalidLedgerEntry> {
         let mut progress = progress_by_job(from.progress);
         // Needed before any job is taken in: tasks that may be on a machine are not queued.
-        let replay = LogReplay::new(&from.ledger);
+        let replay = LogReplay::new(&from.ledger)?;
         let placed = placed_tasks_by_job(&from.ledger, &replay);
         let mut jobs = from.jobs;
         jobs.sort_by_key(|(record, _)| record.accepted_at_ms);
@@ -66,6 +74,7 @@
         }
         self.recover_image_hints(from.images.unwrap_or_default());
         self.recover_ledger(from.ledger, &replay, from.overlap_s, now);
+        Ok(())
     }
 }
 
@@ -89,7 +98,7 @@
     by_job
 }
 
-/// Tasks of each job that the ledger places somewhere.
+/// Tasks of each job that the ledger places somewhere. The replay has checked its entries.
 fn placed_tasks_by_job(
     ledger: &[(u64, PlacementLogRecord)],
     replay: &LogReplay,
@@ -97,9 +106,7 @@
     let mut placed: HashMap<String, HashSet<u32>> = HashMap::new();
     for (id, entry) in ledger {
         for LoggedPlacement(_, _, _, job, attempt, first, n) in &entry.placements {
-            let Some(job) = entry.jobs.get(*job) else {
-                continue;
-            };
+            let job = &entry.jobs[*job];
             let tasks = (*first..first.saturating_add(*n))
                 .filter(|task| replay.is_live_in(*id, *attempt, *task));
             placed.entry(job.id.clone()).or_default().extend(tasks);
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -99,7 +99,7 @@
             }),
         );
         let from = self.recovered_state(overlap_s, now);
-        Leader::new(epoch, mark, settings, machine_types(), from, now)
+        Leader::new(epoch, mark, settings, machine_types(), from, now).unwrap()
     }
 
     /// What a new leader reads.
--- a/crates/control/tests/ledger_orders.rs
+++ b/crates/control/tests/ledger_orders.rs
@@ -478,7 +478,8 @@
         let state = self.store.recovered_state(0.0, self.now);
         let term = self.leader.term() + 1;
         let (settings, types) = (small_store_settings(), machine_types());
-        Leader::new(term, 0, settings, types, state, self.now).placements_held()
+        let recovered = Leader::new(term, 0, settings, types, state, self.now);
+        recovered.unwrap().placements_held()
     }
 }
 
--- a/crates/control/tests/ledger_recovery.rs
+++ b/crates/control/tests/ledger_recovery.rs
@@ -151,3 +151,23 @@
         entry(true, &freed)
     ])));
 }
+
+#[test]
+fn a_ledger_entry_without_the_job_of_a_placement_keeps_a_leader_from_beginning() {
+    for without_job in [true, false] {
+        let mut store = Store::default();
+        store.accept(&job("wk-000001", 1));
+        let StoredRecord::PlacementLog(mut record) = entry(true, &[]) else {
+            unreachable!("an entry of the ledger");
+        };
+        if without_job {
+            record.jobs.clear();
+        } else {
+            record.machine_classes.clear();
+        }
+        store.put(&keys::ledger(1), StoredRecord::PlacementLog(record));
+        let state = store.recovered_state(0.0, 0.0);
+        let error = Leader::new(2, 1, settings(), machine_types(), state, 0.0).unwrap_err();
+        assert_eq!((error.entry, error.machine.as_str()), (1, "vm-1"));
+    }
+}
--- a/crates/net/src/store_client/mod.rs
+++ b/crates/net/src/store_client/mod.rs
@@ -14,7 +14,7 @@
 mod transactions;
 mod watch;
 
-pub use reads::Readable;
+pub use reads::{Listing, Readable};
 pub use transactions::TxnOutcome;
 
 use crate::client::{ClientResponse, HttpClient};
--- a/crates/net/src/store_client/reads.rs
+++ b/crates/net/src/store_client/reads.rs
@@ -32,6 +32,41 @@
     }
 }
 
+/// What a prefix holds, read page by page: a change between two pages may show or not.
+#[derive(Debug)]
+pub struct Listing<V> {
+    /// The keys whose records can be read, in order.
+    pub rows: Vec<KeyValue<V>>,
+    /// The other keys.
+    pub unreadable_keys: Vec<String>,
+    first_revision: Option<u64>,
+    /// The store's revision at the last page.
+    pub last_revision: u64,
+}
+
+impl<V> Listing<V> {
+    /// The store's revision at the first page: to watch on from.
+    pub fn first_revision(&self) -> u64 {
+        self.first_revision.unwrap_or(self.last_revision)
+    }
+
+    fn add(&mut self, page: KeyValuePage<Readable<V>>) {
+        self.first_revision.get_or_insert(page.revision);
+        self.last_revision = page.revision;
+        for item in page.items {
+            match item.value.ok(&item.key) {
+                Some(value) => self.rows.push(KeyValue {
+                    value,
+                    key: item.key,
+                    revision: item.revision,
+                    lease: item.lease,
+                }),
+                None => self.unreadable_keys.push(item.key),
+            }
+        }
+    }
+}
+
 impl StoreClient {
     /// The key's value; None if it does not exist.
     ///
@@ -66,28 +101,28 @@
         }
     }
 
-    /// All keys with a prefix whose records can be read, and the revision of the first
-    /// page.
+    /// All keys with a prefix.
     ///
     /// # Errors
     ///
     /// As of [`StoreClient::get`], if any page fails.
-    pub async fn list<V: DeserializeOwned>(
-        &self,
-        prefix: &str,
-    ) -> Result<(Vec<KeyValue<V>>, u64), NetError> {
-        let mut all: Vec<KeyValue<V>> = Vec::new();
-        let mut revision = None;
+    pub async fn list<V: DeserializeOwned>(&self, prefix: &str) -> Result<Listing<V>, NetError> {
+        let mut listing = Listing {
+            rows: Vec::new(),
+            unreadable_keys: Vec::new(),
+            first_revision: None,
+            last_revision: 0,
+        };
         let mut last_key = None;
         loop {
             let page: KeyValuePage<Readable<V>> = self
                 .list_page(prefix, last_key.as_deref(), LIST_PAGE_KEYS)
                 .await?;
-            let first_revision = *revision.get_or_insert(page.revision);
             last_key = page.items.last().map(|i| i.key.clone());
-            all.extend(page.items.into_iter().filter_map(readable));
-            if !page.more || last_key.is_none() {
-                return Ok((all, first_revision));
+            let more = page.more && last_key.is_some();
+            listing.add(page);
+            if !more {
+                return Ok(listing);
             }
         }
     }
@@ -114,14 +149,3 @@
         }
     }
 }
-
-/// The item, if its record can be read.
-fn readable<V>(item: KeyValue<Readable<V>>) -> Option<KeyValue<V>> {
-    let value = item.value.ok(&item.key)?;
-    Some(KeyValue {
-        value,
-        key: item.key,
-        revision: item.revision,
-        lease: item.lease,
-    })
-}
--- a/crates/node/src/background/job_watch.rs
+++ b/crates/node/src/background/job_watch.rs
@@ -79,8 +79,9 @@
 async fn read_changes(node: &Node, from: Option<u64>) -> Result<Option<JobChanges>, NetError> {
     match from {
         None => {
-            let (rows, revision) = node.store.list::<JobRecord>(keys::JOBS).await?;
-            let changes = rows.into_iter().map(|row| JobChange {
+            let listing = node.store.list::<JobRecord>(keys::JOBS).await?;
+            let revision = listing.first_revision();
+            let changes = listing.rows.into_iter().map(|row| JobChange {
                 key: row.key,
                 record: Some(row.value),
                 revision: row.revision,
--- a/crates/node/src/background/member_versions.rs
+++ b/crates/node/src/background/member_versions.rs
@@ -43,8 +43,8 @@
 }
 
 async fn are_all_upgraded(node: &Node) -> bool {
-    let rows = node.store.list::<MemberRecord>(keys::MEMBERS).await;
-    let rows = rows.map(|r| r.0).unwrap_or_default();
+    let listing = node.store.list::<MemberRecord>(keys::MEMBERS).await;
+    let rows = listing.map(|listing| listing.rows).unwrap_or_default();
     let peers = node.peers.iter().map(|p| p.label.as_str());
     let mut labels = peers.chain([node.label()]);
     labels.all(|label| {
--- a/crates/node/src/background/recovery.rs
+++ b/crates/node/src/background/recovery.rs
@@ -5,11 +5,12 @@
 use crate::job_records;
 use crate::node::Node;
 use crate::state::WatchPosition;
-use cherrywood_control::leader::RecoveredState;
+use cherrywood_control::leader::{InvalidLedgerEntry, RecoveredState};
 use cherrywood_control::{Leader, keys};
 use cherrywood_limits as limits;
 use cherrywood_net::NetError;
 use cherrywood_net::retry::RetryPolicy;
+use cherrywood_net::store_client::Listing;
 use cherrywood_wire::records::{JobRecord, PlacementLogRecord, ProgressRecord};
 use cherrywood_wire::store::KeyValue;
 use serde::de::IgnoredAny;
@@ -17,6 +18,24 @@
 use std::sync::Arc;
 use tracing::info;
 
+/// Why a recovery failed. What the ledger may hold counts as running, so a controller that
+/// can't read all of it doesn't lead.
+#[derive(Debug, thiserror::Error)]
+pub(super) enum RecoveryError {
+    /// A read got no answer for good.
+    #[error(transparent)]
+    Read(#[from] NetError),
+    /// A record of the ledger is of another version, or damaged.
+    #[error("{key}: this version can't read the ledger entry")]
+    UnreadableLedgerEntry {
+        /// Its key.
+        key: String,
+    },
+    /// A record of the ledger can be read and makes no sense.
+    #[error(transparent)]
+    InvalidLedgerEntry(#[from] InvalidLedgerEntry),
+}
+
 /// How reads of a recovery are repeated.
 const READ_RETRIES: RetryPolicy = RetryPolicy {
     max_attempts: limits::RECOVERY_READ_ATTEMPTS_MAX,
@@ -53,7 +72,7 @@
     lease: u64,
     term: u64,
     key_revision: u64,
-) -> Result<(), NetError> {
+) -> Result<(), RecoveryError> {
     let mut recovered = read_leader_records(node).await?;
     let chunk_keys = insist(node, || list_chunk_keys(node)).await?;
     // Jobs last: if one ends meanwhile, the guards of the leader's writes for it fail.
@@ -67,7 +86,7 @@
     let mut cluster = node.settings.platform.deployment.cluster.clone();
     cluster.policy = node.settings.operator.policy();
     let now = node.now();
-    let mut leader = Leader::new(term, key_revision, cluster, machine_types, recovered, now);
+    let mut leader = Leader::new(term, key_revision, cluster, machine_types, recovered, now)?;
     leader.set_store_limits(node.store.limits());
     leader.add_obsolete_keys(obsolete_keys);
     info!(term, "failover complete: {}", leader.summary());
@@ -88,15 +107,12 @@
 }
 
 /// The ledger, progress, and what earlier leaders learned (histograms, images, admission).
-async fn read_leader_records(node: &Node) -> Result<RecoveredState, NetError> {
+async fn read_leader_records(node: &Node) -> Result<RecoveredState, RecoveryError> {
     let ledger = insist(node, || node.store.list::<PlacementLogRecord>(keys::LEDGER)).await?;
-    let ledger = ledger.0.into_iter();
     let progress = insist(node, || node.store.list::<ProgressRecord>(keys::PROGRESS)).await?;
-    let progress = progress.0.into_iter();
+    let progress = progress.rows.into_iter();
     Ok(RecoveredState {
-        ledger: ledger
-            .filter_map(|row| Some((keys::ledger_entry(&row.key)?, row.value)))
-            .collect(),
+        ledger: ledger_entries(ledger)?,
         progress: progress
             .map(|row| {
                 let key = row.key[keys::PROGRESS.len()..].to_string();
@@ -110,6 +126,20 @@
     })
 }
 
+/// The entries of the ledger by number; an error unless all of them can be read.
+fn ledger_entries(
+    ledger: Listing<PlacementLogRecord>,
+) -> Result<Vec<(u64, PlacementLogRecord)>, RecoveryError> {
+    if let Some(key) = ledger.unreadable_keys.into_iter().next() {
+        return Err(RecoveryError::UnreadableLedgerEntry { key });
+    }
+    let entry = |row: KeyValue<PlacementLogRecord>| match keys::ledger_entry(&row.key) {
+        Some(number) => Ok((number, row.value)),
+        None => Err(RecoveryError::UnreadableLedgerEntry { key: row.key }),
+    };
+    ledger.rows.into_iter().map(entry).collect()
+}
+
 /// All live jobs.
 struct ListedJobs {
     rows: Vec<KeyValue<JobRecord>>,
@@ -121,10 +151,10 @@
 
 async fn list_jobs(node: &Node) -> Result<ListedJobs, NetError> {
     let sent = node.now();
-    let (rows, revision) = node.store.list::<JobRecord>(keys::JOBS).await?;
+    let listing = node.store.list::<JobRecord>(keys::JOBS).await?;
     Ok(ListedJobs {
-        rows,
-        revision,
+        revision: listing.first_revision(),
+        rows: listing.rows,
         sent,
     })
 }
@@ -147,8 +177,8 @@
 
 /// The keys of all chunks of submissions.
 async fn list_chunk_keys(node: &Node) -> Result<Vec<String>, NetError> {
-    let rows = node.store.list::<IgnoredAny>(keys::SUBMISSIONS).await?.0;
-    Ok(rows.into_iter().map(|row| row.key).collect())
+    let listing = node.store.list::<IgnoredAny>(keys::SUBMISSIONS).await?;
+    Ok(listing.rows.into_iter().map(|row| row.key).collect())
 }
 
 /// Chunks of submissions that never became jobs, or whose jobs are over.
--- a/crates/node/src/chunked_values.rs
+++ b/crates/node/src/chunked_values.rs
@@ -26,7 +26,7 @@
     chunks: ChunkSet,
 ) -> Result<Option<Vec<String>>, NetError> {
     let prefix = keys::parts(key, chunks.slot);
-    let rows = node.store.list::<ChunkRecord>(&prefix).await?.0;
+    let rows = node.store.list::<ChunkRecord>(&prefix).await?.rows;
     let mut by_number: BTreeMap<u32, String> = BTreeMap::new();
     for row in rows {
         let number = row.key.strip_prefix(&prefix).and_then(|n| n.parse().ok());
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -20,6 +20,7 @@
 use cherrywood_wire::cloud::MachineType;
 use cherrywood_wire::decode;
 use cherrywood_wire::user::{JobKind, JobStatus, Priority, Submission};
+use std::time::Duration;
 
 /// Settings of a controller whose state service and peer refuse connections.
 pub const EXAMPLE: &str = r#"
@@ -149,3 +150,14 @@
         .unwrap();
     rt.block_on(of)
 }
+
+/// Looks again and again until it holds, for `most_s` at most; false if it never did.
+pub async fn eventually(most_s: f64, mut holds: impl FnMut() -> bool) -> bool {
+    for _ in 0..(most_s * 50.0) as u32 {
+        if holds() {
+            return true;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    holds()
+}
--- a/crates/node/tests/compound_failures.rs
+++ b/crates/node/tests/compound_failures.rs
@@ -9,17 +9,6 @@
 use common::*;
 use std::time::Duration;
 
-/// Looks again and again until it holds, for `most_s` at most; false if it never did.
-async fn eventually(most_s: f64, mut holds: impl FnMut() -> bool) -> bool {
-    for _ in 0..(most_s * 50.0) as u32 {
-        if holds() {
-            return true;
-        }
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
-    holds()
-}
-
 impl TestCluster {
     async fn leading() -> TestCluster {
         let cluster = TestCluster::single().await;
--- a/crates/node/tests/stalled_process.rs
+++ b/crates/node/tests/stalled_process.rs
@@ -39,7 +39,7 @@
 /// The leader of term 2 without jobs or machines.
 fn empty_leader(node: &Node) -> Leader {
     let cluster = node.settings.platform.deployment.cluster.clone();
-    Leader::new(2, 7, cluster, types(), RecoveredState::default(), 0.0)
+    Leader::new(2, 7, cluster, types(), RecoveredState::default(), 0.0).unwrap()
 }
 
 fn heartbeat(machine: &str, seq: u64) -> Heartbeat {
