Log what was recovered, and on which proof a placement was freed

The records of the incident could not tell why the leader of term 9 counted nothing of a task that ran: `task lost` named neither machine, ledger entry nor reason, nothing was said of other ways in which a placement is freed, nor of what a recovery had read.

`elected leader` names lease and revision of the key; a recovery says what it read at which revisions, how much of the ledger is live, and what it couldn't read; a transaction in doubt is named when it gets there and when it is settled. Every placement is freed in `leader::freeing` with a `FreeReason` and the message that proves it: at info for lost tasks, at debug for all; the leader's summary counts them by reason. Commands are logged at debug with the token that allows them.

--- a/crates/control/src/leader/autoscaler/inventory.rs
+++ b/crates/control/src/leader/autoscaler/inventory.rs
@@ -1,7 +1,7 @@
 //! Which machines exist, by the cloud's answers and lists, and which tasks are gone because
 //! every lease of their machine has expired.
 
-use crate::leader::{Leader, Machine, PlacementStage};
+use crate::leader::{FreeContext, FreeReason, Leader, Machine, PlacementStage};
 use cherrywood_limits as limits;
 use cherrywood_wire::cloud::{ListedMachine, ListedMachineState, MachineType, RentalRequest};
 use std::collections::HashSet;
@@ -125,7 +125,13 @@
             };
             self.deleted_machines.insert(name.clone(), now);
             let lost = std::mem::take(&mut *machine.placements);
-            self.free_lost(lost, &machine.zone, now);
+            let context = FreeContext {
+                machine: name,
+                zone: &machine.zone,
+                reason: FreeReason::MachineDeleted,
+                shown_by: None,
+            };
+            self.free_lost(lost, &context, now);
         }
     }
 
@@ -153,7 +159,13 @@
                 tasks = lost.len(),
                 "every lease of the machine has expired: its tasks are lost"
             );
-            self.free_lost(lost, &zone, now);
+            let context = FreeContext {
+                machine: &name,
+                zone: &zone,
+                reason: FreeReason::LeasesExpired,
+                shown_by: None,
+            };
+            self.free_lost(lost, &context, now);
         }
     }
 }
--- a/crates/control/src/leader/direct_commands.rs
+++ b/crates/control/src/leader/direct_commands.rs
@@ -175,6 +175,14 @@
 
     /// These commands, bound to the machine's token and incarnation.
     fn addressed_commands(&self, name: &str, commands: Vec<Command>) -> AddressedCommands {
+        debug!(
+            machine = name,
+            owner = self.shard_owner,
+            token = self.fencing_token,
+            incarnation = self.incarnation,
+            commands = commands.len(),
+            "direct commands due"
+        );
         AddressedCommands {
             machine: name.to_string(),
             address: self.address.clone(),
--- a/crates/control/src/leader/heartbeat_commands.rs
+++ b/crates/control/src/leader/heartbeat_commands.rs
@@ -72,6 +72,17 @@
             commands.extend(command);
         }
         machine.start_commands(heartbeat, &self.jobs, &mut commands);
+        if !commands.is_empty() {
+            debug!(
+                machine = heartbeat.machine,
+                owner = machine.shard_owner,
+                token = machine.fencing_token,
+                incarnation = heartbeat.incarnation,
+                sequence = heartbeat.sequence,
+                commands = commands.len(),
+                "commands in a response"
+            );
+        }
         commands
     }
 }
--- a/crates/control/src/leader/heartbeats.rs
+++ b/crates/control/src/leader/heartbeats.rs
@@ -107,7 +107,13 @@
         };
         let is_lost = |p: &Placement| p.incarnation < heartbeat.incarnation && is_proven(p);
         let lost = machine.placements.take_if(is_lost);
-        self.free_lost(lost, &machine.zone, now);
+        let context = FreeContext {
+            machine: &heartbeat.machine,
+            zone: &machine.zone,
+            reason: FreeReason::NewIncarnation,
+            shown_by: Some(heartbeat),
+        };
+        self.free_lost(lost, &context, now);
     }
 
     /// Run times that the shard owner measured, for the estimates of their keys.
@@ -122,23 +128,6 @@
         }
     }
 
-    /// Frees placements whose tasks were lost with their machine or incarnation; they were
-    /// taken off the machine already. Their run times count as censored.
-    pub(super) fn free_lost(&mut self, lost: Vec<Placement>, zone: &str, now: f64) {
-        for placement in lost {
-            info!(
-                task = placement.task_id,
-                attempt = placement.attempt,
-                "task lost"
-            );
-            if let Some(job) = placement.job.and_then(|no| self.jobs.get(&no)) {
-                let key = job.estimate_key.clone();
-                self.predictor.record_censored(&key, now);
-            }
-            self.free_placement(&placement, zone, now, 0.0);
-        }
-    }
-
     // --- reconciliation of the task list with the placements ---
 
     /// Tasks on the worker are acknowledged, those that exited are recorded and freed, and then
@@ -223,7 +212,13 @@
                     limits::FAULTY_JOB_RETRY_FIRST_S
                 }
             };
-            self.free_placement(&placement, &machine.zone, now, retry_delay_s);
+            let context = FreeContext {
+                machine: &heartbeat.machine,
+                zone: &machine.zone,
+                reason: FreeReason::Exited,
+                shown_by: Some(heartbeat),
+            };
+            self.free_placement(&placement, &context, now, retry_delay_s);
         }
         for job in succeeded {
             machine.failures_by_job.clear();
@@ -275,7 +270,13 @@
         };
         let lost = machine.placements.take_if(is_absent);
         machine.unanswered_starts = unanswered;
-        self.free_lost(lost, &machine.zone, now);
+        let context = FreeContext {
+            machine: &heartbeat.machine,
+            zone: &machine.zone,
+            reason: FreeReason::NotListed,
+            shown_by: Some(heartbeat),
+        };
+        self.free_lost(lost, &context, now);
     }
 }
 
--- a/crates/control/src/leader/ledger.rs
+++ b/crates/control/src/leader/ledger.rs
@@ -45,6 +45,8 @@
     entries_written: u64,
     /// Freed placements that no entry in the state service calls freed yet, oldest first.
     freed: Vec<FreedPlacement>,
+    /// Placements that this leader has freed.
+    freed_counts: FreedCounts,
     /// A transaction of which it isn't known whether it was applied: no other ledger transaction
     /// is made before its first entry was read.
     in_doubt: Option<LedgerBatch>,
@@ -55,6 +57,16 @@
     pub(super) fn live_placements(&self) -> impl Iterator<Item = (u64, u32)> {
         self.entries.iter().map(|(id, entry)| (*id, entry.live))
     }
+
+    /// What it holds and what was freed, for the log.
+    pub(super) fn summary(&self) -> String {
+        let live: u32 = self.entries.values().map(|entry| entry.live).sum();
+        format!(
+            "ledger {} entries, {live} live, freed {}",
+            self.entries.len(),
+            self.freed_counts
+        )
+    }
 }
 
 /// Tasks `first..first + n` of one job on one machine, under one attempt.
@@ -87,6 +99,12 @@
 }
 
 impl LedgerBatch {
+    /// How many placements it holds.
+    fn placements(&self) -> u32 {
+        let rows = self.entries.iter().flat_map(|(_, rows)| rows);
+        rows.map(|row| row.task_count).sum()
+    }
+
     /// The key that tells whether it was written.
     fn key(&self) -> String {
         keys::ledger(self.entries.first().map_or(0, |e| e.0))
@@ -114,7 +132,8 @@
     }
 
     /// A placement was freed: the next entry says so.
-    pub(super) fn mark_freed(&mut self, p: &Placement) {
+    pub(super) fn mark_freed(&mut self, p: &Placement, reason: FreeReason) {
+        self.ledger.freed_counts.add(reason);
         // One in a transaction without an answer is noted as freed by `record_written`.
         if p.ledger_entry == 0 {
             return;
--- a/crates/control/src/leader/ledger/outcome.rs
+++ b/crates/control/src/leader/ledger/outcome.rs
@@ -8,6 +8,15 @@
     /// What became of a ledger transaction.
     pub fn ledger_batch_done(&mut self, batch: LedgerBatch, outcome: &WriteOutcome) {
         let own = batch.key();
+        debug!(
+            key = own,
+            entries = batch.entries.len(),
+            placements = batch.placements(),
+            freed = batch.freed.len(),
+            dropped_entries = batch.dropped_entries.len(),
+            ?outcome,
+            "ledger transaction"
+        );
         match outcome {
             WriteOutcome::Applied(_) => self.record_written(batch),
             WriteOutcome::Conflict(failed) if !failed.contains(&own) => {
@@ -21,6 +30,11 @@
             // reading the entry tells. Its placements start only after that, and no other
             // ledger transaction is made meanwhile.
             _ => {
+                info!(
+                    key = own,
+                    placements = batch.placements(),
+                    "ledger transaction in doubt: its entry is read"
+                );
                 self.keys_to_reread.insert(own);
                 self.ledger.in_doubt = Some(batch);
             }
@@ -120,6 +134,12 @@
         self.keys_to_reread.remove(key);
         if key.starts_with(keys::LEDGER) {
             if let Some(batch) = self.ledger.in_doubt.take_if(|b| b.key() == key) {
+                info!(
+                    key,
+                    revision = mark,
+                    written = mark > 0,
+                    "ledger transaction no longer in doubt"
+                );
                 // If it is still written after it was read as missing, it only repeats what the
                 // next entry holds: a new leader then counts placements that may not exist, and
                 // frees them on proof as usual.
--- a/crates/control/src/leader/ledger/recovery.rs
+++ b/crates/control/src/leader/ledger/recovery.rs
@@ -13,6 +13,8 @@
         overlap_s: f64,
         now: f64,
     ) {
+        let first_entry = entries.first().map(|(id, _)| keys::ledger(*id));
+        let last_entry = entries.last().map(|(id, _)| keys::ledger(*id));
         for (id, v) in entries {
             let mut entry = LedgerEntry::default();
             for LoggedPlacement(name, place, session, job, attempt, first, n) in v.placements {
@@ -75,5 +77,14 @@
             }
             self.ledger.entries.insert(id, entry);
         }
+        info!(
+            term = self.term,
+            first_entry,
+            last_entry,
+            entries = self.ledger.entries.len(),
+            written = replay.written(),
+            live = self.ledger.live_placements().map(|(_, n)| n).sum::<u32>(),
+            "placement ledger recovered"
+        );
     }
 }
--- a/crates/control/src/leader/ledger/replay.rs
+++ b/crates/control/src/leader/ledger/replay.rs
@@ -63,6 +63,11 @@
         })
     }
 
+    /// How many placements the entries name, freed or not.
+    pub(in crate::leader) fn written(&self) -> usize {
+        self.written_in.len()
+    }
+
     /// Whether this entry is what holds the placement: the newest that does, and no later one
     /// calls it freed.
     pub(in crate::leader) fn is_live_in(&self, entry: u64, attempt: u64, task_index: u32) -> bool {
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -20,7 +20,7 @@
 use cherrywood_wire::store::{Change, Guard, Txn};
 use cherrywood_wire::user::{JobKind, JobState, Priority, Submission, parse_task_id};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
-use tracing::info;
+use tracing::{debug, info};
 
 mod admitting;
 mod audit;
@@ -28,6 +28,7 @@
 mod dependencies;
 mod direct_commands;
 mod failures;
+mod freeing;
 mod heartbeat_commands;
 mod heartbeats;
 mod job;
@@ -61,6 +62,7 @@
 
 use autoscaler::Autoscaler;
 use dependencies::Dependencies;
+use freeing::{FreeContext, FreeReason, FreedCounts};
 use job::{Job, JobIndex, ObjectiveKind};
 use job_table::JobTable;
 use ledger::PlacementLedger;
@@ -265,31 +267,4 @@
             limits::DEFAULT_LEVEL
         }
     }
-
-    /// A placement is off its machine for certain; its task waits again
-    /// unless it is finished or its job is over.
-    fn free_placement(&mut self, p: &Placement, zone: &str, now: f64, delay_s: f64) {
-        self.record_release(p, zone);
-        self.mark_freed(p);
-        let Some(no) = p.job else { return };
-        let Some(job) = self.jobs.get(&no) else {
-            return;
-        };
-        // Another placement of the task may not be freed yet: until it is, the task must not
-        // be started again. A job that awaits dependencies has its tasks queued when it is
-        // ready.
-        if job.awaiting_dependencies
-            || job.done.get(p.task_index)
-            || job.placements_by_task.contains_key(&p.task_index)
-        {
-            return;
-        }
-        if delay_s > 0.0 {
-            self.delayed_tasks.push((now + delay_s, no, p.task_index));
-        } else {
-            let key = job.estimate_key.clone();
-            let level = self.queue_level(&key, now);
-            self.pending_queue.push_front(level, no, p.task_index, now);
-        }
-    }
 }
--- a/crates/control/src/leader/summary.rs
+++ b/crates/control/src/leader/summary.rs
@@ -53,7 +53,7 @@
             .collect();
         format!(
             "{} jobs ({} suspect, {} for others), {} machines ({} up, {dear} dear), {placed} placed, waiting {waiting:?}, \
-             delayed {}, cpus {cpus} up, {used} placed, {running} running, {:.0} wanted, {}; {}",
+             delayed {}, cpus {cpus} up, {used} placed, {running} running, {:.0} wanted, {}; {}; {}",
             self.jobs.len(),
             self.jobs.values().filter(|j| j.is_suspect()).count(),
             self.jobs
@@ -67,6 +67,7 @@
                 .prioritized
                 .wanted_cpus(limits::ON_DEMAND_BACKLOG_DRAIN_S),
             teams.join(", "),
+            self.ledger.summary(),
             self.admission_summary(),
         )
     }
--- a/crates/control/src/leader/worker_restarts.rs
+++ b/crates/control/src/leader/worker_restarts.rs
@@ -143,6 +143,12 @@
         for placement in machine.placements.iter_mut() {
             placement.from_previous_term = true;
         }
-        self.free_lost(never_sent, &zone, now);
+        let context = FreeContext {
+            machine: name,
+            zone: &zone,
+            reason: FreeReason::NeverSent,
+            shown_by: Some(status),
+        };
+        self.free_lost(never_sent, &context, now);
     }
 }
--- a/crates/node/src/background/leader_election.rs
+++ b/crates/node/src/background/leader_election.rs
@@ -72,7 +72,7 @@
         let _ = node.store.revoke_lease(lease).await;
         return Ok(());
     };
-    info!(term, "elected leader");
+    info!(term, lease, key_revision, "elected leader");
     {
         let mut state = node.lock_state();
         state.term.begin(lease, sent, &node.timing);
--- a/crates/node/src/background/recovery.rs
+++ b/crates/node/src/background/recovery.rs
@@ -79,6 +79,15 @@
     let jobs = insist(node, || list_jobs(node)).await?;
     recovered.jobs = read_submissions(node, jobs.rows).await?;
     let obsolete_keys = chunks_without_job(chunk_keys, &recovered.jobs);
+    info!(
+        term,
+        key_revision,
+        ledger_entries = recovered.ledger.len(),
+        progress_records = recovered.progress.len(),
+        jobs = recovered.jobs.len(),
+        jobs_revision = jobs.revision,
+        "state read for the failover"
+    );
     recovered.wall_clock_ms = node.host.wall_ms();
     let predecessor_until = node.lock_state().term.predecessor_may_act_until;
     recovered.overlap_s = (predecessor_until - node.now()).max(0.0);
@@ -110,6 +119,13 @@
 async fn read_leader_records(node: &Node) -> Result<RecoveredState, RecoveryError> {
     let ledger = insist(node, || node.store.list::<PlacementLogRecord>(keys::LEDGER)).await?;
     let progress = insist(node, || node.store.list::<ProgressRecord>(keys::PROGRESS)).await?;
+    info!(
+        ledger_from_revision = ledger.first_revision(),
+        ledger_to_revision = ledger.last_revision,
+        unreadable_ledger_entries = ledger.unreadable_keys.len(),
+        unreadable_progress_records = progress.unreadable_keys.len(),
+        "ledger and progress read"
+    );
     let progress = progress.rows.into_iter();
     Ok(RecoveredState {
         ledger: ledger_entries(ledger)?,
