Election: a controller that can't read the ledger lets others go first

Since a recovery fails on a ledger that can't be read whole, a controller of a version that can't read an entry was elected again some 0.4 s after it had given the lease back, with two changes to the state service and a term each time, and could keep those that can read it from leading. It now waits `UNREADABLE_STATE_PAUSE_S` (3 s) before its next campaign; a read without an answer is tried again at once, as before.

--- a/crates/limits/src/leases.rs
+++ b/crates/limits/src/leases.rs
@@ -35,6 +35,9 @@
 /// Seconds between two attempts at an election.
 pub const ELECTION_INTERVAL_S: f64 = 0.4;
 
+/// Seconds for which a controller that can't read the stored state leaves elections to others.
+pub const UNREADABLE_STATE_PAUSE_S: f64 = 3.0;
+
 /// Seconds without an answer from the leader that the key-value store names after which a
 /// controller counts as partitioned from it.
 pub const LEADER_UNREACHABLE_S: f64 = 3.0;
--- a/crates/node/src/background/leader_election.rs
+++ b/crates/node/src/background/leader_election.rs
@@ -18,25 +18,42 @@
 pub(super) async fn run(node: Arc<Node>) {
     loop {
         let leads = node.lock_state().term.leader.is_some();
-        if !leads && let Err(error) = campaign(&node).await {
-            debug!(%error, "election");
+        let mut pause_s = limits::ELECTION_INTERVAL_S;
+        if !leads {
+            match campaign(&node).await {
+                Ok(CampaignResult::Settled) => {}
+                Ok(CampaignResult::CannotLead) => pause_s = limits::UNREADABLE_STATE_PAUSE_S,
+                Err(error) => debug!(%error, "election"),
+            }
         }
         // Jitter, so that controllers rarely campaign at the same moment.
-        let pause_s = limits::ELECTION_INTERVAL_S * node.host.random_between(0.8, 1.2);
+        pause_s *= node.host.random_between(0.8, 1.2);
         node.host.sleep(pause_s).await;
     }
 }
 
-async fn campaign(node: &Arc<Node>) -> Result<(), NetError> {
+/// How a campaign ended that got its answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CampaignResult {
+    /// There is a leader, or one may be elected at once.
+    Settled,
+    /// This controller was elected and can't read what the state service holds.
+    CannotLead,
+}
+
+async fn campaign(node: &Arc<Node>) -> Result<CampaignResult, NetError> {
     let current = node.store.get::<LeaderRecord>(keys::LEADER).await?;
     node.note_store_answer();
     match current {
-        Some(item) if item.value.leader == node.label() => end_own_earlier_lease(node, item).await,
+        Some(item) if item.value.leader == node.label() => {
+            end_own_earlier_lease(node, item).await?;
+            Ok(CampaignResult::Settled)
+        }
         Some(item) => {
             let now = node.now();
             let mut state = node.lock_state();
             state.leader_contact.named_by_store(item.value.leader, now);
-            Ok(())
+            Ok(CampaignResult::Settled)
         }
         None => run_for_leader(node).await,
     }
@@ -54,7 +71,7 @@
     Ok(())
 }
 
-async fn run_for_leader(node: &Arc<Node>) -> Result<(), NetError> {
+async fn run_for_leader(node: &Arc<Node>) -> Result<CampaignResult, NetError> {
     let sent = node.now();
     let lease = node.store.grant_lease(node.timing.leader_lease_s).await?;
     let (term, term_revision) = match node.store.get::<TermRecord>(keys::EPOCH).await? {
@@ -70,7 +87,7 @@
     let TxnOutcome::Applied(key_revision) = node.store.txn(&txn, RequestPriority::Critical).await?
     else {
         let _ = node.store.revoke_lease(lease).await;
-        return Ok(());
+        return Ok(CampaignResult::Settled);
     };
     info!(term, lease, key_revision, "elected leader");
     {
@@ -81,12 +98,16 @@
     node.store.set_leading(true);
     let span = tracing::trace_span!(target: "life", "failover", term);
     let recovery = recovery::recover(node, lease, term, key_revision);
-    if let Err(error) = recovery.instrument(span).await {
-        warn!(%error, "recovery failed; giving the lease back");
-        step_down(node, "recovery failed");
-        let _ = node.store.revoke_lease(lease).await;
+    let Err(error) = recovery.instrument(span).await else {
+        return Ok(CampaignResult::Settled);
+    };
+    warn!(%error, "recovery failed; giving the lease back");
+    step_down(node, "recovery failed");
+    let _ = node.store.revoke_lease(lease).await;
+    match error.is_lasting() {
+        true => Ok(CampaignResult::CannotLead),
+        false => Ok(CampaignResult::Settled),
     }
-    Ok(())
 }
 
 /// Writes the leader's key, if there is none, and the next term, if it is still the next.
--- a/crates/node/src/background/recovery.rs
+++ b/crates/node/src/background/recovery.rs
@@ -36,6 +36,13 @@
     InvalidLedgerEntry(#[from] InvalidLedgerEntry),
 }
 
+impl RecoveryError {
+    /// Whether another attempt of this controller would fail as well.
+    pub(super) fn is_lasting(&self) -> bool {
+        !matches!(self, RecoveryError::Read(_))
+    }
+}
+
 /// How reads of a recovery are repeated.
 const READ_RETRIES: RetryPolicy = RetryPolicy {
     max_attempts: limits::RECOVERY_READ_ATTEMPTS_MAX,
