Recovery: the log is replayed in order, into one map

Read once more: `LogReplay` kept the newest write and the newest mark of every placement that the log names, freed or not, and looked into both maps for each task, in both passes of a failover. Going through the entries in order, a mark removes what older entries hold and a placement is what its entry writes last: the live placements are left, in one map with the hash that the job table uses. `placement ledger recovered` says how many were called freed (`freed`, was `written`).

--- a/crates/control/src/leader/ledger/recovery.rs
+++ b/crates/control/src/leader/ledger/recovery.rs
@@ -82,7 +82,7 @@
             first_entry,
             last_entry,
             entries = self.ledger.entries.len(),
-            written = replay.written(),
+            freed = replay.freed(),
             live = self.ledger.live_placements().map(|(_, n)| n).sum::<u32>(),
             "placement ledger recovered"
         );
--- a/crates/control/src/leader/ledger/replay.rs
+++ b/crates/control/src/leader/ledger/replay.rs
@@ -2,7 +2,7 @@
 
 use super::{LoggedPlacement, PlacementLogRecord};
 use crate::keys;
-use std::collections::HashMap;
+use rustc_hash::FxHashMap;
 
 /// An attempt and the index of a task: what names a placement in the log.
 type LoggedTask = (u64, u32);
@@ -30,13 +30,13 @@
     pub machine_classes: usize,
 }
 
-/// What the entries of a log say of each placement.
-#[derive(Debug)]
+/// The placements that are live at the end of a log.
+#[derive(Debug, Default)]
 pub(in crate::leader) struct LogReplay {
-    /// The newest entry that holds it.
-    written_in: HashMap<LoggedTask, u64>,
-    /// The newest entry that calls it freed.
-    freed_in: HashMap<LoggedTask, u64>,
+    /// The newest entry that holds each of them.
+    live_in: FxHashMap<LoggedTask, u64>,
+    /// How many were called freed.
+    freed: usize,
 }
 
 impl LogReplay {
@@ -48,33 +48,30 @@
     pub(in crate::leader) fn new(
         entries: &[(u64, PlacementLogRecord)],
     ) -> Result<LogReplay, InvalidLedgerEntry> {
-        let mut written_in = HashMap::new();
-        let mut freed_in = HashMap::new();
+        let mut replay = LogReplay::default();
         for (entry, record) in entries {
+            // First, since they speak of older entries alone.
+            for task in &record.freed {
+                replay.freed += usize::from(replay.live_in.remove(task).is_some());
+            }
             for placement in &record.placements {
                 check_references(*entry, record, placement)?;
-                written_in.extend(tasks_of(placement).map(|task| (task, *entry)));
+                let tasks = tasks_of(placement);
+                replay.live_in.extend(tasks.map(|task| (task, *entry)));
             }
-            freed_in.extend(record.freed.iter().map(|task| (*task, *entry)));
         }
-        Ok(LogReplay {
-            written_in,
-            freed_in,
-        })
+        Ok(replay)
     }
 
-    /// How many placements the entries name, freed or not.
-    pub(in crate::leader) fn written(&self) -> usize {
-        self.written_in.len()
+    /// How many placements were called freed.
+    pub(in crate::leader) fn freed(&self) -> usize {
+        self.freed
     }
 
     /// Whether this entry is what holds the placement: the newest that does, and no later one
     /// calls it freed.
     pub(in crate::leader) fn is_live_in(&self, entry: u64, attempt: u64, task_index: u32) -> bool {
-        let task = (attempt, task_index);
-        let is_newest = self.written_in.get(&task) == Some(&entry);
-        let is_freed = self.freed_in.get(&task).is_some_and(|freed| *freed > entry);
-        is_newest && !is_freed
+        self.live_in.get(&(attempt, task_index)) == Some(&entry)
     }
 }
 
