Freeing: a context is made by what proves it

The six places that free placements spelled out the same struct in two shapes: a message of the worker, which names the machine, or no message. Each shape has a constructor now, and the fields are private.

--- a/crates/control/src/leader/autoscaler/inventory.rs
+++ b/crates/control/src/leader/autoscaler/inventory.rs
@@ -125,12 +125,8 @@
             };
             self.deleted_machines.insert(name.clone(), now);
             let lost = std::mem::take(&mut *machine.placements);
-            let context = FreeContext {
-                machine: name,
-                zone: &machine.zone,
-                reason: FreeReason::MachineDeleted,
-                shown_by: None,
-            };
+            let context =
+                FreeContext::without_message(name, &machine.zone, FreeReason::MachineDeleted);
             self.free_lost(lost, &context, now);
         }
     }
@@ -159,12 +155,7 @@
                 tasks = lost.len(),
                 "every lease of the machine has expired: its tasks are lost"
             );
-            let context = FreeContext {
-                machine: &name,
-                zone: &zone,
-                reason: FreeReason::LeasesExpired,
-                shown_by: None,
-            };
+            let context = FreeContext::without_message(&name, &zone, FreeReason::LeasesExpired);
             self.free_lost(lost, &context, now);
         }
     }
--- a/crates/control/src/leader/freeing.rs
+++ b/crates/control/src/leader/freeing.rs
@@ -58,13 +58,35 @@
 #[derive(Debug, Clone, Copy)]
 pub(super) struct FreeContext<'a> {
     /// The name of the machine.
-    pub(super) machine: &'a str,
+    machine: &'a str,
     /// Its zone.
-    pub(super) zone: &'a str,
+    zone: &'a str,
     /// Why they are freed.
-    pub(super) reason: FreeReason,
+    reason: FreeReason,
     /// The message of the worker that proves it, if one does.
-    pub(super) shown_by: Option<&'a Heartbeat>,
+    shown_by: Option<&'a Heartbeat>,
+}
+
+impl<'a> FreeContext<'a> {
+    /// A message of the machine's worker proves it.
+    pub(super) fn shown_by(message: &'a Heartbeat, zone: &'a str, reason: FreeReason) -> Self {
+        FreeContext {
+            machine: &message.machine,
+            zone,
+            reason,
+            shown_by: Some(message),
+        }
+    }
+
+    /// Nothing from the machine proves it: the cloud does, or time.
+    pub(super) fn without_message(machine: &'a str, zone: &'a str, reason: FreeReason) -> Self {
+        FreeContext {
+            machine,
+            zone,
+            reason,
+            shown_by: None,
+        }
+    }
 }
 
 impl Leader {
--- a/crates/control/src/leader/heartbeats.rs
+++ b/crates/control/src/leader/heartbeats.rs
@@ -107,12 +107,7 @@
         };
         let is_lost = |p: &Placement| p.incarnation < heartbeat.incarnation && is_proven(p);
         let lost = machine.placements.take_if(is_lost);
-        let context = FreeContext {
-            machine: &heartbeat.machine,
-            zone: &machine.zone,
-            reason: FreeReason::NewIncarnation,
-            shown_by: Some(heartbeat),
-        };
+        let context = FreeContext::shown_by(heartbeat, &machine.zone, FreeReason::NewIncarnation);
         self.free_lost(lost, &context, now);
     }
 
@@ -212,12 +207,7 @@
                     limits::FAULTY_JOB_RETRY_FIRST_S
                 }
             };
-            let context = FreeContext {
-                machine: &heartbeat.machine,
-                zone: &machine.zone,
-                reason: FreeReason::Exited,
-                shown_by: Some(heartbeat),
-            };
+            let context = FreeContext::shown_by(heartbeat, &machine.zone, FreeReason::Exited);
             self.free_placement(&placement, &context, now, retry_delay_s);
         }
         for job in succeeded {
@@ -270,12 +260,7 @@
         };
         let lost = machine.placements.take_if(is_absent);
         machine.unanswered_starts = unanswered;
-        let context = FreeContext {
-            machine: &heartbeat.machine,
-            zone: &machine.zone,
-            reason: FreeReason::NotListed,
-            shown_by: Some(heartbeat),
-        };
+        let context = FreeContext::shown_by(heartbeat, &machine.zone, FreeReason::NotListed);
         self.free_lost(lost, &context, now);
     }
 }
--- a/crates/control/src/leader/worker_restarts.rs
+++ b/crates/control/src/leader/worker_restarts.rs
@@ -143,12 +143,7 @@
         for placement in machine.placements.iter_mut() {
             placement.from_previous_term = true;
         }
-        let context = FreeContext {
-            machine: name,
-            zone: &zone,
-            reason: FreeReason::NeverSent,
-            shown_by: Some(status),
-        };
+        let context = FreeContext::shown_by(status, &zone, FreeReason::NeverSent);
         self.free_lost(never_sent, &context, now);
     }
 }
