Connection pool: counts by reason, in the log and in the tests of crowds

The stated cause, connections evicted while a heartbeat is on its way, had never been counted. Change: `PoolCounts` (admitted, refused, evicted by class, answered after an eviction, closed with an answer, idle time-outs), logged by each controller every 10 s, at info if anything was evicted or refused. The crowd of the tests moves to a file of its own and gets fields for waves of users, workers that begin at once and slow new connections; the existing tests keep their values.

--- a/crates/net/src/connection_pool.rs
+++ b/crates/net/src/connection_pool.rs
@@ -80,13 +80,76 @@
     last_use: u64,
 }
 
+/// What became of connections and requests since the pool was made.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct PoolCounts {
+    /// Connections that got a place.
+    pub admitted: u64,
+    /// Connections refused because all others were active.
+    pub refused_full: u64,
+    /// Idle connections evicted that had served users.
+    pub evicted_users: u64,
+    /// Idle connections evicted that had served workers.
+    pub evicted_workers: u64,
+    /// Connections evicted before their first request.
+    pub evicted_unused: u64,
+    /// Requests answered whose connections had been evicted as they arrived.
+    pub answered_after_eviction: u64,
+    /// Users' requests refused since as many were handled as may be.
+    pub refused_users: u64,
+    /// Users' connections closed with an answer to make room.
+    pub closed_users: u64,
+    /// Workers' connections closed with an answer to make room.
+    pub closed_workers: u64,
+    /// Connections closed because no request came for too long.
+    pub idle_timeouts: u64,
+}
+
+impl PoolCounts {
+    /// Idle connections that were evicted.
+    pub fn evicted(&self) -> u64 {
+        self.evicted_users + self.evicted_workers + self.evicted_unused
+    }
+
+    /// Connections and requests that were refused.
+    pub fn refused(&self) -> u64 {
+        self.refused_full + self.refused_users
+    }
+}
+
 #[derive(Debug, Default)]
 struct PoolState {
     /// Connections that hold a place: idle and active ones.
     open: usize,
     active_users: usize,
-    idle: BTreeMap<EvictionOrder, oneshot::Sender<()>>,
+    idle: BTreeMap<EvictionOrder, IdleConnection>,
     uses: u64,
+    counts: PoolCounts,
+}
+
+#[derive(Debug)]
+struct IdleConnection {
+    evict: oneshot::Sender<()>,
+    /// No request has arrived on it yet.
+    unused: bool,
+}
+
+impl PoolState {
+    /// Ends the idle connection that is first in the order of eviction; its place is free
+    /// for another. False if there is none.
+    fn evict_first(&mut self) -> bool {
+        let Some((order, connection)) = self.idle.pop_first() else {
+            return false;
+        };
+        // A connection that closes by itself just now needs no signal.
+        let _ = connection.evict.send(());
+        match order.class {
+            _ if connection.unused => self.counts.evicted_unused += 1,
+            ConnectionClass::User => self.counts.evicted_users += 1,
+            ConnectionClass::Worker => self.counts.evicted_workers += 1,
+        }
+        true
+    }
 }
 
 /// The connections of one server.
@@ -110,6 +173,11 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// What became of connections and requests until now.
+    pub fn counts(&self) -> PoolCounts {
+        self.state().counts
+    }
+
     /// Connections open now.
     pub fn open(&self) -> usize {
         self.state().open
@@ -119,18 +187,19 @@
     /// if all connections are active.
     pub fn admit(self: &Arc<Self>) -> Option<PooledConnection> {
         let mut state = self.state();
-        if state.open >= self.limits.max_connections {
-            let (_, evict) = state.idle.pop_first()?;
-            // A connection that closes by itself just now needs no signal.
-            let _ = evict.send(());
-        } else {
+        if state.open < self.limits.max_connections {
             state.open += 1;
+        } else if !state.evict_first() {
+            state.counts.refused_full += 1;
+            return None;
         }
+        state.counts.admitted += 1;
         drop(state);
         Some(PooledConnection {
             pool: self.clone(),
             class: ConnectionClass::Worker,
             phase: Phase::Active,
+            unused: true,
             counts_as_active_user: false,
         })
     }
@@ -150,6 +219,8 @@
     pool: Arc<ConnectionPool>,
     class: ConnectionClass,
     phase: Phase,
+    /// No request has arrived on it yet.
+    unused: bool,
     counts_as_active_user: bool,
 }
 
@@ -167,7 +238,8 @@
                 class: self.class,
                 last_use: state.uses,
             };
-            state.idle.insert(order, evict);
+            let unused = self.unused;
+            state.idle.insert(order, IdleConnection { evict, unused });
             self.phase = Phase::Idle(order);
         }
         evicted
@@ -189,9 +261,14 @@
     /// handled at a time.
     pub fn begin_request(&mut self, class: ConnectionClass) -> bool {
         self.class = class;
+        self.unused = false;
+        let mut state = self.pool.state();
+        if matches!(self.phase, Phase::Evicted) {
+            state.counts.answered_after_eviction += 1;
+        }
         if class == ConnectionClass::User {
-            let mut state = self.pool.state();
             if state.active_users >= self.pool.limits.max_active_users {
+                state.counts.refused_users += 1;
                 return false;
             }
             state.active_users += 1;
@@ -202,8 +279,22 @@
 
     /// Does the connection stay open after the answer that is sent now?
     pub fn keep_alive(&self) -> bool {
-        let evicted = matches!(self.phase, Phase::Evicted);
-        !evicted && self.pool.open() <= self.pool.limits.max_open_to_keep(self.class)
+        if matches!(self.phase, Phase::Evicted) {
+            return false;
+        }
+        let mut state = self.pool.state();
+        let keep = state.open <= self.pool.limits.max_open_to_keep(self.class);
+        match self.class {
+            _ if keep => {}
+            ConnectionClass::User => state.counts.closed_users += 1,
+            ConnectionClass::Worker => state.counts.closed_workers += 1,
+        }
+        keep
+    }
+
+    /// No request came for too long; the connection is about to close.
+    pub fn record_idle_timeout(&self) {
+        self.pool.state().counts.idle_timeouts += 1;
     }
 }
 
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -2,6 +2,7 @@
 //! and connections.
 
 use crate::connection_pool::{ConnectionClass, ConnectionPool, PoolLimits, PooledConnection};
+use crate::runtime::Elapsed;
 use crate::{Listener, Runtime, Stream};
 use cherrywood_limits as limits;
 use std::future::Future;
@@ -89,7 +90,7 @@
 /// Like [`serve`], for connections of several classes; `classify` gives each request's class.
 pub async fn serve_classes<H, F>(
     host: Runtime,
-    mut listener: Listener,
+    listener: Listener,
     limits: PoolLimits,
     classify: fn(&Request) -> ConnectionClass,
     handler: Arc<H>,
@@ -98,6 +99,20 @@
     F: Future<Output = Response> + Send + 'static,
 {
     let pool = ConnectionPool::new(limits);
+    serve_pool(host, listener, pool, classify, handler).await;
+}
+
+/// Like [`serve_classes`], in a pool whose counts the caller can read.
+pub async fn serve_pool<H, F>(
+    host: Runtime,
+    mut listener: Listener,
+    pool: Arc<ConnectionPool>,
+    classify: fn(&Request) -> ConnectionClass,
+    handler: Arc<H>,
+) where
+    H: Fn(Request, SocketAddr) -> F + Send + Sync + 'static,
+    F: Future<Output = Response> + Send + 'static,
+{
     loop {
         let Ok((stream, from)) = listener.accept().await else {
             // Out of sockets: others must close first.
@@ -189,8 +204,13 @@
         let evicted = place.set_idle();
         let read = fill_unless_evicted(&mut stream, &mut buf, evicted);
         let read = host.timeout(limits::IDLE_CONNECTION_TIMEOUT_S, read).await;
-        if !matches!(read, Ok(true)) {
-            return;
+        match read {
+            Ok(true) => {}
+            Ok(false) => return,
+            Err(Elapsed) => {
+                place.record_idle_timeout();
+                return;
+            }
         }
         place.set_active();
         let got = host
--- a/crates/net/tests/connection_pool.rs
+++ b/crates/net/tests/connection_pool/main.rs
@@ -1,6 +1,8 @@
 //! What becomes of connections at a server's limit.
 
+#[path = "../common/mod.rs"]
 mod common;
+mod crowd;
 
 use cherrywood_net::client::{ClientResponse, exchange};
 use cherrywood_net::connection_pool::{
@@ -9,16 +11,14 @@
 use cherrywood_net::runtime::{Runtime, Stream};
 use cherrywood_net::server::{self, Request, Response};
 use common::{CONNECT, run};
-use std::collections::BTreeMap;
+use crowd::{Crowd, EVENLY, LEASE_S, REPORT_S, Seen, WORKERS};
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::AsyncReadExt;
 use tokio::sync::Notify;
 use tokio::time::sleep;
 
-const WORKERS: usize = 4000;
-const CONTROLLERS: usize = 5;
 const HEARTBEAT: &str = "/agent/beat";
 const JOB: &str = "/submissions/wk-000001";
 
@@ -274,153 +274,6 @@
 
 // --- 4,000 machines ---
 
-const REPORT_S: f64 = 5.0;
-const LEASE_S: f64 = 22.0;
-const ANSWER_WAIT_S: f64 = 4.0;
-const NEXT_CONTROLLER_S: f64 = 1.0;
-const POLL_S: f64 = 5.0;
-const POLL_WAIT_S: f64 = 2.0;
-/// Heartbeats are answered after so long.
-const HEARTBEAT_ANSWER_S: f64 = 0.01;
-const PLAYED_S: f64 = 45.0;
-
-/// A day of many workers and users at few controllers with few sockets.
-struct Crowd {
-    sockets: usize,
-    users: usize,
-    /// s that a user's request takes.
-    user_answer_s: f64,
-}
-
-#[derive(Debug, Default)]
-struct Seen {
-    /// The longest time without an answered heartbeat, by worker.
-    longest_gap_s: BTreeMap<usize, f64>,
-    heartbeats: usize,
-    heartbeats_failed: usize,
-    polls: usize,
-    polls_failed: usize,
-}
-
-impl Crowd {
-    fn play(self) -> Seen {
-        let seen = Arc::new(Mutex::new(Seen::default()));
-        let told = seen.clone();
-        run(|host| async move {
-            for n in 0..CONTROLLERS {
-                self.serve(&host, n);
-            }
-            sleep(CONNECT).await;
-            for n in 0..self.users {
-                tokio::spawn(user(host.clone(), n, told.clone()));
-            }
-            for n in 0..WORKERS {
-                tokio::spawn(worker(host.clone(), n, told.clone()));
-            }
-            sleep(Duration::from_secs_f64(PLAYED_S)).await;
-        });
-        let seen = std::mem::take(&mut *seen.lock().unwrap());
-        println!(
-            "{} heartbeats, {} failed; {} polls, {} failed; longest gap {:.1} s",
-            seen.heartbeats,
-            seen.heartbeats_failed,
-            seen.polls,
-            seen.polls_failed,
-            seen.longest_gap_s
-                .values()
-                .fold(0.0, |a, b| f64::max(a, *b)),
-        );
-        seen
-    }
-
-    fn serve(&self, host: &Runtime, n: usize) {
-        let limits = PoolLimits::for_sockets(self.sockets);
-        let (clock, user_answer_s) = (host.clone(), self.user_answer_s);
-        let handler = move |request: Request, _| {
-            let clock = clock.clone();
-            async move {
-                let wait_s = match classify(&request) {
-                    ConnectionClass::Worker => HEARTBEAT_ANSWER_S,
-                    ConnectionClass::User => user_answer_s,
-                };
-                clock.sleep(wait_s).await;
-                Response::empty(200)
-            }
-        };
-        let host = host.clone();
-        tokio::spawn(async move {
-            let listener = host.bind(address(n)).await.unwrap();
-            server::serve_classes(host, listener, limits, classify, Arc::new(handler)).await;
-        });
-    }
-}
-
-/// One request on the connection kept, or on a new one; true if it was answered with 200.
-async fn request(host: &Runtime, kept: &mut Option<Stream>, n: usize, path: &str, s: f64) -> bool {
-    let work = async {
-        let mut stream = match kept.take() {
-            Some(stream) => stream,
-            None => host.connect(address(n)).await.ok()?,
-        };
-        let (answer, kept_alive) = ask(&mut stream, path).await?;
-        if kept_alive {
-            *kept = Some(stream);
-        }
-        Some(answer.status == 200)
-    };
-    host.timeout(s, work).await.ok().flatten() == Some(true)
-}
-
-/// As the protocol has it; a connection found closed counts as failed.
-async fn worker(host: Runtime, n: usize, seen: Arc<Mutex<Seen>>) {
-    let mut controller = n % CONTROLLERS;
-    let mut kept = None;
-    let mut answered_at = host.now();
-    host.sleep(host.random_between(0.0, REPORT_S)).await;
-    loop {
-        let sent = host.now();
-        let ok = request(&host, &mut kept, controller, HEARTBEAT, ANSWER_WAIT_S).await;
-        {
-            let mut seen = seen.lock().unwrap();
-            let gap_s = host.now() - answered_at;
-            let longest = seen.longest_gap_s.entry(n).or_default();
-            *longest = longest.max(gap_s);
-            seen.heartbeats += 1;
-            seen.heartbeats_failed += usize::from(!ok);
-        }
-        if ok {
-            answered_at = sent;
-            let next = sent + REPORT_S * host.random_between(0.75, 1.25);
-            host.sleep(next - host.now()).await;
-        } else {
-            kept = None;
-            controller = (controller + 1) % CONTROLLERS;
-            host.sleep(NEXT_CONTROLLER_S).await;
-        }
-    }
-}
-
-/// Polls for ever, and again soon after a failure, at the next controller.
-async fn user(host: Runtime, n: usize, seen: Arc<Mutex<Seen>>) {
-    let mut controller = n % CONTROLLERS;
-    let mut kept = None;
-    host.sleep(host.random_between(0.0, POLL_S)).await;
-    loop {
-        let ok = request(&host, &mut kept, controller, JOB, POLL_WAIT_S).await;
-        {
-            let mut seen = seen.lock().unwrap();
-            seen.polls += 1;
-            seen.polls_failed += usize::from(!ok);
-        }
-        if !ok {
-            kept = None;
-            controller = (controller + 1) % CONTROLLERS;
-        }
-        let pause_s = if ok { POLL_S } else { 1.0 };
-        host.sleep(pause_s * host.random_between(0.8, 1.2)).await;
-    }
-}
-
 fn assert_all_heard_within_their_lease(seen: &Seen) {
     assert_eq!(seen.longest_gap_s.len(), WORKERS);
     let late: Vec<_> = seen
@@ -442,6 +295,9 @@
         sockets: 2265,
         users: 6000,
         user_answer_s: 0.05,
+        arrival: EVENLY,
+        workers_first_within_s: REPORT_S,
+        first_bytes_s: 0.0,
     };
     let seen = crowd.play();
     assert_all_heard_within_their_lease(&seen);
@@ -455,6 +311,9 @@
         sockets: 700,
         users: 0,
         user_answer_s: 0.0,
+        arrival: EVENLY,
+        workers_first_within_s: REPORT_S,
+        first_bytes_s: 0.0,
     };
     let seen = crowd.play();
     assert_all_heard_within_their_lease(&seen);
@@ -467,6 +326,9 @@
         sockets: 700,
         users: 4000,
         user_answer_s: 1.9,
+        arrival: EVENLY,
+        workers_first_within_s: REPORT_S,
+        first_bytes_s: 0.0,
     };
     crowd.play()
 }
--- a/crates/node/src/background/maintenance.rs
+++ b/crates/node/src/background/maintenance.rs
@@ -4,15 +4,21 @@
 use super::transactions::reread_revisions;
 use crate::node::Node;
 use cherrywood_limits as limits;
+use cherrywood_net::connection_pool::PoolCounts;
 use std::sync::Arc;
-use tracing::{info, warn};
+use tracing::{debug, info, warn};
 
 /// Rounds of a leader between two summaries in the log.
 const ROUNDS_PER_SUMMARY: u32 = 20;
 
+/// Rounds between two looks at what became of the served connections.
+const ROUNDS_PER_CONNECTION_COUNTS: u32 = 20;
+
 /// Runs a round every `AGING_INTERVAL_S`.
 pub(super) async fn run(node: Arc<Node>) {
     let mut leader_rounds = 0u32;
+    let mut rounds = 0u32;
+    let mut connections_logged = PoolCounts::default();
     let mut last_round = node.now();
     let mut was_ready = node.is_ready();
     loop {
@@ -35,6 +41,10 @@
             );
         }
         forget_old(&node, now);
+        rounds = rounds.wrapping_add(1);
+        if rounds.is_multiple_of(ROUNDS_PER_CONNECTION_COUNTS) {
+            log_connections(&node, &mut connections_logged);
+        }
         if !run_leader_round(&node, &mut leader_rounds, now) {
             continue;
         }
@@ -62,6 +72,23 @@
     );
 }
 
+/// Logs what became of the served connections, if one was evicted or refused since `logged`.
+fn log_connections(node: &Node, logged: &mut PoolCounts) {
+    let counts = node.served_connections.counts();
+    let open = node.served_connections.open();
+    let lossy = |counts: &PoolCounts| counts.evicted() + counts.refused();
+    if lossy(&counts) == lossy(logged) {
+        debug!(open, ?counts, "served connections");
+    } else {
+        info!(
+            open,
+            ?counts,
+            "served connections were evicted or refused for lack of places"
+        );
+    }
+    *logged = counts;
+}
+
 fn forget_old(node: &Node, now: f64) {
     let mut state = node.lock_state();
     state
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -35,7 +35,6 @@
 pub mod task_counts;
 pub mod worker_client;
 
-use cherrywood_net::connection_pool::PoolLimits;
 use cherrywood_net::{Listener, Runtime, server};
 use node::Node;
 use settings::{Settings, SettingsError};
@@ -83,7 +82,6 @@
     at.check()?;
     let users = listen(&host, "serve_on", at.serve_on).await?;
     let peers = listen(&host, "internal_addr", at.internal_addr).await?;
-    let limits = PoolLimits::for_sockets(at.deployment.limits.sockets);
     let node = Arc::new(Node::new(host.clone(), settings));
     tracing::info!(
         node = node.label(),
@@ -102,7 +100,8 @@
         let n = n.clone();
         async move { api::answer(&n, request).await }
     });
-    let serve = server::serve_classes(host, users, limits, api::connection_class, on_user);
+    let pool = node.served_connections.clone();
+    let serve = server::serve_pool(host, users, pool, api::connection_class, on_user);
     Ok((node, serve))
 }
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -10,9 +10,10 @@
 use cherrywood_control::LeaseTiming;
 use cherrywood_net::Runtime;
 use cherrywood_net::cloud::CloudClient;
+use cherrywood_net::connection_pool::{ConnectionPool, PoolLimits};
 use cherrywood_net::peer::PeerClient;
 use cherrywood_net::store_client::StoreClient;
-use std::sync::{Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard};
 use tokio::sync::Notify;
 
 /// A snapshot of a controller, for simulations and tests.
@@ -45,6 +46,8 @@
     pub store: StoreClient,
     /// Client of the cloud.
     pub cloud: CloudClient,
+    /// Connections of users and workers that this controller serves.
+    pub served_connections: Arc<ConnectionPool>,
     /// The other controllers.
     pub peers: Vec<PeerClient>,
     /// Clock, network, random numbers and tasks of the machine that this process runs on.
@@ -73,6 +76,7 @@
         let services = &platform.services;
         let cluster = &platform.deployment.cluster;
         let nodes = platform.deployment.nodes;
+        let pool_limits = PoolLimits::for_sockets(platform.deployment.limits.sockets);
         let state = ControllerState {
             store_contact: StoreContact {
                 is_sole_controller: platform.members.is_empty(),
@@ -84,6 +88,7 @@
             timing: LeaseTiming::new(cluster.workers.lease_s, cluster.workers.cancel_s),
             store: StoreClient::new(&host, services.state, cluster.state.kept(), nodes),
             cloud: CloudClient::new(&host, services.cloud, cluster.cloud.rps),
+            served_connections: ConnectionPool::new(pool_limits),
             peers: platform
                 .members
                 .iter()
