Connection pool: idle connections leave room for all users who may be active

Callers saw: with 4,000 workers, 700 sockets and users answered slowly 1.75% of heartbeats failed on a connection that the controller had closed, and came again 1 s later elsewhere. Cause: workers' connections were kept up to 90% of the pool while users may be active on 50%: places to which users had a right were won by evicting idle connections of workers. Fix: a connection is kept after its answer only while idle ones and all users who may be active fit together below the share kept. What doesn't fit is closed with its answer, where nothing is lost. Why it works: evictions remain only for what exceeds the last 10% of the places. Test, crowd, bound and wait are as they were.

--- a/crates/limits/src/connections.rs
+++ b/crates/limits/src/connections.rs
@@ -41,12 +41,12 @@
 pub const MIN_SERVED_CONNECTIONS: usize = 16;
 
 /// Open connections, as a share of those that may be served, up to which a user's connection is
-/// kept open after a response.
+/// kept open after a response. The places of [`ACTIVE_USERS_SHARE`] count as open.
 pub const KEEP_USERS_SHARE: f64 = 0.65;
 
 /// Open connections, as the same share, up to which a worker's is kept open after a response:
 /// workers have the quarter above [`KEEP_USERS_SHARE`] to themselves, and what is above
-/// this is left for requests, so that idle connections are seldom evicted.
+/// this is left for new connections and heartbeats, so that idle ones are seldom evicted.
 pub const KEEP_WORKERS_SHARE: f64 = 0.9;
 
 /// Share of the served connections on which users may be answered at a time: slow responses
--- a/crates/net/src/connection_pool.rs
+++ b/crates/net/src/connection_pool.rs
@@ -5,11 +5,16 @@
 //! idle connection that was used least recently is evicted, users' before workers'. An
 //! active connection is never evicted; while all are active, new ones are refused.
 //!
-//! Eviction can cross a request on its way, whose sender then finds its connection closed.
-//! Well before the pool is full connections are therefore closed where nothing can be lost,
-//! with the answer to a request (`Connection: close`), first those of users, then those of
-//! workers. And only a share of the pool may be active for users at a time, so that
-//! heartbeats find room however slowly users are answered.
+//! An evicted connection costs its owner a failed request: the next one finds it closed.
+//! Places are therefore won by closing connections where nothing can be lost, with the answer
+//! to a request (`Connection: close`), users' before workers'. Only so many stay idle that
+//! all users who may be active at a time find room beside them, whether they are active now or
+//! not:
+//!
+//! `idle + max_active_users <= max_open_to_keep_workers <= max_connections`
+//!
+//! So an idle connection is evicted only if new connections, active workers and refused users
+//! together take more than `max_connections - max_open_to_keep_workers` places.
 //!
 //! Uses are counted, not timed: the order of eviction doesn't depend on a clock.
 
@@ -33,9 +38,10 @@
 pub struct PoolLimits {
     /// Connections open at once.
     pub max_connections: usize,
-    /// Connections open up to which a user's is kept after an answer.
+    /// Connections open up to which a user's is kept after an answer, the places that active
+    /// users may take counted as open.
     pub max_open_to_keep_users: usize,
-    /// Connections open up to which a worker's is kept after an answer.
+    /// The same for a worker's.
     pub max_open_to_keep_workers: usize,
     /// Requests of users handled at once; the others are refused with 503.
     pub max_active_users: usize,
@@ -71,6 +77,17 @@
             ConnectionClass::Worker => self.max_open_to_keep_workers,
         }
     }
+
+    /// Connections that may be idle for one of this class to become idle as well, so that
+    /// users still find their whole share of the pool. Where that share is the pool itself,
+    /// nothing can be set aside for it.
+    fn max_idle(&self, class: ConnectionClass) -> usize {
+        if self.max_active_users >= self.max_connections {
+            return self.max_connections;
+        }
+        self.max_open_to_keep(class)
+            .saturating_sub(self.max_active_users)
+    }
 }
 
 /// Place of an idle connection in the order of eviction: the smallest goes first.
@@ -283,7 +300,9 @@
             return false;
         }
         let mut state = self.pool.state();
-        let keep = state.open <= self.pool.limits.max_open_to_keep(self.class);
+        let limits = &self.pool.limits;
+        let keep = state.open <= limits.max_open_to_keep(self.class)
+            && state.idle.len() < limits.max_idle(self.class);
         match self.class {
             _ if keep => {}
             ConnectionClass::User => state.counts.closed_users += 1,
--- a/crates/net/tests/connection_pool/main.rs
+++ b/crates/net/tests/connection_pool/main.rs
@@ -11,7 +11,7 @@
 use cherrywood_net::runtime::{Runtime, Stream};
 use cherrywood_net::server::{self, Request, Response};
 use common::{CONNECT, run};
-use crowd::{Crowd, EVENLY, LEASE_S, REPORT_S, Seen, WORKERS};
+use crowd::{Crowd, EVENLY, IN_WAVES, LEASE_S, REPORT_S, Seen, WORKERS};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -345,3 +345,65 @@
     let seen = slowly_answered_users_beside_4000_workers();
     assert!(seen.heartbeats_failed * 100 < seen.heartbeats);
 }
+
+/// Users that come in waves take the places of idle workers' connections, whatever their number.
+fn assert_waves_of_users_evict_few_workers(sockets: usize) {
+    let crowd = Crowd {
+        sockets,
+        users: 4000,
+        user_answer_s: 1.0,
+        arrival: IN_WAVES,
+        workers_first_within_s: REPORT_S,
+        first_bytes_s: 0.0,
+    };
+    let seen = crowd.play();
+    assert_all_heard_within_their_lease(&seen);
+    assert!(seen.heartbeats_failed * 100 < seen.heartbeats);
+}
+
+#[test]
+fn under_one_heartbeat_in_a_hundred_fails_beside_waves_of_users_with_300_sockets() {
+    assert_waves_of_users_evict_few_workers(300);
+}
+
+#[test]
+fn under_one_heartbeat_in_a_hundred_fails_beside_waves_of_users_with_700_sockets() {
+    assert_waves_of_users_evict_few_workers(700);
+}
+
+#[test]
+fn under_one_heartbeat_in_a_hundred_fails_beside_waves_of_users_with_2265_sockets() {
+    assert_waves_of_users_evict_few_workers(2265);
+}
+
+/// New connections take long to ask, and hold their places meanwhile.
+#[test]
+fn under_one_heartbeat_in_a_hundred_fails_on_a_slow_network() {
+    let crowd = Crowd {
+        sockets: 700,
+        users: 4000,
+        user_answer_s: 1.5,
+        arrival: EVENLY,
+        workers_first_within_s: REPORT_S,
+        first_bytes_s: 0.1,
+    };
+    let seen = crowd.play();
+    assert_all_heard_within_their_lease(&seen);
+    assert!(seen.heartbeats_failed * 100 < seen.heartbeats);
+}
+
+/// As after a failover, when all workers have just found a new controller.
+#[test]
+fn under_one_heartbeat_in_a_hundred_fails_when_all_workers_begin_at_once() {
+    let crowd = Crowd {
+        sockets: 700,
+        users: 4000,
+        user_answer_s: 1.9,
+        arrival: EVENLY,
+        workers_first_within_s: 0.5,
+        first_bytes_s: 0.0,
+    };
+    let seen = crowd.play();
+    assert_all_heard_within_their_lease(&seen);
+    assert!(seen.heartbeats_failed * 100 < seen.heartbeats);
+}
