Clients: a kept connection found closed is replaced before a request is sent on it

Callers saw: a request failed with an unknown outcome though it had never been sent, on a connection that the other end had closed: to the state service and the cloud after any close without `Connection: close`, to other controllers in any burst after 75 s in which one connection was enough. A ledger transaction was in doubt for it, a frame of heartbeats lost. Cause: the client looked at a kept connection's age alone, and that of peers not even at it. Why it works: nothing has been sent on it, so any request may take another connection.

--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -1,10 +1,10 @@
 //! A small HTTP/1.1 client for one address, with keep-alive connections and without
 //! pipelining.
 
-use crate::{NetError, NotExecutedCause, Runtime, Stream, lock};
+use crate::idle_connections::IdleConnections;
+use crate::{NetError, NotExecutedCause, Runtime, Stream};
 use cherrywood_limits as limits;
 use std::net::SocketAddr;
-use std::sync::Mutex;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 /// Most headers that a response may have.
@@ -19,14 +19,7 @@
 pub struct HttpClient {
     runtime: Runtime,
     address: SocketAddr,
-    idle: Mutex<Vec<IdleConnection>>,
-}
-
-/// An unused connection, and since when it is unused (seconds on the steady clock).
-#[derive(Debug)]
-struct IdleConnection {
-    stream: Stream,
-    since: f64,
+    idle: IdleConnections,
 }
 
 /// The response to a request.
@@ -48,7 +41,7 @@
         HttpClient {
             runtime: runtime.clone(),
             address,
-            idle: Mutex::new(Vec::new()),
+            idle: IdleConnections::new(limits::KEEP_ALIVE_CONNECTIONS_MAX),
         }
     }
 
@@ -72,7 +65,7 @@
         timeout_s: f64,
     ) -> Result<ClientResponse, NetError> {
         let deadline = self.runtime.now() + timeout_s;
-        let mut stream = match self.take_idle() {
+        let mut stream = match self.idle.take(self.runtime.now()) {
             Some(stream) => stream,
             None => self.connect(method, path, timeout_s).await?,
         };
@@ -81,46 +74,22 @@
         match self.runtime.timeout(left_s, response).await {
             Ok(Ok(response)) => {
                 if !response.close {
-                    self.keep(stream);
+                    self.idle.keep(stream, self.runtime.now());
                 }
                 Ok(response)
             }
             Ok(Err(e)) => {
-                self.close_idle();
+                self.idle.close_all();
                 Err(e)
             }
             Err(_) => {
-                self.close_idle();
+                self.idle.close_all();
                 let request = describe(method, path, self.address);
                 Err(NetError::unknown(&request, "timed out"))
             }
         }
     }
 
-    fn take_idle(&self) -> Option<Stream> {
-        let now = self.runtime.now();
-        let mut idle = lock(&self.idle);
-        while let Some(connection) = idle.pop() {
-            if now - connection.since < limits::KEEP_ALIVE_S {
-                return Some(connection.stream);
-            }
-        }
-        None
-    }
-
-    fn keep(&self, stream: Stream) {
-        let mut idle = lock(&self.idle);
-        if idle.len() < limits::KEEP_ALIVE_CONNECTIONS_MAX {
-            let since = self.runtime.now();
-            idle.push(IdleConnection { stream, since });
-        }
-    }
-
-    /// Closes all idle connections: where one connection is dead, the others may be as well.
-    fn close_idle(&self) {
-        lock(&self.idle).clear();
-    }
-
     async fn connect(&self, method: &str, path: &str, timeout_s: f64) -> Result<Stream, NetError> {
         let connecting = self.runtime.connect(self.address);
         let cause = match self.runtime.timeout(timeout_s, connecting).await {
--- a/crates/net/src/peer.rs
+++ b/crates/net/src/peer.rs
@@ -3,14 +3,15 @@
 //! A connection carries one request at a time; a request that times out closes its
 //! connection, so no reply can meet the wrong request.
 
-use crate::{Listener, NetError, Runtime, Stream, lock};
+use crate::idle_connections::IdleConnections;
+use crate::{Listener, NetError, Runtime, Stream};
 use bitcode::{Decode, Encode};
 use cherrywood_limits as limits;
 use cherrywood_wire::peer::{PeerReply, PeerRequest};
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 async fn write_frame<T: Encode>(stream: &mut Stream, value: &T) -> io::Result<()> {
@@ -37,7 +38,7 @@
     pub label: String,
     runtime: Runtime,
     address: SocketAddr,
-    idle: Mutex<Vec<Stream>>,
+    idle: IdleConnections,
 }
 
 impl PeerClient {
@@ -47,7 +48,7 @@
             label: label.to_string(),
             runtime: runtime.clone(),
             address,
-            idle: Mutex::new(Vec::new()),
+            idle: IdleConnections::new(limits::KEEP_ALIVE_PEER_CONNECTIONS_MAX),
         }
     }
 
@@ -64,17 +65,13 @@
     /// is closed, so its reply can't meet another request.
     pub async fn ask(&self, request: &PeerRequest, timeout_s: f64) -> Result<PeerReply, NetError> {
         let call = async {
-            let idle = lock(&self.idle).pop();
-            let mut stream = match idle {
+            let mut stream = match self.idle.take(self.runtime.now()) {
                 Some(stream) => stream,
                 None => self.runtime.connect(self.address).await?,
             };
             write_frame(&mut stream, request).await?;
             let reply: PeerReply = read_frame(&mut stream).await?;
-            let mut idle = lock(&self.idle);
-            if idle.len() < limits::KEEP_ALIVE_PEER_CONNECTIONS_MAX {
-                idle.push(stream);
-            }
+            self.idle.keep(stream, self.runtime.now());
             Ok::<_, io::Error>(reply)
         };
         let cause = match self.runtime.timeout(timeout_s, call).await {
@@ -82,8 +79,7 @@
             Ok(Err(e)) => e.to_string(),
             Err(_) => "timed out".to_string(),
         };
-        // Where one connection is dead, the others may be as well.
-        lock(&self.idle).clear();
+        self.idle.close_all();
         let request = format!("request to {} at {}", self.label, self.address);
         Err(NetError::unknown(&request, cause))
     }
--- /dev/null
+++ b/crates/net/tests/kept_connections.rs
@@ -0,0 +1,151 @@
+//! What becomes of requests on kept connections that the other end closes.
+
+mod common;
+
+use cherrywood_net::NetError;
+use cherrywood_net::client::HttpClient;
+use cherrywood_net::peer::{self, PeerClient};
+use cherrywood_net::runtime::{Runtime, Stream};
+use cherrywood_wire::peer::{PeerReply, PeerRequest};
+use common::{CONNECT, run};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::time::sleep;
+
+const TIMEOUT_S: f64 = 1.0;
+
+/// Longer than any server keeps an idle connection.
+const IDLE_FOR_S: usize = 90;
+
+/// How long a peer takes to answer, so that two requests need two connections.
+const PEER_ANSWER: Duration = Duration::from_millis(20);
+
+fn server_address() -> SocketAddr {
+    SocketAddr::from(([10, 3, 0, 2], 8443))
+}
+
+async fn read_request(stream: &mut Stream) -> bool {
+    let mut request = [0; 1024];
+    matches!(stream.read(&mut request).await, Ok(read) if read > 0)
+}
+
+/// Counts the requests that arrive.
+fn serve_http<F>(
+    host: &Runtime,
+    on_connection: impl Fn(Stream, Arc<AtomicUsize>) -> F + Send + 'static,
+) -> Arc<AtomicUsize>
+where
+    F: Future<Output = ()> + Send + 'static,
+{
+    let received = Arc::new(AtomicUsize::new(0));
+    let (counted, host) = (received.clone(), host.clone());
+    tokio::spawn(async move {
+        let mut listener = host.bind(server_address()).await.unwrap();
+        loop {
+            let (stream, _) = listener.accept().await.unwrap();
+            tokio::spawn(on_connection(stream, counted.clone()));
+        }
+    });
+    received
+}
+
+/// Answers one request without `Connection: close`, and closes the connection 0.1 s later.
+async fn answer_once_and_close(mut stream: Stream, received: Arc<AtomicUsize>) {
+    if read_request(&mut stream).await {
+        received.fetch_add(1, Ordering::Relaxed);
+        let response = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+        stream.write_all(response).await.unwrap();
+        sleep(Duration::from_millis(100)).await;
+    }
+}
+
+/// Answers the first request of a connection, and closes it when the second has arrived.
+async fn answer_once_and_close_on_the_second(mut stream: Stream, received: Arc<AtomicUsize>) {
+    answer_once_and_close_after(&mut stream, &received).await;
+    if read_request(&mut stream).await {
+        received.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+async fn answer_once_and_close_after(stream: &mut Stream, received: &AtomicUsize) {
+    if read_request(stream).await {
+        received.fetch_add(1, Ordering::Relaxed);
+        let response = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+        stream.write_all(response).await.unwrap();
+    }
+}
+
+/// A request failed without being sent, on a kept connection that the server had closed.
+#[test]
+fn a_kept_connection_found_closed_is_replaced_before_anything_is_sent() {
+    run(|host| async move {
+        let received = serve_http(&host, answer_once_and_close);
+        sleep(CONNECT).await;
+        let client = HttpClient::new(&host, server_address());
+        for sent in 1..=3 {
+            let response = client.send("POST", "/txn", Some(b"x"), TIMEOUT_S).await;
+            assert_eq!(response.map(|r| r.status), Ok(200), "request {sent}");
+            assert_eq!(received.load(Ordering::Relaxed), sent);
+            sleep(Duration::from_secs(1)).await;
+        }
+    });
+}
+
+/// What may have been executed is never sent again by the client itself.
+#[test]
+fn a_request_whose_connection_closes_after_it_was_sent_is_not_repeated() {
+    run(|host| async move {
+        let received = serve_http(&host, answer_once_and_close_on_the_second);
+        sleep(CONNECT).await;
+        let client = HttpClient::new(&host, server_address());
+        let first = client.send("POST", "/txn", Some(b"x"), TIMEOUT_S).await;
+        assert_eq!(first.map(|r| r.status), Ok(200));
+        let second = client.send("POST", "/txn", Some(b"x"), TIMEOUT_S).await;
+        assert!(
+            matches!(second, Err(NetError::OutcomeUnknown { .. })),
+            "{second:?}"
+        );
+        sleep(Duration::from_secs(5)).await;
+        assert_eq!(received.load(Ordering::Relaxed), 2);
+    });
+}
+
+fn counts_request() -> PeerRequest {
+    PeerRequest::TaskCounts { jobs: Vec::new() }
+}
+
+async fn ask_twice_at_once(peer: &PeerClient) {
+    let request = counts_request();
+    let (first, second) =
+        tokio::join!(peer.ask(&request, TIMEOUT_S), peer.ask(&request, TIMEOUT_S));
+    assert!(first.is_ok(), "{first:?}");
+    assert!(second.is_ok(), "{second:?}");
+}
+
+/// A burst of frames failed on connections that had been unused for so long that the other
+/// controller had closed them.
+#[test]
+fn a_burst_to_a_peer_uses_no_connection_that_was_closed_for_being_idle() {
+    run(|host| async move {
+        let (listening, own) = (host.clone(), host.clone());
+        tokio::spawn(async move {
+            let listener = listening.bind(server_address()).await.unwrap();
+            let handler = |_: PeerRequest| async {
+                sleep(PEER_ANSWER).await;
+                PeerReply::TaskCounts { counts: Vec::new() }
+            };
+            peer::serve(listening, listener, Arc::new(handler)).await;
+        });
+        sleep(CONNECT).await;
+        let peer = PeerClient::new(&own, "stallion-1", server_address());
+        ask_twice_at_once(&peer).await;
+        for _ in 0..IDLE_FOR_S {
+            peer.ask(&counts_request(), TIMEOUT_S).await.unwrap();
+            sleep(Duration::from_secs(1)).await;
+        }
+        ask_twice_at_once(&peer).await;
+    });
+}
