Recovery: a job whose record can't be read isn't over; its tasks go on

Callers saw: an accepted job whose record a new leader can't read (damaged, or of a newer version) was told as queued while each heartbeat's response stopped its running tasks: lost work. Cause: the leader took the readable rows of the listing alone, and three places concluded from a job's absence that it is over (job_is_over, heartbeat_commands, forget_command). Fix: the leader knows the ids of live jobs that it can't read. Nothing of them starts, what runs goes on and counts; the id leaves the set with the record's end or its first readable form, so a cancellation stops the tasks as before. Why it works: absence is told from unreadability where the listing is read, and every conclusion is drawn from JobTable.

--- a/crates/control/src/leader/heartbeat_commands.rs
+++ b/crates/control/src/leader/heartbeat_commands.rs
@@ -54,10 +54,15 @@
                 continue;
             };
             let job = self.jobs.by_id(id);
+            let is_unreadable = job.is_none() && self.jobs.is_unreadable(id);
             let command = match task.state {
+                TaskState::Exited if task.exit_cause == Some(ExitCause::Done) && is_unreadable => {
+                    None
+                }
                 TaskState::Exited => {
                     machine.forget_command(task, index, job, heartbeat.fencing_token)
                 }
+                _ if is_unreadable => None,
                 _ => match (machine.index_of(task), job) {
                     (Some(at), Some(job)) if !job.done.get(index) => {
                         machine.move_if_due(at, task, job, heartbeat, &self.settings, now);
--- a/crates/control/src/leader/job_table.rs
+++ b/crates/control/src/leader/job_table.rs
@@ -14,6 +14,9 @@
     next_index: JobIndex,
     /// Jobs of which the state service may lack something that is done.
     dirty: BTreeSet<JobIndex>,
+    /// Ids of live jobs whose records can't be read here: nothing of them is started, and what
+    /// runs of them goes on.
+    unreadable: BTreeSet<String>,
 }
 
 impl JobTable {
@@ -21,6 +24,7 @@
     pub(super) fn insert(&mut self, job: Job) -> JobIndex {
         let index = self.next_index;
         self.next_index += 1;
+        self.unreadable.remove(&job.spec.id);
         self.index_by_id.insert(job.spec.id.clone(), index);
         self.jobs.insert(index, job);
         index
@@ -28,11 +32,27 @@
 
     /// Takes out a job that is no longer live.
     pub(super) fn remove(&mut self, id: &str) -> Option<(JobIndex, Job)> {
+        self.unreadable.remove(id);
         let index = self.index_by_id.remove(id)?;
         let job = self.jobs.remove(&index)?;
         Some((index, job))
     }
 
+    /// These live jobs have records that can't be read here; no others.
+    pub(super) fn set_unreadable(&mut self, ids: BTreeSet<String>) {
+        self.unreadable = ids;
+    }
+
+    /// Is it live, with a record that can't be read here?
+    pub(super) fn is_unreadable(&self, id: &str) -> bool {
+        self.unreadable.contains(id)
+    }
+
+    /// Ids of live jobs whose records can't be read here.
+    pub(super) fn unreadable_ids(&self) -> impl Iterator<Item = &String> {
+        self.unreadable.iter()
+    }
+
     /// The job of this index, if it is live.
     pub(super) fn get(&self, index: &JobIndex) -> Option<&Job> {
         self.jobs.get(index)
--- a/crates/control/src/leader/jobs.rs
+++ b/crates/control/src/leader/jobs.rs
@@ -157,7 +157,7 @@
     fn placements_without_job(&self, id: &str) -> Vec<(String, u32)> {
         let mut placed: Vec<(String, u32)> = Vec::new();
         for (name, m) in &self.machines {
-            let orphaned = |p: &&Placement| p.job_is_over(&self.jobs);
+            let orphaned = |p: &&Placement| p.lacks_job(&self.jobs);
             let own = |p: &&Placement| parse_task_id(&p.task_id).is_some_and(|(job, _)| job == id);
             let tasks = m.placements.iter().filter(orphaned).filter(own);
             placed.extend(tasks.map(|p| (name.clone(), p.task_index)));
@@ -182,6 +182,17 @@
         }
     }
 
+    /// The state service holds these live jobs, whose records can't be read here; no others.
+    /// Their tasks on machines go on, until the end of the job is known.
+    pub fn set_unreadable_jobs(&mut self, ids: BTreeSet<String>) {
+        self.jobs.set_unreadable(ids);
+    }
+
+    /// Live jobs whose records can't be read here.
+    pub fn unreadable_job_ids(&self) -> impl Iterator<Item = &String> {
+        self.jobs.unreadable_ids()
+    }
+
     /// The job is done or cancelled: nothing of it is started any more, and what still runs
     /// is stopped with the next responses to its workers.
     pub fn remove_job(&mut self, id: &str) {
--- a/crates/control/src/leader/placement.rs
+++ b/crates/control/src/leader/placement.rs
@@ -5,6 +5,7 @@
 
 use super::job::JobIndex;
 use super::job_table::JobTable;
+use super::parse_task_id;
 use crate::resources::Resources;
 
 /// How far a placement has come on its way into the ledger.
@@ -91,8 +92,15 @@
         self.start_attempts == 0 && !self.acknowledged && !self.from_previous_term
     }
 
+    /// Is its job missing from the table? It is over, or its record can't be read.
+    pub(super) fn lacks_job(&self, jobs: &JobTable) -> bool {
+        self.job.is_none_or(|job| !jobs.contains_key(&job))
+    }
+
     /// Is its job over, or unknown? Then it may not go on.
     pub(super) fn job_is_over(&self, jobs: &JobTable) -> bool {
-        self.job.is_none_or(|job| !jobs.contains_key(&job))
+        let is_unreadable =
+            || parse_task_id(&self.task_id).is_some_and(|(id, _)| jobs.is_unreadable(id));
+        self.lacks_job(jobs) && !is_unreadable()
     }
 }
--- a/crates/control/src/leader/recovery.rs
+++ b/crates/control/src/leader/recovery.rs
@@ -8,7 +8,7 @@
     HistogramsRecord, ImageCacheRecord, JobRecord, LoggedPlacement, PlacementLogRecord,
     ProgressRecord,
 };
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
 /// What a new leader reads before it acts.
 #[derive(Debug, Default)]
@@ -20,6 +20,8 @@
     pub overlap_s: f64,
     /// Live jobs and the revisions of their records.
     pub jobs: Vec<(JobRecord, u64)>,
+    /// Ids of live jobs whose records can't be read.
+    pub unreadable_jobs: BTreeSet<String>,
     /// Progress records: their keys without the prefix, and their revisions.
     pub progress: Vec<(String, ProgressRecord, u64)>,
     /// Ledger entries by number, the oldest first.
@@ -68,10 +70,12 @@
         }
         // Progress records without a live job: of jobs that were cancelled, or that had several
         // parts.
+        progress.retain(|id, _| !from.unreadable_jobs.contains(id));
         for (id, parts) in progress {
             let keys = parts.iter().map(|p| keys::progress_part(&id, p.part));
             self.obsolete_keys.extend(keys);
         }
+        self.set_unreadable_jobs(from.unreadable_jobs);
         self.recover_image_hints(from.images.unwrap_or_default());
         self.recover_ledger(from.ledger, &replay, from.overlap_s, now);
         Ok(())
--- a/crates/control/tests/leader.rs
+++ b/crates/control/tests/leader.rs
@@ -632,6 +632,26 @@
     assert_eq!((a.running(), b.running()), (3, 0));
 }
 
+/// A job whose record can be read at last must not run a second time beside what went on.
+#[test]
+fn a_job_whose_record_becomes_readable_keeps_its_placements() {
+    let (mut s, mut a, mut b) = (Store::default(), Worker::new("vm-1"), Worker::new("vm-2"));
+    let mut l = s.elect(1, 0.0);
+    let j = job("wk-000001", 3);
+    submit(&mut l, &mut s, &j, 0.0);
+    heartbeat(&mut l, &mut s, &mut a, "n1", 1.0);
+    l.remove_job("wk-000001");
+    l.set_unreadable_jobs(["wk-000001".to_string()].into());
+    heartbeat(&mut l, &mut s, &mut a, "n1", 2.0);
+    assert_eq!(a.running(), 3, "what runs goes on");
+    let value = JobRecord::new(j, 0);
+    l.add_job(value, s.revision_of(&keys::job("wk-000001")), 2.5);
+    assert_eq!(l.unreadable_job_ids().count(), 0);
+    heartbeat(&mut l, &mut s, &mut b, "n1", 3.0);
+    heartbeat(&mut l, &mut s, &mut a, "n1", 3.5);
+    assert_eq!((a.running(), b.running()), (3, 0));
+}
+
 /// A start whose answer was lost and whose job was then cancelled: its room
 /// must come free, though no start is sent again.
 #[test]
--- a/crates/node/src/background/job_watch.rs
+++ b/crates/node/src/background/job_watch.rs
@@ -13,7 +13,7 @@
 use cherrywood_net::store_client::Readable;
 use cherrywood_wire::records::JobRecord;
 use cherrywood_wire::store::{WatchEvent, WatchResponse};
-use std::collections::HashSet;
+use std::collections::{BTreeSet, HashSet};
 use std::sync::Arc;
 
 /// A change of one job's record.
@@ -27,7 +27,9 @@
 /// What one answer of the state service says of the jobs.
 struct JobChanges {
     changes: Vec<JobChange>,
-    /// They are all the jobs that there are: what isn't among them is over.
+    /// Ids of live jobs whose records can't be read.
+    unreadable: BTreeSet<String>,
+    /// These are all the jobs that there are: what isn't among them is over.
     is_complete: bool,
     /// The state service's revision up to which they are complete.
     revision: u64,
@@ -81,6 +83,8 @@
         None => {
             let listing = node.store.list::<JobRecord>(keys::JOBS).await?;
             let revision = listing.first_revision();
+            let unreadable_keys = listing.unreadable_keys.iter();
+            let unreadable = unreadable_keys.map(|key| job_id(key).to_string()).collect();
             let changes = listing.rows.into_iter().map(|row| JobChange {
                 key: row.key,
                 record: Some(row.value),
@@ -88,6 +92,7 @@
             });
             Ok(Some(JobChanges {
                 changes: changes.collect(),
+                unreadable,
                 is_complete: true,
                 revision,
             }))
@@ -120,11 +125,17 @@
     };
     JobChanges {
         changes: events.events.into_iter().filter_map(change).collect(),
+        unreadable: BTreeSet::new(),
         is_complete: false,
         revision: events.revision,
     }
 }
 
+/// The id of the job with this key.
+pub(super) fn job_id(key: &str) -> &str {
+    &key[keys::JOBS.len()..]
+}
+
 /// Gives the changes to the leader of this term. False if it leads no more.
 fn take_in(node: &Arc<Node>, term: u64, changes: JobChanges) -> bool {
     let now = node.now();
@@ -136,16 +147,21 @@
     };
     let unread = &mut leader_term.unread_submissions;
     if changes.is_complete {
-        let ids = changes.changes.iter().map(|c| &c.key[keys::JOBS.len()..]);
-        let live: HashSet<&str> = ids.collect();
+        let readable = changes.changes.iter().map(|change| job_id(&change.key));
+        let unreadable = changes.unreadable.iter().map(String::as_str);
+        let live: HashSet<&str> = readable.chain(unreadable).collect();
         let known = leader.live_job_ids().into_iter();
         for id in known.filter(|id| !live.contains(id.as_str())) {
             leader.remove_job(&id);
         }
         unread.retain(|id, _| live.contains(id.as_str()));
+        let known = leader.unreadable_job_ids();
+        let still_live = known.filter(|id| live.contains(id.as_str()));
+        let unreadable = still_live.chain(&changes.unreadable).cloned().collect();
+        leader.set_unreadable_jobs(unreadable);
     }
     for change in changes.changes {
-        let id = &change.key[keys::JOBS.len()..];
+        let id = job_id(&change.key);
         match change.record {
             None => {
                 unread.remove(id);
--- a/crates/node/src/background/recovery.rs
+++ b/crates/node/src/background/recovery.rs
@@ -1,6 +1,7 @@
 //! Recovery of the leader's state after an election: what the state service holds of the
 //! placement ledger, of jobs and of what earlier leaders learned.
 
+use super::job_watch::job_id;
 use crate::chunked_values;
 use crate::job_records;
 use crate::node::Node;
@@ -14,7 +15,7 @@
 use cherrywood_wire::records::{JobRecord, PlacementLogRecord, ProgressRecord};
 use cherrywood_wire::store::KeyValue;
 use serde::de::IgnoredAny;
-use std::collections::HashSet;
+use std::collections::{BTreeSet, HashSet};
 use std::sync::Arc;
 use tracing::info;
 
@@ -84,7 +85,8 @@
     let chunk_keys = insist(node, || list_chunk_keys(node)).await?;
     // Jobs last: if one ends meanwhile, the guards of the leader's writes for it fail.
     let jobs = insist(node, || list_jobs(node)).await?;
-    recovered.jobs = read_submissions(node, jobs.rows).await?;
+    recovered.unreadable_jobs = jobs.unreadable;
+    recovered.jobs = read_submissions(node, jobs.rows, &mut recovered.unreadable_jobs).await?;
     let obsolete_keys = chunks_without_job(chunk_keys, &recovered.jobs);
     info!(
         term,
@@ -92,6 +94,7 @@
         ledger_entries = recovered.ledger.len(),
         progress_records = recovered.progress.len(),
         jobs = recovered.jobs.len(),
+        unreadable_jobs = recovered.unreadable_jobs.len(),
         jobs_revision = jobs.revision,
         "state read for the failover"
     );
@@ -166,6 +169,8 @@
 /// All live jobs.
 struct ListedJobs {
     rows: Vec<KeyValue<JobRecord>>,
+    /// Ids of those whose records can't be read.
+    unreadable: BTreeSet<String>,
     /// The state service's revision at the reading.
     revision: u64,
     /// When the request was sent, s: what was committed before is in its answer.
@@ -177,22 +182,31 @@
     let listing = node.store.list::<JobRecord>(keys::JOBS).await?;
     Ok(ListedJobs {
         revision: listing.first_revision(),
+        unreadable: listing
+            .unreadable_keys
+            .iter()
+            .map(|key| job_id(key).to_string())
+            .collect(),
         rows: listing.rows,
         sent,
     })
 }
 
 /// The jobs with their whole submissions, and the revisions of their records. One that can't
-/// be read is left in the store, and the leader doesn't know the job.
+/// be read is left in the store, and added to `unreadable`.
 async fn read_submissions(
     node: &Node,
     rows: Vec<KeyValue<JobRecord>>,
+    unreadable: &mut BTreeSet<String>,
 ) -> Result<Vec<(JobRecord, u64)>, NetError> {
     let mut jobs = Vec::new();
     for row in rows {
         let record = || job_records::with_submission(node, row.value.clone());
-        if let Some(value) = insist(node, record).await? {
-            jobs.push((value, row.revision));
+        match insist(node, record).await? {
+            Some(value) => jobs.push((value, row.revision)),
+            None => {
+                unreadable.insert(job_id(&row.key).to_string());
+            }
         }
     }
     Ok(jobs)
--- a/crates/node/tests/recovery.rs
+++ b/crates/node/tests/recovery.rs
@@ -48,6 +48,8 @@
 const ATTEMPT: u64 = 1;
 /// Answered heartbeats that are watched.
 const HEARTBEATS: u64 = 3;
+/// Answered heartbeats, 0.1 s apart, within which a stop comes after a cancellation.
+const HEARTBEATS_UNTIL_STOPPED: u64 = 20;
 
 /// An entry that places the one task of [`JOB`] on [`MACHINE`].
 fn ledger_entry() -> PlacementLogRecord {
@@ -91,41 +93,79 @@
     }
 }
 
-/// The commands of the next answered heartbeats.
-async fn commands_of_heartbeats(cluster: &TestCluster) -> Vec<Command> {
-    let mut commands = Vec::new();
-    let mut fencing_token = 0;
-    for sequence in 1..=HEARTBEATS {
-        let body = encode(&heartbeat(sequence, fencing_token));
-        let response = cluster.post("/agent/beat", body).await;
-        assert_eq!(response.status, 200, "heartbeat {sequence}");
-        let answer: HeartbeatResponse = decode(&response.body).unwrap();
-        fencing_token = answer.fencing_token;
-        commands.extend(answer.commands);
+/// A worker on which the task runs.
+struct Reporting<'a> {
+    cluster: &'a TestCluster,
+    sequence: u64,
+    fencing_token: u64,
+}
+
+impl Reporting<'_> {
+    /// The commands in the response to the next heartbeat.
+    async fn next_commands(&mut self) -> Vec<Command> {
         tokio::time::sleep(Duration::from_millis(100)).await;
+        self.sequence += 1;
+        let body = encode(&heartbeat(self.sequence, self.fencing_token));
+        let response = self.cluster.post("/agent/beat", body).await;
+        assert_eq!(response.status, 200, "heartbeat {}", self.sequence);
+        let answer: HeartbeatResponse = decode(&response.body).unwrap();
+        self.fencing_token = answer.fencing_token;
+        answer.commands
     }
-    commands
+}
+
+/// A leader that recovered the placement of a job whose record it can't read.
+async fn cluster_with_unreadable_job() -> TestCluster {
+    let cluster = TestCluster::single().await;
+    let entry = StoredRecord::PlacementLog(ledger_entry());
+    let ledger_key = keys::ledger((1 << 32) + 1);
+    cluster.put_record(&ledger_key, entry).await;
+    let other_kind = StoredRecord::Term(TermRecord { last_term: 1 });
+    cluster.put_record(&keys::job(JOB), other_kind).await;
+    background::start(&cluster.node);
+    assert!(eventually(ELECTED_WITHIN_S, || leads(&cluster)).await);
+    cluster
+}
+
+fn is_stop(command: &Command) -> bool {
+    matches!(command, Command::Stop { .. })
 }
 
 /// An accepted job whose record a controller can't read was taken for one that is over.
 #[test]
 fn tasks_of_a_job_whose_record_cannot_be_read_are_not_stopped() {
     run(async {
-        let cluster = TestCluster::single().await;
-        let entry = StoredRecord::PlacementLog(ledger_entry());
-        let ledger_key = keys::ledger((1 << 32) + 1);
-        cluster.put_record(&ledger_key, entry).await;
-        let other_kind = StoredRecord::Term(TermRecord { last_term: 1 });
-        cluster.put_record(&keys::job(JOB), other_kind).await;
-        background::start(&cluster.node);
-        assert!(eventually(ELECTED_WITHIN_S, || leads(&cluster)).await);
-        assert_eq!(
-            cluster.query(JOB).await.0,
-            200,
-            "its user is told that it lives"
-        );
-        let commands = commands_of_heartbeats(&cluster).await;
-        let stops = commands.iter().any(|c| matches!(c, Command::Stop { .. }));
-        assert!(!stops, "{commands:?}");
+        let cluster = cluster_with_unreadable_job().await;
+        let status = cluster.query(JOB).await.0;
+        assert_eq!(status, 200, "its user is told that it lives");
+        let mut worker = Reporting {
+            cluster: &cluster,
+            sequence: 0,
+            fencing_token: 0,
+        };
+        for _ in 0..HEARTBEATS {
+            let commands = worker.next_commands().await;
+            assert!(!commands.iter().any(is_stop), "{commands:?}");
+        }
+    });
+}
+
+/// What goes on unread must still end when its user says so.
+#[test]
+fn tasks_of_a_cancelled_job_whose_record_cannot_be_read_are_stopped() {
+    run(async {
+        let cluster = cluster_with_unreadable_job().await;
+        let mut worker = Reporting {
+            cluster: &cluster,
+            sequence: 0,
+            fencing_token: 0,
+        };
+        worker.next_commands().await;
+        assert_eq!(cluster.cancel(JOB).await, 200);
+        let mut stopped = false;
+        for _ in 0..HEARTBEATS_UNTIL_STOPPED {
+            stopped |= worker.next_commands().await.iter().any(is_stop);
+        }
+        assert!(stopped);
     });
 }
