Jobs: one listing of the live ones, and one inverse of their keys

Found on reading the change: recovery and job watch each listed the live jobs and took the unreadable ids apart, and the id was cut from the key in three ways. job_records::list_live and keys::job_of serve all; behaviour stays.

--- a/crates/control/src/keys.rs
+++ b/crates/control/src/keys.rs
@@ -40,6 +40,11 @@
     format!("{JOBS}{id}")
 }
 
+/// The job of a live job's key; `None` if it is no such key.
+pub fn job_of(key: &str) -> Option<&str> {
+    key.strip_prefix(JOBS)
+}
+
 /// The final state of a job.
 pub fn ended(id: &str) -> String {
     format!("f/{id}")
--- a/crates/control/src/leader/ledger/outcome.rs
+++ b/crates/control/src/leader/ledger/outcome.rs
@@ -149,7 +149,7 @@
                     self.record_unwritten(batch);
                 }
             }
-        } else if let Some(id) = key.strip_prefix(keys::JOBS) {
+        } else if let Some(id) = keys::job_of(key) {
             if mark == 0 {
                 self.remove_job(id);
             } else if let Some(job) = self.jobs.by_id_mut(id) {
--- a/crates/node/src/background/job_watch.rs
+++ b/crates/node/src/background/job_watch.rs
@@ -81,20 +81,17 @@
 async fn read_changes(node: &Node, from: Option<u64>) -> Result<Option<JobChanges>, NetError> {
     match from {
         None => {
-            let listing = node.store.list::<JobRecord>(keys::JOBS).await?;
-            let revision = listing.first_revision();
-            let unreadable_keys = listing.unreadable_keys.iter();
-            let unreadable = unreadable_keys.map(|key| job_id(key).to_string()).collect();
-            let changes = listing.rows.into_iter().map(|row| JobChange {
+            let live = job_records::list_live(node).await?;
+            let changes = live.rows.into_iter().map(|row| JobChange {
                 key: row.key,
                 record: Some(row.value),
                 revision: row.revision,
             });
             Ok(Some(JobChanges {
                 changes: changes.collect(),
-                unreadable,
+                unreadable: live.unreadable,
                 is_complete: true,
-                revision,
+                revision: live.revision,
             }))
         }
         Some(from) => {
@@ -131,11 +128,6 @@
     }
 }
 
-/// The id of the job with this key.
-pub(super) fn job_id(key: &str) -> &str {
-    &key[keys::JOBS.len()..]
-}
-
 /// Gives the changes to the leader of this term. False if it leads no more.
 fn take_in(node: &Arc<Node>, term: u64, changes: JobChanges) -> bool {
     let now = node.now();
@@ -147,7 +139,8 @@
     };
     let unread = &mut leader_term.unread_submissions;
     if changes.is_complete {
-        let readable = changes.changes.iter().map(|change| job_id(&change.key));
+        let readable = changes.changes.iter();
+        let readable = readable.filter_map(|change| keys::job_of(&change.key));
         let unreadable = changes.unreadable.iter().map(String::as_str);
         let live: HashSet<&str> = readable.chain(unreadable).collect();
         let known = leader.live_job_ids().into_iter();
@@ -161,7 +154,9 @@
         leader.set_unreadable_jobs(unreadable);
     }
     for change in changes.changes {
-        let id = job_id(&change.key);
+        let Some(id) = keys::job_of(&change.key) else {
+            continue;
+        };
         match change.record {
             None => {
                 unread.remove(id);
--- a/crates/node/src/background/recovery.rs
+++ b/crates/node/src/background/recovery.rs
@@ -1,7 +1,6 @@
 //! Recovery of the leader's state after an election: what the state service holds of the
 //! placement ledger, of jobs and of what earlier leaders learned.
 
-use super::job_watch::job_id;
 use crate::chunked_values;
 use crate::job_records;
 use crate::node::Node;
@@ -84,7 +83,7 @@
     let mut recovered = read_leader_records(node).await?;
     let chunk_keys = insist(node, || list_chunk_keys(node)).await?;
     // Jobs last: if one ends meanwhile, the guards of the leader's writes for it fail.
-    let jobs = insist(node, || list_jobs(node)).await?;
+    let jobs = insist(node, || job_records::list_live(node)).await?;
     recovered.unreadable_jobs = jobs.unreadable;
     recovered.jobs = read_submissions(node, jobs.rows, &mut recovered.unreadable_jobs).await?;
     let obsolete_keys = chunks_without_job(chunk_keys, &recovered.jobs);
@@ -166,32 +165,6 @@
     ledger.rows.into_iter().map(entry).collect()
 }
 
-/// All live jobs.
-struct ListedJobs {
-    rows: Vec<KeyValue<JobRecord>>,
-    /// Ids of those whose records can't be read.
-    unreadable: BTreeSet<String>,
-    /// The state service's revision at the reading.
-    revision: u64,
-    /// When the request was sent, s: what was committed before is in its answer.
-    sent: f64,
-}
-
-async fn list_jobs(node: &Node) -> Result<ListedJobs, NetError> {
-    let sent = node.now();
-    let listing = node.store.list::<JobRecord>(keys::JOBS).await?;
-    Ok(ListedJobs {
-        revision: listing.first_revision(),
-        unreadable: listing
-            .unreadable_keys
-            .iter()
-            .map(|key| job_id(key).to_string())
-            .collect(),
-        rows: listing.rows,
-        sent,
-    })
-}
-
 /// The jobs with their whole submissions, and the revisions of their records. One that can't
 /// be read is left in the store, and added to `unreadable`.
 async fn read_submissions(
@@ -204,9 +177,7 @@
         let record = || job_records::with_submission(node, row.value.clone());
         match insist(node, record).await? {
             Some(value) => jobs.push((value, row.revision)),
-            None => {
-                unreadable.insert(job_id(&row.key).to_string());
-            }
+            None => unreadable.extend(keys::job_of(&row.key).map(str::to_string)),
         }
     }
     Ok(jobs)
--- a/crates/node/src/job_records.rs
+++ b/crates/node/src/job_records.rs
@@ -12,8 +12,35 @@
 use cherrywood_net::store_client::TxnOutcome;
 use cherrywood_wire::chunks::{ChunkSet, json_size, split_into_chunks};
 use cherrywood_wire::records::{FinalStateRecord, JobRecord, StoredRecord, WithheldFields};
-use cherrywood_wire::store::{Change, Guard, Txn};
+use cherrywood_wire::store::{Change, Guard, KeyValue, Txn};
 use cherrywood_wire::user::{JobState, Submission};
+use std::collections::BTreeSet;
+
+/// All live jobs.
+pub(crate) struct LiveJobs {
+    /// Those whose records can be read.
+    pub(crate) rows: Vec<KeyValue<JobRecord>>,
+    /// Ids of the others.
+    pub(crate) unreadable: BTreeSet<String>,
+    /// The store's revision at the reading.
+    pub(crate) revision: u64,
+    /// When the request was sent, s: what was committed before is in its answer.
+    pub(crate) sent: f64,
+}
+
+/// Reads the records of all live jobs.
+pub(crate) async fn list_live(node: &Node) -> Result<LiveJobs, NetError> {
+    let sent = node.now();
+    let listing = node.store.list::<JobRecord>(keys::JOBS).await?;
+    let unreadable = listing.unreadable_keys.iter();
+    let unreadable_ids = unreadable.filter_map(|key| keys::job_of(key));
+    Ok(LiveJobs {
+        unreadable: unreadable_ids.map(str::to_string).collect(),
+        revision: listing.first_revision(),
+        rows: listing.rows,
+        sent,
+    })
+}
 
 /// Guards that hold only while neither a live nor a final record of this job exists.
 fn guards_of_new_job(id: &str) -> Vec<Guard> {
