Heartbeat commands ask one question of a job; the hedge is one function

Found on reading the change: unreadable jobs were two extra arms and a second lookup beside the one that is there. JobTable::look_up says live, unreadable or over, and both places match on it; KnownJob replaces an Option that stood for two facts. send_hedged's generics and bounds stood twice for its timeout. A worker's heartbeat no longer takes the pool's lock to count what only an evicted connection counts. Behaviour stays.

--- a/crates/control/src/leader/heartbeat_commands.rs
+++ b/crates/control/src/leader/heartbeat_commands.rs
@@ -4,6 +4,7 @@
 //! recorded, stop those that may not go on or that should move, and start those that were
 //! placed there and aren't listed yet.
 
+use super::job_table::KnownJob;
 use super::*;
 
 /// For how many times `limits::MISSED_HEARTBEATS_MAX` heartbeats a graceful stop isn't
@@ -53,21 +54,17 @@
             let Some((id, index)) = parse_task_id(&task.task) else {
                 continue;
             };
-            let job = self.jobs.by_id(id);
-            let is_unreadable = job.is_none() && self.jobs.is_unreadable(id);
+            let job = self.jobs.look_up(id);
             let command = match task.state {
-                TaskState::Exited if task.exit_cause == Some(ExitCause::Done) && is_unreadable => {
-                    None
-                }
                 TaskState::Exited => {
                     machine.forget_command(task, index, job, heartbeat.fencing_token)
                 }
-                _ if is_unreadable => None,
                 _ => match (machine.index_of(task), job) {
-                    (Some(at), Some(job)) if !job.done.get(index) => {
+                    (Some(at), KnownJob::Live(job)) if !job.done.get(index) => {
                         machine.move_if_due(at, task, job, heartbeat, &self.settings, now);
                         machine.graceful_stop_command(at, task, job, &self.settings, now)
                     }
+                    (_, KnownJob::Unreadable) => None,
                     _ => {
                         machine.lists_unwanted_task = true;
                         Some(immediate_stop(&task.task, task.attempt))
@@ -102,7 +99,7 @@
         &self,
         task: &TaskStatus,
         index: u32,
-        job: Option<&Job>,
+        job: KnownJob<'_>,
         acknowledged_token: u64,
     ) -> Option<Command> {
         let attempt = (task.task.clone(), task.attempt);
@@ -110,9 +107,13 @@
             return None;
         }
         let is_durable = task.exit_cause != Some(ExitCause::Done)
-            || job.is_none_or(|job| {
-                job.persisted_done.get(index) || job.spec.kind == JobKind::Service
-            });
+            || match job {
+                KnownJob::Live(job) => {
+                    job.persisted_done.get(index) || job.spec.kind == JobKind::Service
+                }
+                KnownJob::Unreadable => false,
+                KnownJob::Over => true,
+            };
         is_durable.then_some(Command::Forget {
             task: attempt.0,
             attempt: attempt.1,
--- a/crates/control/src/leader/job_table.rs
+++ b/crates/control/src/leader/job_table.rs
@@ -5,6 +5,17 @@
 use rustc_hash::FxHashMap;
 use std::collections::{BTreeSet, HashMap};
 
+/// What is known of the job of an id.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum KnownJob<'a> {
+    /// It is live.
+    Live(&'a Job),
+    /// It is live, and its record can't be read here: what runs of it goes on.
+    Unreadable,
+    /// It is over, or there never was such a job.
+    Over,
+}
+
 /// The live jobs. Lookups by index run for everything that waits in every placement pass;
 /// the indices are our own numbers, so a fast hash that can't resist collisions will do.
 #[derive(Debug, Default)]
@@ -78,6 +89,15 @@
         self.jobs.get(self.index_by_id.get(id)?)
     }
 
+    /// What is known of the job of this id.
+    pub(super) fn look_up(&self, id: &str) -> KnownJob<'_> {
+        match self.by_id(id) {
+            Some(job) => KnownJob::Live(job),
+            None if self.is_unreadable(id) => KnownJob::Unreadable,
+            None => KnownJob::Over,
+        }
+    }
+
     /// The live job of this id.
     pub(super) fn by_id_mut(&mut self, id: &str) -> Option<&mut Job> {
         self.jobs.get_mut(self.index_by_id.get(id)?)
--- a/crates/net/src/connection_pool.rs
+++ b/crates/net/src/connection_pool.rs
@@ -279,11 +279,11 @@
     pub fn begin_request(&mut self, class: ConnectionClass) -> bool {
         self.class = class;
         self.unused = false;
-        let mut state = self.pool.state();
         if matches!(self.phase, Phase::Evicted) {
-            state.counts.answered_after_eviction += 1;
+            self.pool.state().counts.answered_after_eviction += 1;
         }
         if class == ConnectionClass::User {
+            let mut state = self.pool.state();
             if state.active_users >= self.pool.limits.max_active_users {
                 state.counts.refused_users += 1;
                 return false;
--- a/crates/net/src/hedge.rs
+++ b/crates/net/src/hedge.rs
@@ -68,20 +68,6 @@
     policy: HedgePolicy,
     send: impl Fn() -> F,
 ) -> Result<T, NetError>
-where
-    F: Future<Output = Result<T, NetError>>,
-{
-    let sending = send_at_intervals(runtime, budget, policy, send);
-    let result = runtime.timeout(policy.timeout_s, sending).await;
-    result.unwrap_or_else(|_| Err(NetError::unknown("hedged request", "timed out")))
-}
-
-async fn send_at_intervals<T, F>(
-    runtime: &Runtime,
-    budget: &RetryBudget,
-    policy: HedgePolicy,
-    send: impl Fn() -> F,
-) -> Result<T, NetError>
 where
     F: Future<Output = Result<T, NetError>>,
 {
@@ -89,15 +75,19 @@
         requests: vec![Box::pin(send())],
         last_error: None,
     };
-    for _ in 1..policy.max_requests {
-        let waiting = pending.first_response();
-        if let Ok(result) = runtime.timeout(policy.interval_s, waiting).await {
-            return result;
-        }
-        if !budget.try_spend() {
-            break;
+    let responding = async {
+        for _ in 1..policy.max_requests {
+            let waiting = pending.first_response();
+            if let Ok(result) = runtime.timeout(policy.interval_s, waiting).await {
+                return result;
+            }
+            if !budget.try_spend() {
+                break;
+            }
+            pending.requests.push(Box::pin(send()));
         }
-        pending.requests.push(Box::pin(send()));
-    }
-    pending.first_response().await
+        pending.first_response().await
+    };
+    let result = runtime.timeout(policy.timeout_s, responding).await;
+    result.unwrap_or_else(|_| Err(NetError::unknown("hedged request", "timed out")))
 }
