--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -442,7 +442,10 @@
 class Service:
     """Three controllers as processes, started as the deploy file says."""
 
+    all = []
+
     def __init__(self, record, state_limits, nodes=3):
+        Service.all.append(self)
         self.record, self.count = record, nodes
         self.labels = [f"stallion-{n}" for n in range(nodes)]
         self.zones = ["austin-rack", "lubbock-colo", "houston-cloud"]
@@ -570,21 +573,31 @@
     import traceback
 
     record = Record(os.path.join(folder, "record.txt"))
-    code = 2
+
+    def leave(code):
+        # At once: open requests of the stand-ins aren't waited for.
+        record.say("exit code", code)
+        sys.stdout.flush()
+        os._exit(code)
 
     async def run():
-        # Requests of the controllers that are open when the case ends are dropped without a word.
-        asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
-        work = asyncio.ensure_future(case(record, os.environ.get("TROUBLE") != "0"))
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda loop, context: None)
+        def give_up(why):
+            record.say("could not run:", why)
+            for service in Service.all:
+                service.stop()
+            leave(2)
+
         for end in (signal.SIGTERM, signal.SIGINT):
-            asyncio.get_running_loop().add_signal_handler(end, work.cancel)
-        return await asyncio.wait_for(work, 118.0)
-
-    try:
-        code = asyncio.run(run())
-    except BaseException as e:
-        record.say("could not run:", repr(e))
-        traceback.print_exc()
-    record.say("exit code", code)
-    sys.stdout.flush()
-    os._exit(code)
+            loop.add_signal_handler(end, give_up, "it was told to end")
+        loop.call_later(117.0, give_up, "it took too long")
+        try:
+            code = await case(record, os.environ.get("TROUBLE") != "0")
+        except BaseException as e:
+            record.say("could not run:", repr(e))
+            traceback.print_exc()
+            code = 2
+        leave(code)
+
+    asyncio.run(run())
