--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -377,6 +377,19 @@
     async def start(self):
         _, self.port = await wire.serve(self.handle)
 
+    def die(self, name):
+        """Stops a machine with all that is on it. It stays listed as running for some 30 s."""
+        machine = self.machines[name]
+        machine["worker"].stop()
+        machine["worker"].tasks = {}
+        machine["died"] = now()
+        self.record("machine", name, "stops with all that is on it")
+
+    def gait(self, machine):
+        if "died" in machine and now() - machine["died"] > 30.0:
+            return "failed"
+        return "running" if machine["worker"] else "starting"
+
     async def boot(self, name):
         await asyncio.sleep(self.late_boots.pop(0) if self.late_boots else self.boot_s)
         self.record("machine", name, "is up")
@@ -423,7 +436,7 @@
                 rows.append({
                     "name_id": name, "endpoint": f"127.0.0.1:{worker.port}" if worker else None,
                     "box_breed": self.sku, "pasture": m["pasture"], "strays": m["strays"],
-                    "gait": "running" if worker else "starting", "held_s": now() - m["at"],
+                    "gait": self.gait(m), "held_s": now() - m["at"],
                 })
             return 200, {"mounts": rows, "truncated": False}
         return 404, None
