--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 # checks that they load.
 set -euo pipefail
 cd "$(dirname "$0")"
-for file in lib/*.py [0-9]*/case.py; do
+for file in lib/*.py [0-9]*/case.py beside/*.py; do
   python3 -c 'import ast, sys; ast.parse(open(sys.argv[1]).read())' "$file"
 done
 python3 -c 'import asyncio, json, struct'
