--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -467,6 +467,49 @@
     w.verdict("ran_cancelled", broken)
 }
 
+/// The only machine that the cloud has in a zone fails every task that it starts, for a few seconds.
+/// Then it is well again, and the jobs that are bound to the zone must run.
+fn well_again(folder: PathBuf) -> ! {
+    let mut capacity = vec![("dijk-32", "fra-cloud", false, 1), ("dijk-32", "ehv-campus", true, 2), ("dijk-32", "ehv-campus", false, 1)];
+    for (zone, polder) in [("ams-west", 5), ("rtm-haven", 4), ("ehv-campus", 5)] {
+        capacity.extend([("polder-8", zone, true, polder), ("polder-8", zone, false, polder)]);
+    }
+    let w = World::new(&arena(), folder, &capacity, 1.5);
+    w.wait_ready();
+    let service = Job { herd: "viewer", crew: "venueops", breed: "standing", tasks: 1, cpus: 4.0, strays: false, zone: Some("fra-cloud"), guess_s: 0.0, run_s: 1e6, pull_gb: 0.1, ..tiles("wk-000901") };
+    w.submit(&service);
+    if w.wait_started(service.id, 1, 30.0).is_none() {
+        w.give_up("the service didn't start");
+    }
+    let machine = w.machine_of(service.id).unwrap_or_default();
+    sleep(1.0);
+    let for_s = 12.0;
+    if w.trouble {
+        w.cloud.make_sick(&machine, for_s);
+    }
+    let over_at = now_s() + for_s;
+    let ids = ["wk-000902", "wk-000903", "wk-000904", "wk-000905"];
+    for id in ids {
+        w.submit(&Job { herd: "seatmap-build", crew: "boxoffice", tasks: 1, cpus: 2.0, ram_gb: 4.9, guess_s: 9.0, run_s: 9.0, image: "img-02", pull_gb: 0.1, zone: Some("fra-cloud"), ..tiles(id) });
+    }
+    sleep_until(over_at);
+    w.record.line("the machine is well again");
+    let bound_s = 90.0;
+    let done = |w: &World| ids.iter().filter(|id| w.platform.done.lock().unwrap().contains(&(id.to_string(), 0))).count();
+    while done(&w) < ids.len() && now_s() < over_at + bound_s {
+        sleep(0.1);
+    }
+    let mut states = Vec::new();
+    for id in ids {
+        states.push(format!("{id} {}", w.poll(id).1));
+    }
+    let began = w.platform.events.lock().unwrap().iter().filter(|e| e.what == "start" && ids.contains(&e.job.as_str()) && e.at > over_at).count();
+    let broken = (done(&w) < ids.len() && w.cloud.is_up(&machine)).then(|| {
+        format!("{} jobs that had failed on {machine} were not done {bound_s} s after it was well again ({}); tasks started there since: {began}; it was up with 28 CPUs free", ids.len() - done(&w), states.join(", "))
+    });
+    w.verdict("no job is left waiting for 90 s while a machine that fits has room", broken)
+}
+
 pub fn play(case: &str, folder: PathBuf) -> ! {
     match case {
         "bound" => behind_a_bound_job(folder),
@@ -477,6 +520,7 @@
         "kept" => kept_free(folder),
         "copy" => copied_start(folder),
         "copy-cancelled" => copied_start_of_a_cancelled_job(folder),
+        "well" => well_again(folder),
         "stale" => stale_answers(folder),
         _ => {
             eprintln!("no case {case}");
--- a/review/standins-2/fleet.rs
+++ b/review/standins-2/fleet.rs
@@ -40,7 +40,7 @@
     pub machine: String,
     pub job: String,
     pub index: u32,
-    /// `start` (has its image and runs), or `done`, `stopped`, `killed` (by the lease), `gone`.
+    /// `start` (has its image and runs), or `done`, `failed`, `stopped`, `killed` (by the lease), `gone`.
     pub what: &'static str,
 }
 
@@ -86,6 +86,8 @@
     changed: bool,
     node: usize,
     warning_at: Option<f64>,
+    /// Until then every task that starts here fails at once.
+    sick_until: f64,
     /// The direct commands that were carried out.
     carried_out: Vec<V>,
 }
@@ -161,7 +163,14 @@
             w.changed = true;
         }
         let mut changed = false;
+        let sick = now < w.sick_until;
         for t in &mut w.tasks {
+            if t.gait == "pulling" && now >= t.ready_at && sick {
+                self.event(t, "start");
+                (t.gait, t.cause) = ("exited", "error");
+                self.event(t, "failed");
+                changed = true;
+            }
             if t.gait == "pulling" && now >= t.ready_at {
                 t.gait = "running";
                 let over = p.done.lock().unwrap().contains(&(t.job.clone(), t.index));
@@ -204,7 +213,7 @@
                             (t.cpus, t.ram_gb) = (i.cpus, i.ram_gb);
                             let fetched = now + i.pull_gb / self.kind.fetch;
                             t.ready_at = *w.images.entry(i.image).or_insert(fetched);
-                            if now >= t.ready_at {
+                            if now >= t.ready_at && now >= w.sick_until {
                                 // The image is there: the task is on the machine at once.
                                 let over = self.platform.done.lock().unwrap().contains(&(t.job.clone(), t.index));
                                 (t.gait, t.ends_at) = ("running", if over { now } else { now + i.run_s });
@@ -376,7 +385,7 @@
             endpoint: listener.local_addr().unwrap(),
             created_at: now_s(),
             times: Mutex::default(),
-            inner: Mutex::new(Inner { ride: 1, tally: 0, reins: 0, tasks: Vec::new(), images: HashMap::new(), renewed_at: 0.0, changed: false, node, warning_at: None, carried_out: Vec::new() }),
+            inner: Mutex::new(Inner { ride: 1, tally: 0, reins: 0, tasks: Vec::new(), images: HashMap::new(), renewed_at: 0.0, changed: false, node, warning_at: None, sick_until: 0.0, carried_out: Vec::new() }),
             platform: p.clone(),
         });
         machines.insert(name.clone(), machine.clone());
@@ -463,6 +472,15 @@
         }
     }
 
+    /// For `for_s` every task that starts on the machine fails.
+    pub fn make_sick(&self, name: &str, for_s: f64) {
+        let machine = self.machines.lock().unwrap().get(name).cloned();
+        if let Some(machine) = machine {
+            self.platform.record.line(&format!("DISRUPTION machine {name} fails every task that it starts, for {for_s} s"));
+            machine.inner.lock().unwrap().sick_until = now_s() + for_s;
+        }
+    }
+
     /// A copy of the direct command that started a task of the job arrives at the worker, which
     /// checks token and session as ever. Returns the status that it answers.
     pub fn repeat_start(&self, name: &str, job: &str) -> Option<u16> {
