--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -5,6 +5,6 @@
 [ -x target/review-2/review-2 ] || { echo "run review/build-2.sh first" >&2; exit 2; }
 target/review-2/review-2 bound review/5 &
 case=$!
-# If this script is ended from outside, the controllers end as well.
-trap 'kill $(ps -o pid= --ppid $case) $case 2>/dev/null; exit 2' INT TERM
+# If this script is ended from outside, the controllers and the temporary folder go as well.
+trap 'kill $(ps -o pid= --ppid $case) $case 2>/dev/null; rm -rf "${TMPDIR:-/tmp}/review-2-$case"; exit 2' INT TERM
 wait $case
