Fence a direct start before its attempt is forgotten

Cause: after `forget` an attempt is unknown to its worker, so a copy of its start runs it again. The forget waited for the response to the direct start, not for a token newer than that of the start; only starts without a response were fenced.

Change: DirectStarts keeps the token of each direct start until the worker has seen a newer one; until then the attempt isn't forgotten, nor its placement freed as not listed. A heartbeat that lists such an exited attempt gets a new token in its response. The condition that the newest token of all be seen is replaced by one on the token of the start: with tokens that rise steadily exited attempts would stay listed.

--- a/crates/control/src/leader/direct_commands.rs
+++ b/crates/control/src/leader/direct_commands.rs
@@ -90,11 +90,11 @@
                 continue;
             };
             has_starts = true;
-            machine
-                .starts_awaiting_response
-                .remove(&(task.clone(), *attempt));
             if outcome == CommandOutcome::NotExecuted {
+                machine.direct_starts.rejected(task, *attempt, commands);
                 machine.record_rejected_start(task, *attempt);
+            } else {
+                machine.direct_starts.settled(task, *attempt, commands);
             }
         }
         // A stop that is executed late ends only its own attempt.
@@ -170,8 +170,12 @@
                     owner = self.shard_owner,
                     "start sent"
                 );
-                let attempt = (placement.task_id.clone(), placement.attempt);
-                self.starts_awaiting_response.insert(attempt);
+                self.direct_starts.sent(
+                    &placement.task_id,
+                    placement.attempt,
+                    self.fencing_token,
+                    self.incarnation,
+                );
                 commands.push(start(placement));
             }
         }
--- a/crates/control/src/leader/heartbeat_commands.rs
+++ b/crates/control/src/leader/heartbeat_commands.rs
@@ -4,6 +4,7 @@
 //! recorded, to stop those that may not go on or that should move, and to start those that were
 //! placed there and aren't listed yet.
 
+use super::heartbeats::term_of;
 use super::job_table::KnownJob;
 use super::*;
 
@@ -99,9 +100,10 @@
 impl Machine {
     /// Returns the command that has the worker forget a task that exited.
     ///
-    /// Not given before the worker has seen the newest token and the direct start of the attempt
-    /// has had its response, since a start that is still in flight could run the task again; and if
-    /// the task is done, that must be durable first.
+    /// Not given while a start of the attempt could still be executed and run the task again: one
+    /// of an earlier leader or from before a restart of the worker until the worker has seen a
+    /// token issued since, a direct one as `DirectStarts` tells. And if the task is done, that must
+    /// be durable first.
     fn forget_command(
         &self,
         task: &TaskStatus,
@@ -109,10 +111,10 @@
         job: KnownJob<'_>,
         acknowledged_token: u64,
     ) -> Option<Command> {
-        let attempt = (task.task.clone(), task.attempt);
-        if acknowledged_token < self.fencing_token
-            || self.starts_awaiting_response.contains(&attempt)
-        {
+        let is_current = term_of(acknowledged_token) >= term_of(self.fencing_token)
+            && acknowledged_token >= self.incarnation_first_token;
+        let starts = &self.direct_starts;
+        if !is_current || starts.may_execute(&task.task, task.attempt, acknowledged_token) {
             return None;
         }
         let is_durable = task.exit_cause != Some(ExitCause::Done)
@@ -124,8 +126,8 @@
                 KnownJob::Over => true,
             };
         is_durable.then_some(Command::Forget {
-            task: attempt.0,
-            attempt: attempt.1,
+            task: task.task.clone(),
+            attempt: task.attempt,
         })
     }
 
@@ -227,7 +229,8 @@
         }
     }
 
-    fn is_listed_in(&self, heartbeat: &Heartbeat) -> bool {
+    /// Whether the heartbeat lists this attempt.
+    pub(super) fn is_listed_in(&self, heartbeat: &Heartbeat) -> bool {
         let mut tasks = heartbeat.tasks.iter();
         tasks.any(|task| task.attempt == self.attempt && task.task == self.task_id)
     }
--- a/crates/control/src/leader/heartbeats.rs
+++ b/crates/control/src/leader/heartbeats.rs
@@ -7,7 +7,7 @@
 use super::*;
 
 /// Returns the term in which a token or an attempt was issued; both share one counter.
-fn term_of(token: u64) -> u64 {
+pub(super) fn term_of(token: u64) -> u64 {
     token >> limits::TERM_SHIFT_BITS
 }
 
@@ -59,6 +59,10 @@
         machine.record_acknowledged_token(heartbeat, &self.settings, now);
         self.record_run_times(finished, now);
         self.reconcile_tasks(machine, heartbeat, now);
+        machine.direct_starts.drop_fenced(heartbeat);
+        if machine.must_fence_direct_starts(heartbeat) {
+            machine.fencing_token = self.next_token();
+        }
         if !machine.placements.is_empty() {
             machine.idle_since = now;
         }
@@ -248,12 +252,12 @@
             .iter()
             .map(|t| (t.task.as_str(), t.attempt))
             .collect();
-        let awaiting_response = std::mem::take(&mut machine.starts_awaiting_response);
+        let direct_starts = std::mem::take(&mut machine.direct_starts);
         let is_absent = |p: &Placement| {
             // A direct start without a response may still arrive, however many heartbeats come
             // first: a leader short of processor time sends it late.
             let start_may_arrive = p.stage != PlacementStage::Durable
-                || awaiting_response.contains(&(p.task_id.clone(), p.attempt));
+                || direct_starts.may_execute(&p.task_id, p.attempt, heartbeat.fencing_token);
             if start_may_arrive || listed.contains(&(p.task_id.as_str(), p.attempt)) {
                 return false;
             }
@@ -262,13 +266,30 @@
             p.from_previous_term || p.acknowledged || gave_up
         };
         let lost = machine.placements.take_if(is_absent);
-        machine.starts_awaiting_response = awaiting_response;
+        machine.direct_starts = direct_starts;
         let context = FreeContext::shown_by(heartbeat, &machine.zone, FreeReason::NotListed);
         self.free_lost(lost, &context, now);
     }
 }
 
 impl Machine {
+    /// Whether the worker must see a newer token before one of its attempts is forgotten or freed:
+    /// the attempt exited, or is gone, and its direct start could be executed once more.
+    fn must_fence_direct_starts(&self, heartbeat: &Heartbeat) -> bool {
+        let needs_newer_token = |task: &str, attempt: u64| {
+            let starts = &self.direct_starts;
+            starts.needs_newer_token(task, attempt, self.fencing_token)
+        };
+        let mut listed = heartbeat.tasks.iter();
+        let mut placements = self.placements.iter();
+        listed.any(|t| t.state == TaskState::Exited && needs_newer_token(&t.task, t.attempt))
+            || placements.any(|p| {
+                p.acknowledged
+                    && needs_newer_token(&p.task_id, p.attempt)
+                    && !p.is_listed_in(heartbeat)
+            })
+    }
+
     /// Logs that the machine is up, when this leader first receives a heartbeat of its worker.
     fn log_first_heartbeat(&mut self, heartbeat: &Heartbeat, now: f64) {
         if self.up {
--- a/crates/control/src/leader/machine.rs
+++ b/crates/control/src/leader/machine.rs
@@ -1,6 +1,7 @@
 //! A machine as the leader knows it: its entry in the cloud's list, the state that its worker's
 //! heartbeats prove, what may be placed on it, and whether it is to be removed.
 
+use super::direct_starts::DirectStarts;
 use super::failures::JobFailures;
 use super::machine_placements::MachinePlacements;
 use super::worker_restarts::ReconciliationQuery;
@@ -8,7 +9,7 @@
 use crate::resources::Resources;
 use cherrywood_limits as limits;
 use cherrywood_wire::agent::TaskStatus;
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 
 /// An image that a machine holds or is fetching.
 #[derive(Debug)]
@@ -72,9 +73,8 @@
     pub(super) reclaim_at: Option<f64>,
     /// The address at which its worker accepts direct commands.
     pub(super) address: String,
-    /// Task ids and attempts whose direct start has no response yet. The worker isn't told to
-    /// forget them: the start could arrive after the forget and run the task again.
-    pub(super) starts_awaiting_response: HashSet<(String, u64)>,
+    /// Direct starts that the worker could still execute.
+    pub(super) direct_starts: DirectStarts,
     /// The placements that may run on it.
     pub(super) placements: MachinePlacements,
     /// Whether the ledger that this leader read names it.
@@ -131,7 +131,7 @@
             spot_notice_s: None,
             reclaim_at: None,
             address: String::new(),
-            starts_awaiting_response: HashSet::new(),
+            direct_starts: DirectStarts::default(),
             placements: MachinePlacements::default(),
             known_from_ledger: false,
             cached_images: Vec::new(),
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -26,6 +26,7 @@
 mod autoscaler;
 mod dependencies;
 mod direct_commands;
+mod direct_starts;
 mod failures;
 mod freeing;
 mod heartbeat_commands;
