Scale out for all pending work, not for the first job alone

What callers saw: an accepted job that may run anywhere never ran while a job before it needed machines that the cloud didn't have; the fleet didn't grow for anybody of the same or a lower priority.

Cause: the demand of all work was compared with the CPUs that the first pending job may use, and only what that job may use was rented. The look for a job that no machine could run ended with the first such job, and was skipped when anything else was rented.

Change: demand is collected by the set of instance pools that work may use (autoscaler::pools, demand), and each set is compared with its own machines, smaller sets first.

--- a/crates/control/src/leader/admitting.rs
+++ b/crates/control/src/leader/admitting.rs
@@ -82,8 +82,8 @@
             }
         }
         let demand = self.fleet_demand();
-        let lacks_cpus = demand.first_pending.is_some()
-            && demand.all.wanted_cpus(limits::SPOT_BACKLOG_DRAIN_S) > up + booting;
+        let lacks_cpus = demand.has_pending()
+            && demand.total.all.wanted_cpus(limits::SPOT_BACKLOG_DRAIN_S) > up + booting;
         let cloud_full = lacks_cpus
             && (self.admission.at_capacity()
                 || now - self.autoscaler.last_growth_at() > bounds::CLOUD_FULL_AFTER_S);
--- a/crates/control/src/leader/autoscaler/demand.rs
+++ b/crates/control/src/leader/autoscaler/demand.rs
@@ -1,49 +1,157 @@
 //! Demand for CPUs of placed and pending work.
 
+use super::pools::{PoolSet, PoolSets};
+use super::room::FleetRoom;
 use crate::leader::quota_headroom::QuotaHeadroom;
-use crate::leader::{Job, Leader};
+use crate::leader::{Job, Leader, Machine};
 use cherrywood_sched::provisioning::{CpuDemand, TeamDemand};
 use cherrywood_wire::user::JobKind;
-use std::collections::HashSet;
+use std::collections::{BTreeMap, HashSet};
 
-/// The work that needs machines.
-pub(in crate::leader) struct FleetDemand<'a> {
-    /// Demand of all work.
+/// Demand of some work for CPUs.
+#[derive(Debug, Clone, Default)]
+pub(in crate::leader) struct WorkDemand {
+    /// Demand of all of the work.
     pub(in crate::leader) all: CpuDemand,
-    /// Demand of all work except best-effort work.
+    /// Demand of the work except best-effort work.
     pub(in crate::leader) prioritized: CpuDemand,
-    /// The first pending job of the highest priority: this job decides which machines are
-    /// rented. Jobs that need other machines get them once they are the first.
-    pub(in crate::leader) first_pending: Option<&'a Job>,
 }
 
-impl<'a> FleetDemand<'a> {
+impl WorkDemand {
+    /// Returns no demand, of teams whose limits leave this headroom.
+    fn none(headroom: &[QuotaHeadroom]) -> WorkDemand {
+        let teams = headroom.iter().map(|headroom| TeamDemand {
+            headroom_cpus: headroom.cpus(),
+            ..TeamDemand::default()
+        });
+        let none = CpuDemand {
+            placed_cpus: 0.0,
+            teams: teams.collect(),
+        };
+        WorkDemand {
+            all: none.clone(),
+            prioritized: none,
+        }
+    }
+
+    /// Adds CPUs of placed tasks.
+    fn add_placed(&mut self, cpus: f64, prioritized_cpus: f64) {
+        self.all.placed_cpus += cpus;
+        self.prioritized.placed_cpus += prioritized_cpus;
+    }
+
+    /// Adds the demand of other work of the same teams.
+    fn add(&mut self, other: &WorkDemand) {
+        self.all.add(&other.all);
+        self.prioritized.add(&other.prioritized);
+    }
+
     /// Adds pending tasks of a job, each with an expected run time of `run_s`.
-    fn add(&mut self, job: &'a Job, team: usize, tasks: f64, run_s: f64) {
+    fn add_pending(&mut self, job: &Job, team: usize, tasks: f64, run_s: f64) {
         add_tasks(&mut self.all, job, team, tasks, run_s);
         if !job.best_effort {
             add_tasks(&mut self.prioritized, job, team, tasks, run_s);
         }
-        let first = self.first_pending;
-        if first.is_none_or(|first| job.effective_priority < first.effective_priority) {
-            self.first_pending = Some(job);
-        }
     }
 }
 
-impl Leader {
-    /// Returns the current demand for machines.
-    pub(in crate::leader) fn fleet_demand(&self) -> FleetDemand<'_> {
-        let headroom = self.quota_headroom_by_team();
-        let mut demand = self.placed_demand(&headroom);
-        let mut gpu_headroom = headroom.clone();
+/// Pending work that may use the machines of the same pools.
+#[derive(Debug)]
+pub(super) struct PoolDemand {
+    /// The pools.
+    pub(super) pools: PoolSet,
+    /// The work that may use no other pools, and all tasks that are on machines of the pools.
+    pub(super) demand: WorkDemand,
+    /// CPUs of the machines of the pools, up or booting, that are to stay.
+    pub(super) existing_cpus: f64,
+}
+
+/// The work that needs machines.
+pub(in crate::leader) struct FleetDemand {
+    /// All work.
+    pub(in crate::leader) total: WorkDemand,
+    /// The pending work by the pools that it may use: a set of pools is after all of its subsets.
+    pub(super) by_pools: Vec<PoolDemand>,
+}
+
+impl FleetDemand {
+    /// Whether any pending work needs machines.
+    pub(in crate::leader) fn has_pending(&self) -> bool {
+        !self.by_pools.is_empty()
+    }
+}
+
+/// Demand while it is being collected.
+struct Collector<'a> {
+    leader: &'a Leader,
+    headroom: Vec<QuotaHeadroom>,
+    sets: PoolSets<'a>,
+    /// For each set of pools: work that may use just these and isn't on a machine that stays.
+    demand_by_set: BTreeMap<usize, WorkDemand>,
+    /// The sets of pools of pending work.
+    pending_sets: HashSet<usize>,
+    room: FleetRoom,
+    total: WorkDemand,
+}
+
+impl<'a> Collector<'a> {
+    fn new(leader: &'a Leader) -> Collector<'a> {
+        let headroom = leader.quota_headroom_by_team();
+        let sets = PoolSets::new(&leader.machine_types);
+        Collector {
+            total: WorkDemand::none(&headroom),
+            room: leader.fleet_room(&sets.catalog),
+            demand_by_set: BTreeMap::new(),
+            pending_sets: HashSet::new(),
+            leader,
+            headroom,
+            sets,
+        }
+    }
+
+    /// Returns the demand of work that may use the same pools as the job.
+    fn demand_of(&mut self, job: &'a Job) -> &mut WorkDemand {
+        let set = self.sets.index_of(&job.spec);
+        let headroom = &self.headroom;
+        let none = || WorkDemand::none(headroom);
+        self.demand_by_set.entry(set).or_insert_with(none)
+    }
+
+    /// Adds the placed tasks. Those on machines that are to be removed need room elsewhere.
+    fn add_placed(&mut self) {
+        for machine in self.leader.machines.values() {
+            let sums = machine.placements.sums();
+            self.total.add_placed(sums.cpus, sums.prioritized_cpus);
+            if !machine.stays() {
+                self.add_leaving(machine);
+            }
+        }
+    }
+
+    fn add_leaving(&mut self, machine: &'a Machine) {
+        for placement in machine.placements.iter() {
+            let job = placement.job.and_then(|job| self.leader.jobs.get(&job));
+            if let Some(job) = job {
+                let prioritized_cpus = if placement.best_effort {
+                    0.0
+                } else {
+                    placement.cpus
+                };
+                self.demand_of(job)
+                    .add_placed(placement.cpus, prioritized_cpus);
+            }
+        }
+    }
+
+    fn add_pending(&mut self) {
+        let mut gpu_headroom = self.headroom.clone();
         let mut probed = HashSet::new();
-        for range in self.pending_queue.ranges() {
-            let job = self.jobs.get(&range.job);
+        for range in self.leader.pending_queue.ranges() {
+            let job = self.leader.jobs.get(&range.job);
             let Some((job, team)) = job.and_then(|job| Some((job, job.team_index?))) else {
                 continue;
             };
-            if !headroom[team].admits(&job.spec) {
+            if !self.headroom[team].admits(&job.spec) {
                 continue;
             }
             // A suspect job is tried one task at a time, however many of its tasks are pending.
@@ -54,30 +162,53 @@
             // Tasks that the limit on GPUs keeps from running need no machine.
             let tasks = gpu_headroom[team].take_gpus(&job.spec, f64::from(runnable));
             if tasks > 0.0 {
-                demand.add(job, team, tasks, self.expected_run_s(job));
+                let run_s = self.leader.expected_run_s(job);
+                self.demand_of(job).add_pending(job, team, tasks, run_s);
+                self.total.add_pending(job, team, tasks, run_s);
+                let set = self.sets.index_of(&job.spec);
+                self.pending_sets.insert(set);
             }
         }
-        demand
     }
 
-    /// Returns the demand of the placed tasks, without pending ones.
-    fn placed_demand(&self, headroom: &[QuotaHeadroom]) -> FleetDemand<'_> {
-        let teams = headroom.iter().map(|headroom| TeamDemand {
-            headroom_cpus: headroom.cpus(),
-            ..TeamDemand::default()
+    /// Returns the demand for machines of the pools of this set.
+    fn pool_demand(&self, set: usize) -> PoolDemand {
+        let pools = self.sets.get(set).clone();
+        let mut demand = WorkDemand::none(&self.headroom);
+        for (other, work) in &self.demand_by_set {
+            if self.sets.get(*other).is_subset_of(&pools) {
+                demand.add(work);
+            }
+        }
+        let mut existing_cpus = 0.0;
+        for pool in pools.iter() {
+            let room = self.room.of(pool);
+            existing_cpus += room.existing_cpus;
+            demand.add_placed(room.placed_cpus, room.prioritized_cpus);
+        }
+        PoolDemand {
+            pools,
+            demand,
+            existing_cpus,
+        }
+    }
+}
+
+impl Leader {
+    /// Returns the current demand for machines.
+    pub(in crate::leader) fn fleet_demand(&self) -> FleetDemand {
+        let mut collector = Collector::new(self);
+        collector.add_placed();
+        collector.add_pending();
+        let sets = collector.pending_sets.iter();
+        let mut by_pools: Vec<PoolDemand> = sets.map(|set| collector.pool_demand(*set)).collect();
+        by_pools.sort_by(|a, b| {
+            let by_size = a.pools.len().cmp(&b.pools.len());
+            by_size.then_with(|| a.pools.cmp(&b.pools))
         });
-        let teams: Vec<TeamDemand> = teams.collect();
-        let machines = self.machines.values();
         FleetDemand {
-            all: CpuDemand {
-                placed_cpus: machines.map(|m| m.placements.sums().cpus).sum(),
-                teams: teams.clone(),
-            },
-            prioritized: CpuDemand {
-                placed_cpus: self.prioritized_cpus(),
-                teams,
-            },
-            first_pending: None,
+            total: collector.total,
+            by_pools,
         }
     }
 
--- a/crates/control/src/leader/autoscaler/mod.rs
+++ b/crates/control/src/leader/autoscaler/mod.rs
@@ -13,12 +13,16 @@
 use super::{CloudCall, Leader};
 use cherrywood_limits as limits;
 use cherrywood_wire::cloud::RentalRequest;
-use std::collections::{BTreeSet, HashMap};
+use demand::PoolDemand;
+use pools::PoolSet;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 mod demand;
 mod inventory;
 mod machine_health;
 mod overdue_boots;
+mod pools;
+mod room;
 mod scale_in;
 mod scale_out;
 
@@ -61,6 +65,16 @@
         }
     }
 
+    /// Returns the averages updated with the CPUs wanted now. If none were wanted before, they
+    /// start at this value.
+    fn observe(before: Option<DemandAverages>, wanted_cpus: f64, now: f64) -> DemandAverages {
+        let mut averages = before
+            .filter(|averages| averages.for_rental_cpus > 0.0)
+            .unwrap_or_else(|| DemandAverages::starting_with(wanted_cpus, now));
+        averages.update(wanted_cpus, now);
+        averages
+    }
+
     fn update(&mut self, wanted_cpus: f64, now: f64) {
         let elapsed_s = now - self.updated_at;
         let update_average = |average: &mut f64, time_constant_s: f64| {
@@ -83,6 +97,8 @@
     refused_until: HashMap<InstancePool, f64>,
     /// None until the first observation of the demand.
     demand_averages: Option<DemandAverages>,
+    /// The same for the demand for machines of each set of pools, while work is pending for them.
+    pool_demand_averages: BTreeMap<PoolSet, DemandAverages>,
     /// Pools where most of the machines that should be up are not up.
     overdue_boot_pools: BTreeSet<BootPool>,
     /// When a rental last yielded at least half of the machines that it requested, and at least
@@ -99,6 +115,7 @@
             rental_requests: 0,
             refused_until: HashMap::new(),
             demand_averages: None,
+            pool_demand_averages: BTreeMap::new(),
             overdue_boot_pools: BTreeSet::new(),
             last_growth_at: if fleet_at_capacity {
                 f64::NEG_INFINITY
@@ -116,19 +133,30 @@
     /// Updates the averages with the CPUs wanted now. If no CPUs were wanted before, the averages
     /// start at this value.
     fn observe_demand(&mut self, wanted_cpus: f64, now: f64) -> DemandAverages {
-        let mut averages = self
-            .demand_averages
-            .filter(|averages| averages.for_rental_cpus > 0.0)
-            .unwrap_or_else(|| DemandAverages::starting_with(wanted_cpus, now));
-        averages.update(wanted_cpus, now);
+        let averages = DemandAverages::observe(self.demand_averages, wanted_cpus, now);
         self.demand_averages = Some(averages);
         averages
     }
 
-    /// Returns the CPUs that have been wanted for a while and still are.
-    fn lasting_demand_cpus(&self, wanted_cpus: f64) -> f64 {
-        self.demand_averages
-            .map_or(wanted_cpus, |a| a.for_rental_cpus.min(wanted_cpus))
+    /// Like [`Autoscaler::observe_demand`], for the CPUs wanted of the machines of these pools.
+    fn observe_pool_demand(&mut self, pools: &PoolSet, wanted_cpus: f64, now: f64) {
+        let before = self.pool_demand_averages.get(pools).copied();
+        let averages = DemandAverages::observe(before, wanted_cpus, now);
+        self.pool_demand_averages.insert(pools.clone(), averages);
+    }
+
+    /// Removes the averages of pools for which no work has been pending for long.
+    fn forget_old_pool_demand(&mut self, now: f64) {
+        self.pool_demand_averages
+            .retain(|_, averages| now - averages.updated_at < limits::POOL_DEMAND_MEMORY_S);
+    }
+
+    /// Returns the CPUs that have been wanted of these pools for a while and still are.
+    fn lasting_demand_cpus(&self, wanted: &PoolDemand) -> f64 {
+        let prioritized = &wanted.demand.prioritized;
+        let wanted_cpus = prioritized.wanted_cpus(limits::ON_DEMAND_BACKLOG_DRAIN_S);
+        let averages = self.pool_demand_averages.get(&wanted.pools);
+        averages.map_or(wanted_cpus, |a| a.for_rental_cpus.min(wanted_cpus))
     }
 
     /// Returns a request ID that no other rental has: the term never repeats.
@@ -177,8 +205,12 @@
     pub fn autoscale(&mut self, now: f64) -> Vec<CloudCall> {
         self.free_expired_placements(now);
         let demand = self.fleet_demand();
-        let all_cpus = demand.all.wanted_cpus(limits::ON_DEMAND_BACKLOG_DRAIN_S);
+        let all_cpus = demand
+            .total
+            .all
+            .wanted_cpus(limits::ON_DEMAND_BACKLOG_DRAIN_S);
         let prioritized_cpus = demand
+            .total
             .prioritized
             .wanted_cpus(limits::ON_DEMAND_BACKLOG_DRAIN_S);
         let averages = self.autoscaler.observe_demand(prioritized_cpus, now);
@@ -190,7 +222,7 @@
         let mut deletions = self.deletion_calls().into_iter();
         let mut calls = Vec::new();
         calls.extend(deletions.next());
-        calls.extend(self.scale_out(now));
+        calls.extend(self.scale_out(&demand, now));
         // Rentals don't wait for more than one deletion.
         calls.extend(deletions);
         calls
--- /dev/null
+++ b/crates/control/src/leader/autoscaler/pools.rs
@@ -0,0 +1,209 @@
+//! Instance pools, and the sets of pools whose machines tasks may use.
+
+use super::InstancePool;
+use crate::leader::Machine;
+use crate::leader::scheduler::pool_allowed;
+use cherrywood_wire::cloud::MachineType;
+use cherrywood_wire::user::Submission;
+use rustc_hash::FxHashMap;
+
+/// Number of pools in one word of a [`PoolSet`].
+const WORD_BITS: usize = u64::BITS as usize;
+
+/// A set of pools, by their index in a [`PoolCatalog`].
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub(in crate::leader) struct PoolSet {
+    words: Vec<u64>,
+}
+
+impl PoolSet {
+    fn with_capacity(pools: usize) -> PoolSet {
+        PoolSet {
+            words: vec![0; pools.div_ceil(WORD_BITS)],
+        }
+    }
+
+    fn insert(&mut self, pool: usize) {
+        self.words[pool / WORD_BITS] |= 1 << (pool % WORD_BITS);
+    }
+
+    /// Whether the set contains the pool.
+    pub(super) fn contains(&self, pool: usize) -> bool {
+        let word = self.words.get(pool / WORD_BITS);
+        word.is_some_and(|word| word & (1 << (pool % WORD_BITS)) != 0)
+    }
+
+    /// Whether every pool of this set is in `other`, a set of the same catalog.
+    pub(super) fn is_subset_of(&self, other: &PoolSet) -> bool {
+        let mut pairs = self.words.iter().zip(&other.words);
+        pairs.all(|(own, other)| own & !other == 0)
+    }
+
+    /// Returns the number of pools in the set.
+    pub(super) fn len(&self) -> u32 {
+        self.words.iter().map(|word| word.count_ones()).sum()
+    }
+
+    /// Returns the pools in the set, in ascending order.
+    pub(super) fn iter(&self) -> impl Iterator<Item = usize> {
+        (0..self.words.len() * WORD_BITS).filter(|pool| self.contains(*pool))
+    }
+}
+
+/// What of a submission determines the pools that its tasks may use.
+#[derive(Debug, PartialEq, Eq, Hash)]
+struct PoolConstraints<'a> {
+    machine_types: Option<&'a [String]>,
+    zone: Option<&'a str>,
+    allow_spot: bool,
+}
+
+impl<'a> PoolConstraints<'a> {
+    fn of(spec: &'a Submission) -> PoolConstraints<'a> {
+        PoolConstraints {
+            machine_types: spec.machine_types.as_deref(),
+            zone: spec.zone.as_deref(),
+            allow_spot: spec.allow_spot,
+        }
+    }
+}
+
+/// All pools from which machines can be rented.
+#[derive(Debug)]
+pub(super) struct PoolCatalog<'a> {
+    machine_types: &'a [MachineType],
+    pools: Vec<PoolEntry<'a>>,
+    by_name: FxHashMap<(&'a str, &'a str, bool), usize>,
+}
+
+/// A pool, as it is named in the list of machine types.
+#[derive(Debug)]
+struct PoolEntry<'a> {
+    machine_type: usize,
+    zone: &'a str,
+    spot: bool,
+}
+
+impl<'a> PoolCatalog<'a> {
+    /// Returns the pools of these machine types.
+    pub(super) fn new(machine_types: &'a [MachineType]) -> PoolCatalog<'a> {
+        let mut catalog = PoolCatalog {
+            machine_types,
+            pools: Vec::new(),
+            by_name: FxHashMap::default(),
+        };
+        for (index, machine_type) in machine_types.iter().enumerate() {
+            for zone in &machine_type.zones {
+                for spot in [true, false] {
+                    catalog.add(index, zone, spot);
+                }
+            }
+        }
+        catalog
+    }
+
+    fn add(&mut self, machine_type: usize, zone: &'a str, spot: bool) {
+        let name = (self.machine_types[machine_type].name.as_str(), zone, spot);
+        self.by_name.entry(name).or_insert(self.pools.len());
+        self.pools.push(PoolEntry {
+            machine_type,
+            zone,
+            spot,
+        });
+    }
+
+    /// Returns the number of pools.
+    pub(super) fn len(&self) -> usize {
+        self.pools.len()
+    }
+
+    /// Returns the pool of a machine; None if the cloud doesn't offer its type there.
+    pub(super) fn pool_of(&self, machine: &Machine) -> Option<usize> {
+        let zone = machine.zone.as_str();
+        let name = (machine.machine_type.as_str(), zone, machine.spot);
+        self.by_name.get(&name).copied()
+    }
+
+    /// Returns the machine type of a pool.
+    pub(super) fn machine_type(&self, pool: usize) -> &'a MachineType {
+        &self.machine_types[self.pools[pool].machine_type]
+    }
+
+    /// Returns the zone of a pool.
+    pub(super) fn zone(&self, pool: usize) -> &'a str {
+        self.pools[pool].zone
+    }
+
+    /// Whether a pool is of spot machines.
+    pub(super) fn is_spot(&self, pool: usize) -> bool {
+        self.pools[pool].spot
+    }
+
+    /// Returns the pool's names.
+    pub(super) fn instance_pool(&self, pool: usize) -> InstancePool {
+        InstancePool {
+            machine_type: self.machine_type(pool).name.clone(),
+            zone: self.zone(pool).to_string(),
+            spot: self.is_spot(pool),
+        }
+    }
+
+    /// Returns the pools whose machines tasks of the submission may use.
+    fn allowed_pools(&self, spec: &Submission) -> PoolSet {
+        let mut allowed = PoolSet::with_capacity(self.len());
+        for pool in 0..self.len() {
+            let machine_type = self.machine_type(pool);
+            if pool_allowed(
+                spec,
+                &machine_type.name,
+                self.zone(pool),
+                self.is_spot(pool),
+            ) {
+                allowed.insert(pool);
+            }
+        }
+        allowed
+    }
+}
+
+/// The distinct sets of pools that submissions may use. Each is numbered when it first occurs;
+/// the constraints of thousands of jobs lead to few sets.
+pub(super) struct PoolSets<'a> {
+    pub(super) catalog: PoolCatalog<'a>,
+    sets: Vec<PoolSet>,
+    by_set: FxHashMap<PoolSet, usize>,
+    by_constraints: FxHashMap<PoolConstraints<'a>, usize>,
+}
+
+impl<'a> PoolSets<'a> {
+    /// Returns no sets yet, of the pools of these machine types.
+    pub(super) fn new(machine_types: &'a [MachineType]) -> PoolSets<'a> {
+        PoolSets {
+            catalog: PoolCatalog::new(machine_types),
+            sets: Vec::new(),
+            by_set: FxHashMap::default(),
+            by_constraints: FxHashMap::default(),
+        }
+    }
+
+    /// Returns the number of the set of pools that tasks of the submission may use.
+    pub(super) fn index_of(&mut self, spec: &'a Submission) -> usize {
+        let constraints = PoolConstraints::of(spec);
+        if let Some(index) = self.by_constraints.get(&constraints) {
+            return *index;
+        }
+        let set = self.catalog.allowed_pools(spec);
+        let next = self.sets.len();
+        let index = *self.by_set.entry(set.clone()).or_insert(next);
+        if index == next {
+            self.sets.push(set);
+        }
+        self.by_constraints.insert(constraints, index);
+        index
+    }
+
+    /// Returns the set of this number.
+    pub(super) fn get(&self, index: usize) -> &PoolSet {
+        &self.sets[index]
+    }
+}
--- a/crates/control/src/leader/autoscaler/scale_out.rs
+++ b/crates/control/src/leader/autoscaler/scale_out.rs
@@ -1,222 +1,298 @@
-//! Scale out: rents machines for pending work, and for a job that no existing machine could run.
+//! Scale out: rents machines for pending work, and for jobs that no existing machine could run.
 
 use super::InstancePool;
-use crate::leader::scheduler::{machine_allowed, pool_allowed, zone_task_limit};
-use crate::leader::{CloudCall, Job, Leader, Machine};
+use super::demand::{FleetDemand, PoolDemand};
+use super::pools::{PoolCatalog, PoolSet, PoolSets};
+use super::room::FleetRoom;
+use crate::leader::quota_headroom::QuotaHeadroom;
+use crate::leader::scheduler::zone_task_limit;
+use crate::leader::{CloudCall, Job, Leader};
 use crate::resources::{machine_capacity, task_request};
 use cherrywood_limits as limits;
 use cherrywood_sched::provisioning::{InstanceOffer, ProvisioningOrder, plan_provisioning};
-use cherrywood_wire::cloud::{MachineType, RentalRequest};
-use cherrywood_wire::user::{JobKind, Submission};
+use cherrywood_wire::cloud::RentalRequest;
+use cherrywood_wire::user::JobKind;
 use tracing::info;
 
-impl Leader {
-    /// Returns rentals for the total demand or, if that needs none, for an unplaceable job.
-    pub(super) fn scale_out(&mut self, now: f64) -> Vec<CloudCall> {
-        let rentals = self.rentals_for_demand(now);
-        if rentals.is_empty() {
-            self.rental_for_unplaceable_job(now).into_iter().collect()
-        } else {
-            rentals
+/// The machines to rent in one run of the autoscaler, and the room that there is with them.
+struct RentalPlan<'a> {
+    catalog: &'a PoolCatalog<'a>,
+    room: FleetRoom,
+    /// The cloud's offer of each pool, if there is one now.
+    offers: Vec<Option<InstanceOffer>>,
+    /// CPUs of the machines to rent, by pool.
+    ordered_cpus: Vec<f64>,
+    /// Pools and the number of machines to rent from each, in the order of the first need.
+    orders: Vec<(usize, u32)>,
+}
+
+impl<'a> RentalPlan<'a> {
+    fn new(
+        catalog: &'a PoolCatalog<'a>,
+        room: FleetRoom,
+        offers: Vec<Option<InstanceOffer>>,
+    ) -> RentalPlan<'a> {
+        RentalPlan {
+            catalog,
+            room,
+            offers,
+            ordered_cpus: vec![0.0; catalog.len()],
+            orders: Vec::new(),
+        }
+    }
+
+    /// Adds machines of a pool to the plan, as many as one rental may still name.
+    fn order(&mut self, pool: usize, machines: u32) {
+        let planned = self.orders.iter_mut().find(|order| order.0 == pool);
+        let machines = match planned {
+            Some((_, planned)) => {
+                let machines = machines.min(limits::RENTAL_MACHINES_MAX - *planned);
+                *planned += machines;
+                machines
+            }
+            None => {
+                self.orders.push((pool, machines));
+                machines
+            }
+        };
+        let capacity = machine_capacity(self.catalog.machine_type(pool));
+        self.ordered_cpus[pool] += capacity.cpus * f64::from(machines);
+        self.room.add_machines(pool, machines, capacity);
+        if let Some(offer) = &mut self.offers[pool] {
+            offer.existing_machines += machines;
         }
     }
 
-    /// Returns rentals for the CPUs that are wanted beyond the existing ones, of machines that the
-    /// first pending job may use.
-    fn rentals_for_demand(&mut self, now: f64) -> Vec<CloudCall> {
-        let demand = self.fleet_demand();
-        let Some(spec) = demand.first_pending.map(|job| job.spec.clone()) else {
-            return Vec::new();
+    /// Returns the cloud's offers in these pools.
+    fn offers_in(&self, pools: &PoolSet) -> Vec<PoolOffer> {
+        let offer = |pool: usize| {
+            let offer = self.offers[pool].clone()?;
+            Some(PoolOffer { pool, offer })
         };
-        let existing_cpus = self.usable_cpus(&spec);
-        let shortage_cpus = demand.all.wanted_cpus(limits::SPOT_BACKLOG_DRAIN_S) - existing_cpus;
-        let prioritized_cpus = demand
-            .prioritized
-            .wanted_cpus(limits::ON_DEMAND_BACKLOG_DRAIN_S);
+        pools.iter().filter_map(offer).collect()
+    }
+
+    /// Returns the CPUs of the machines to rent from these pools.
+    fn ordered_cpus(&self, pools: &PoolSet) -> f64 {
+        pools.iter().map(|pool| self.ordered_cpus[pool]).sum()
+    }
+}
+
+/// An offer of the cloud, and its pool.
+struct PoolOffer {
+    pool: usize,
+    offer: InstanceOffer,
+}
+
+impl Leader {
+    /// Returns rentals for the demand of pending work, and for jobs that would wait forever.
+    pub(super) fn scale_out(&mut self, demand: &FleetDemand, now: f64) -> Vec<CloudCall> {
+        self.autoscaler.forget_old_refusals(now);
+        self.observe_pool_demand(demand, now);
+        let rentals = self.planned_rentals(demand, now);
+        rentals.into_iter().map(|r| self.rental(r)).collect()
+    }
+
+    /// Returns the pools to rent from, with the number of machines.
+    fn planned_rentals(&self, demand: &FleetDemand, now: f64) -> Vec<(InstancePool, u32)> {
+        let mut sets = PoolSets::new(&self.machine_types);
+        let unserved = self.waiting_jobs(now);
+        let unserved: Vec<(&Job, usize)> = unserved
+            .into_iter()
+            .map(|job| (job, sets.index_of(&job.spec)))
+            .collect();
+        let room = self.fleet_room(&sets.catalog);
+        let offers = (0..sets.catalog.len()).map(|pool| self.offer(&sets.catalog, &room, pool));
+        let offers = offers.collect();
+        let mut plan = RentalPlan::new(&sets.catalog, room, offers);
+        for pool_demand in &demand.by_pools {
+            self.rent_for_demand(&mut plan, pool_demand);
+        }
+        let headroom = self.quota_headroom_by_team();
+        for (job, set) in unserved {
+            self.rent_if_unplaceable(&mut plan, job, sets.get(set), &headroom);
+        }
+        let orders = plan.orders.into_iter();
+        orders
+            .map(|(pool, machines)| (sets.catalog.instance_pool(pool), machines))
+            .collect()
+    }
+
+    /// Rents machines of the pools for the CPUs that are wanted there beyond the existing ones.
+    fn rent_for_demand(&self, plan: &mut RentalPlan, wanted: &PoolDemand) {
+        let existing_cpus = wanted.existing_cpus + plan.ordered_cpus(&wanted.pools);
+        let all_cpus = wanted.demand.all.wanted_cpus(limits::SPOT_BACKLOG_DRAIN_S);
+        let shortage_cpus = all_cpus - existing_cpus;
         if shortage_cpus <= 0.0 {
-            return Vec::new();
+            return;
         }
         // On-demand machines are rented only for demand that spot machines can't cover, and only
         // if the demand has lasted for a while.
-        let offers = self.offers_for(&spec, now);
-        let is_fallback = |offer: &InstanceOffer| spec.allow_spot && !offer.spot;
+        let offers = plan.offers_in(&wanted.pools);
+        let allows_spot = wanted.pools.iter().any(|pool| plan.catalog.is_spot(pool));
+        let is_fallback = |offer: &PoolOffer| allows_spot && !offer.offer.spot;
         let (fallback_offers, preferred_offers): (Vec<_>, Vec<_>) =
             offers.into_iter().partition(is_fallback);
-        let preferred_orders = plan_provisioning(shortage_cpus, &preferred_offers);
-        let ordered_cpus: f64 = preferred_orders
-            .iter()
-            .map(|order| preferred_offers[order.offer].cpus * f64::from(order.machines))
-            .sum();
-        let lasting_cpus = self.autoscaler.lasting_demand_cpus(prioritized_cpus);
+        let ordered_cpus = order_cheapest(plan, shortage_cpus, preferred_offers);
+        let lasting_cpus = self.autoscaler.lasting_demand_cpus(wanted);
         let shortage_cpus = lasting_cpus - existing_cpus - ordered_cpus;
         let smallest_cpus = fallback_offers
             .iter()
-            .map(|offer| offer.cpus)
+            .map(|offer| offer.offer.cpus)
             .fold(f64::INFINITY, f64::min);
-        let fallback_orders = if shortage_cpus >= smallest_cpus / 2.0 {
-            plan_provisioning(shortage_cpus, &fallback_offers)
-        } else {
-            Vec::new()
-        };
-        let mut rentals = self.rentals(&preferred_offers, &preferred_orders);
-        rentals.extend(self.rentals(&fallback_offers, &fallback_orders));
-        rentals
+        if shortage_cpus >= smallest_cpus / 2.0 {
+            order_cheapest(plan, shortage_cpus, fallback_offers);
+        }
     }
 
-    /// Returns the CPUs of the machines, up or booting, that tasks of the submission may use.
-    fn usable_cpus(&self, spec: &Submission) -> f64 {
-        self.machines
-            .values()
-            .filter(|m| !m.cordoned && !m.deleting && machine_allowed(spec, m))
-            .map(|m| self.cpus_of(&m.machine_type))
-            .sum()
+    /// Updates the averages of the demand for machines of each set of pools.
+    fn observe_pool_demand(&mut self, demand: &FleetDemand, now: f64) {
+        let drain_s = limits::ON_DEMAND_BACKLOG_DRAIN_S;
+        for wanted in &demand.by_pools {
+            let wanted_cpus = wanted.demand.prioritized.wanted_cpus(drain_s);
+            self.autoscaler
+                .observe_pool_demand(&wanted.pools, wanted_cpus, now);
+        }
+        self.autoscaler.forget_old_pool_demand(now);
     }
 
-    /// Returns the rental of one machine for a job that no existing machine could run.
-    fn rental_for_unplaceable_job(&mut self, now: f64) -> Option<CloudCall> {
-        let job = self.unplaceable_job(now)?;
-        let spec = job.spec.clone();
-        let mut offers = self.offers_for(&spec, now);
-        let job = self.jobs.by_id(&spec.id)?;
-        offers.retain(|offer| zone_task_limit(job, &offer.zone) > 0);
-        let orders = plan_provisioning(spec.cpus, &offers);
-        let order = orders.first()?;
-        info!(
-            job = spec.id,
-            "scale out: no machine there could take the job, renting one"
-        );
-        Some(self.rental(&offers[order.offer], 1))
+    /// Rents a machine for the job if no existing machine could run it.
+    fn rent_if_unplaceable(
+        &self,
+        plan: &mut RentalPlan,
+        job: &Job,
+        pools: &PoolSet,
+        headroom: &[QuotaHeadroom],
+    ) {
+        if !self.is_unplaceable(plan, job, pools, headroom) {
+            return;
+        }
+        let mut offers = plan.offers_in(pools);
+        let request = task_request(&job.spec);
+        offers.retain(|offer| {
+            let capacity = machine_capacity(plan.catalog.machine_type(offer.pool));
+            request.is_within(capacity) && zone_task_limit(job, &offer.offer.zone) > 0
+        });
+        if order_cheapest(plan, job.spec.cpus, offers) > 0.0 {
+            info!(
+                job = job.spec.id,
+                "scale out: no machine there could take the job, renting one"
+            );
+        }
     }
 
-    /// Returns a job that has been pending for a while and that no existing machine could run.
-    /// Demand is counted in CPUs, of which there may be enough of the wrong kind, or the job may
-    /// want too few to be worth an on-demand machine; without this the job would wait forever.
-    fn unplaceable_job(&self, now: f64) -> Option<&Job> {
-        let ranges = self.pending_queue.ranges();
-        let jobs = ranges.filter_map(|range| self.jobs.get(&range.job));
-        jobs.filter(|job| {
+    /// Returns the jobs that have been pending for a while. Demand is counted in CPUs, of which
+    /// there may be enough of the wrong kind, or a job may want too few to be worth an on-demand
+    /// machine; without a check of each such job it would wait forever.
+    fn waiting_jobs(&self, now: f64) -> Vec<&Job> {
+        let mut waiting: Vec<&Job> = Vec::new();
+        for range in self.pending_queue.ranges() {
+            let Some(job) = self.jobs.get(&range.job) else {
+                continue;
+            };
             let min_wait_s = if job.best_effort {
                 limits::UNPLACEABLE_BEST_EFFORT_RENT_AFTER_S
             } else {
                 limits::UNPLACEABLE_JOB_RENT_AFTER_S
             };
-            let may_be_stuck = !job.is_placed() || self.is_bound_to_zones(job);
-            now - job.ready_at > min_wait_s
-                && may_be_stuck
-                && job.retry_at <= now
-                && !job.is_suspect()
-        })
-        .find(|job| {
-            let mut machines = self.machines.iter();
-            !machines.any(|(name, machine)| self.could_run(name, machine, job))
-        })
-    }
-
-    /// Whether the machine could run a task of the job, now or when other tasks end.
-    fn could_run(&self, name: &str, machine: &Machine, job: &Job) -> bool {
-        !machine.cordoned
-            && !machine.deleting
-            && machine_allowed(&job.spec, machine)
-            && !job.failed_on.contains_key(name)
-            && zone_task_limit(job, &machine.zone) > 0
-            // The job's placed tasks may never end, so for its next task only free room counts.
-            && (!job.is_placed() || self.has_room(&job.spec, machine))
+            let has_waited = now - job.ready_at > min_wait_s && job.retry_at <= now;
+            if has_waited && !job.is_suspect() {
+                waiting.push(job);
+            }
+        }
+        waiting
     }
 
-    /// Whether tasks of the job that never end determine the zones in which its other tasks may
-    /// run. Room in other zones is of no use to the latter: without this check, a service that had
-    /// lost its machines in a zone never got new ones there.
-    fn is_bound_to_zones(&self, job: &Job) -> bool {
-        let is_bound = job.spec.single_zone || job.spec.spread_over_zones;
-        if !is_bound || job.spec.kind == JobKind::Array {
+    /// Whether no machine could run a task of the job, now or when other tasks end.
+    fn is_unplaceable(
+        &self,
+        plan: &RentalPlan,
+        job: &Job,
+        pools: &PoolSet,
+        headroom: &[QuotaHeadroom],
+    ) -> bool {
+        let is_placed = job.is_placed();
+        if is_placed && !is_bound_to_zones(job, headroom) {
             return false;
         }
-        let headroom = self.quota_headroom_by_team();
-        let headroom = job.team_index.and_then(|team| headroom.get(team));
-        headroom.is_some_and(|headroom| headroom.admits(&job.spec))
-    }
-
-    /// Whether the machine has room for one more task of the submission.
-    fn has_room(&self, spec: &Submission, machine: &Machine) -> bool {
-        let needed = machine.used_resources() + task_request(spec);
-        self.machine_type(&machine.machine_type)
-            .is_some_and(|machine_type| needed.fits_in(machine_capacity(machine_type)))
-    }
-
-    /// Returns the cloud requests for the orders.
-    fn rentals(
-        &mut self,
-        offers: &[InstanceOffer],
-        orders: &[ProvisioningOrder],
-    ) -> Vec<CloudCall> {
-        let orders = orders.iter();
-        orders
-            .map(|order| self.rental(&offers[order.offer], order.machines))
-            .collect()
+        let failed_in = |pool: usize| {
+            let machines = job
+                .failed_on
+                .keys()
+                .filter_map(|name| self.machines.get(name));
+            let failed = machines.filter(|m| m.stays() && plan.catalog.pool_of(m) == Some(pool));
+            failed.count() as u32
+        };
+        // The job's placed tasks may never end, so for its next task only free room counts.
+        let could_run = |pool: usize| {
+            let room = plan.room.of(pool);
+            room.machines > failed_in(pool)
+                && zone_task_limit(job, plan.catalog.zone(pool)) > 0
+                && (!is_placed || room.free.has_room_for(task_request(&job.spec)))
+        };
+        !pools.iter().any(could_run)
     }
 
-    fn rental(&mut self, offer: &InstanceOffer, count: u32) -> CloudCall {
+    fn rental(&mut self, (pool, count): (InstancePool, u32)) -> CloudCall {
         CloudCall::Rent(RentalRequest {
             request_id: self.autoscaler.next_request_id(self.term),
-            machine_type: offer.machine_type.clone(),
-            zone: offer.zone.clone(),
-            spot: offer.spot,
+            machine_type: pool.machine_type,
+            zone: pool.zone,
+            spot: pool.spot,
             count,
         })
     }
 
-    /// Returns the known offers of machines that tasks of the submission may use.
-    fn offers_for(&mut self, spec: &Submission, now: f64) -> Vec<InstanceOffer> {
-        self.autoscaler.forget_old_refusals(now);
-        let request = task_request(spec);
-        let mut offers = Vec::new();
-        for machine_type in &self.machine_types {
-            if !request.is_within(machine_capacity(machine_type)) {
-                continue;
-            }
-            for zone in &machine_type.zones {
-                for spot in [true, false] {
-                    if pool_allowed(spec, &machine_type.name, zone, spot) {
-                        offers.extend(self.offer(machine_type, zone, spot));
-                    }
-                }
-            }
-        }
-        offers
-    }
-
-    /// Returns the cloud's offer of a machine type in a zone; None if there is no such offer, if
-    /// the policy forbids it, or if a rental from the pool was refused recently.
-    fn offer(&self, machine_type: &MachineType, zone: &str, spot: bool) -> Option<InstanceOffer> {
+    /// Returns the cloud's offer of a pool; None if there is no such offer, if the policy forbids
+    /// it, or if a rental from the pool was refused recently.
+    fn offer(&self, catalog: &PoolCatalog, room: &FleetRoom, pool: usize) -> Option<InstanceOffer> {
+        let spot = catalog.is_spot(pool);
         if self.settings.policy.cheap_only && !spot {
             return None;
         }
+        let machine_type = catalog.machine_type(pool);
         let price_per_h = if spot {
             machine_type.spot_price_per_hour?
         } else {
             machine_type.price_per_hour
         };
-        let pool = InstancePool {
-            machine_type: machine_type.name.clone(),
-            zone: zone.to_string(),
-            spot,
-        };
-        if self.autoscaler.is_refused(&pool) {
+        let names = catalog.instance_pool(pool);
+        if self.autoscaler.is_refused(&names) {
             return None;
         }
-        let machines = self.machines.values();
-        let existing = machines.filter(|m| {
-            m.machine_type == pool.machine_type && m.zone == pool.zone && m.spot == spot
-        });
         Some(InstanceOffer {
             cpus: machine_type.cpus,
             price_per_h,
             boot_s: machine_type.boot_s,
-            existing_machines: existing.count() as u32,
-            boots_overdue: self.autoscaler.has_overdue_boots(&pool),
-            machine_type: pool.machine_type,
-            zone: pool.zone,
+            existing_machines: room.of(pool).all_machines,
+            boots_overdue: self.autoscaler.has_overdue_boots(&names),
+            machine_type: names.machine_type,
+            zone: names.zone,
             spot,
         })
     }
 }
+
+/// Orders machines of the cheapest of the offers for this shortage; returns their CPUs.
+fn order_cheapest(plan: &mut RentalPlan, shortage_cpus: f64, offers: Vec<PoolOffer>) -> f64 {
+    let (pools, offers): (Vec<usize>, Vec<InstanceOffer>) =
+        offers.into_iter().map(|o| (o.pool, o.offer)).unzip();
+    let mut ordered_cpus = 0.0;
+    for ProvisioningOrder { offer, machines } in plan_provisioning(shortage_cpus, &offers) {
+        plan.order(pools[offer], machines);
+        ordered_cpus += offers[offer].cpus * f64::from(machines);
+    }
+    ordered_cpus
+}
+
+/// Whether tasks of the job that never end determine the zones in which its other tasks may
+/// run. Room in other zones is of no use to the latter: without this check, a service that had
+/// lost its machines in a zone never got new ones there.
+fn is_bound_to_zones(job: &Job, headroom: &[QuotaHeadroom]) -> bool {
+    let is_bound = job.spec.single_zone || job.spec.spread_over_zones;
+    if !is_bound || job.spec.kind == JobKind::Array {
+        return false;
+    }
+    let headroom = job.team_index.and_then(|team| headroom.get(team));
+    headroom.is_some_and(|headroom| headroom.admits(&job.spec))
+}
--- a/crates/control/src/leader/summary.rs
+++ b/crates/control/src/leader/summary.rs
@@ -65,6 +65,7 @@
             up,
             self.delayed_tasks.len(),
             self.fleet_demand()
+                .total
                 .prioritized
                 .wanted_cpus(limits::ON_DEMAND_BACKLOG_DRAIN_S),
             teams.join(", "),
--- a/crates/limits/src/autoscaler.rs
+++ b/crates/limits/src/autoscaler.rs
@@ -34,6 +34,10 @@
 /// a burst that passes sooner does not justify a boot.
 pub const SCALE_OUT_AVERAGE_S: f64 = 20.0;
 
+/// Seconds after which the average of the demand for some pools' machines is forgotten, if no
+/// work has been pending for them meanwhile.
+pub const POOL_DEMAND_MEMORY_S: f64 = 5.0 * SCALE_OUT_AVERAGE_S;
+
 /// Seconds over which the demand for CPUs is averaged before machines are returned: a lull
 /// that passes sooner does not justify another boot.
 pub const SCALE_IN_AVERAGE_S: f64 = 8.0;
--- a/crates/sched/src/provisioning.rs
+++ b/crates/sched/src/provisioning.rs
@@ -27,6 +27,12 @@
         self.waiting_work_cpu_s += cpus_per_task * tasks * run_s;
     }
 
+    /// Adds other waiting work of the team, under the same limit.
+    fn add(&mut self, other: &TeamDemand) {
+        self.waiting_cpus += other.waiting_cpus;
+        self.waiting_work_cpu_s += other.waiting_work_cpu_s;
+    }
+
     /// Returns the CPUs that finish the waiting work in `drain_s`, but no more than the waiting
     /// tasks can use or the team's limit allows at once.
     fn wanted_cpus(&self, drain_s: f64) -> f64 {
@@ -47,6 +53,14 @@
 }
 
 impl CpuDemand {
+    /// Adds the demand of other work of the same teams.
+    pub fn add(&mut self, other: &CpuDemand) {
+        self.placed_cpus += other.placed_cpus;
+        for (team, more) in self.teams.iter_mut().zip(&other.teams) {
+            team.add(more);
+        }
+    }
+
     /// Returns the CPUs placed now plus those that finish the waiting work in `drain_s`.
     pub fn wanted_cpus(&self, drain_s: f64) -> f64 {
         let waiting: f64 = self.teams.iter().map(|t| t.wanted_cpus(drain_s)).sum();
