Let the reservation of a team's quota pause

Cause: a starving job whose task needs more than the team's limit leaves has the rest reserved in every pass. If the team's other tasks don't end, as those of services, no smaller task may use the rest, ever.

Change: after 30 s (QUOTA_RESERVED_MAX_S) the reservation pauses for 5 s, and again in each such period, for as long as a job needs it.

Tests of control: all pass.

--- a/crates/control/src/leader/scheduler/mod.rs
+++ b/crates/control/src/leader/scheduler/mod.rs
@@ -43,6 +43,9 @@
     /// For each team, in the order of the settings, when its limit last left no room for a
     /// pending task.
     quota_refused_at: Vec<f64>,
+    /// For each team, in the order of the settings, since when passes have reserved the rest of
+    /// its quota for one of its jobs; None if the last pass didn't.
+    quota_reserved_since: Vec<Option<f64>>,
     /// Machines examined in all passes: a measure of the cost of placement.
     machines_examined: u64,
 }
@@ -53,9 +56,19 @@
         SchedulerState {
             under_served_credit_cpus: 0.0,
             quota_refused_at: vec![f64::NEG_INFINITY; team_count],
+            quota_reserved_since: vec![None; team_count],
             machines_examined: 0,
         }
     }
+
+    /// Whether the rest of the team's quota may be reserved now. A reservation pauses after a
+    /// while: if the team's other tasks never end, it would keep the rest from every job.
+    fn may_reserve_quota(&self, team: usize, now: f64) -> bool {
+        self.quota_reserved_since[team].is_none_or(|since| {
+            let period_s = limits::QUOTA_RESERVED_MAX_S + limits::QUOTA_RESERVATION_PAUSE_S;
+            (now - since) % period_s < limits::QUOTA_RESERVED_MAX_S
+        })
+    }
 }
 
 /// Images that any machine has, and the CPUs that wait for image fetches.
@@ -70,6 +83,9 @@
 struct PassOutcome {
     /// Teams whose limit left no room for one of their pending tasks.
     limited_teams: BTreeSet<usize>,
+    /// Teams of which a job needs more than their limit leaves, so that the rest is reserved for
+    /// it, unless reservations pause.
+    reserving_teams: BTreeSet<usize>,
     /// CPUs placed for under-served tenant classes.
     minimum_share_cpus: f64,
     /// CPUs placed for all other work, except the single tasks of starving jobs.
@@ -91,6 +107,10 @@
         for team in &outcome.limited_teams {
             self.scheduler.quota_refused_at[*team] = now;
         }
+        for (team, since) in self.scheduler.quota_reserved_since.iter_mut().enumerate() {
+            let is_reserving = outcome.reserving_teams.contains(&team);
+            *since = is_reserving.then(|| since.unwrap_or(now));
+        }
         self.scheduler.under_served_credit_cpus = if under_served.is_empty() {
             0.0
         } else {
@@ -147,6 +167,10 @@
             positions: work.positions,
             used_by_team,
             reserved_by_team: vec![Resources::ZERO; teams.len()],
+            may_reserve_by_team: (0..teams.len())
+                .map(|team| self.scheduler.may_reserve_quota(team, now))
+                .collect(),
+            reserving_teams: BTreeSet::new(),
             image_fetches: &image_fetches,
             term: self.term,
             tokens_issued: &mut self.tokens_issued,
--- a/crates/control/src/leader/scheduler/pass.rs
+++ b/crates/control/src/leader/scheduler/pass.rs
@@ -52,6 +52,10 @@
     pub(super) used_by_team: Vec<Resources>,
     /// For each team, the part of its quota that is reserved for one of its jobs.
     pub(super) reserved_by_team: Vec<Resources>,
+    /// For each team, whether a part of its quota may be reserved in this pass.
+    pub(super) may_reserve_by_team: Vec<bool>,
+    /// Teams with a job for which a part of the quota is, or would be, reserved.
+    pub(super) reserving_teams: BTreeSet<usize>,
     pub(super) image_fetches: &'a ImageFetches,
     pub(super) term: u64,
     pub(super) tokens_issued: &'a mut u64,
@@ -80,6 +84,7 @@
         self.serve_by_priority(bands, best_effort_reserve_cpus);
         PassOutcome {
             limited_teams: self.limited_teams(),
+            reserving_teams: std::mem::take(&mut self.reserving_teams),
             minimum_share_cpus,
             other_cpus: self.placed_cpus() - placed_before - minimum_share_cpus,
         }
--- a/crates/control/src/leader/scheduler/starvation.rs
+++ b/crates/control/src/leader/scheduler/starvation.rs
@@ -2,7 +2,6 @@
 
 use super::ordering::ServingOrder;
 use super::pass::{PlacementPass, QuotaBound, ServingMode};
-use crate::resources::Resources;
 
 impl PlacementPass<'_> {
     /// Places a single task of each job that was passed over for too long before all other work,
@@ -44,14 +43,17 @@
     }
 
     /// Reserves quota for a task for which the team's limit has no room yet, if a machine has
-    /// room. Each team reserves for the first of its jobs only.
+    /// room. Each team reserves for the first of its jobs only, and pauses now and then.
     fn reserve_quota(&mut self, pending: usize) {
         let job = &self.pending[pending];
         let (team, request, blocked) = (job.team, job.quota_request, job.blocked);
-        let already_reserved = self.reserved_by_team[team] != Resources::ZERO;
+        let already_reserved = self.reserving_teams.contains(&team);
         if blocked || already_reserved || self.best_machine(pending, None).is_none() {
             return;
         }
-        self.reserved_by_team[team] = request;
+        self.reserving_teams.insert(team);
+        if self.may_reserve_by_team[team] {
+            self.reserved_by_team[team] = request;
+        }
     }
 }
--- a/crates/control/tests/starvation.rs
+++ b/crates/control/tests/starvation.rs
@@ -243,3 +243,27 @@
         team.waiting_times.longest
     );
 }
+
+/// Guards against a job that waits beside room under its team's limit: the rest of the quota is
+/// reserved for a larger task, while the team's other tasks run on for minutes.
+#[test]
+fn a_reservation_that_is_not_met_does_not_keep_smaller_tasks_waiting() {
+    let mut team = QuotaLimitedTeam::new();
+    let long = team.submit(Priority::Normal, 3, 5.0, 0.0);
+    team.long_jobs.push(long);
+    for second in 0..280 {
+        let now = f64::from(second);
+        if second == 5 {
+            team.submit(Priority::Normal, 1, 2.0, now);
+        }
+        if second == 70 {
+            team.submit_measured(Priority::Normal, 1, 1.0, now);
+        }
+        team.step(now);
+    }
+    assert!(
+        team.longest_wait() < WAIT_MAX_S,
+        "without a task for so many s: {:?}",
+        team.waiting_times.longest
+    );
+}
--- a/crates/limits/src/scheduling.rs
+++ b/crates/limits/src/scheduling.rs
@@ -94,6 +94,14 @@
 /// tasks run. Otherwise such jobs would share freed CPUs evenly, and all would be done late.
 pub const STARVATION_PLACED_S: f64 = 75.0;
 
+/// Seconds for which the rest of a team's quota is reserved for a task that needs more, before
+/// smaller tasks may use it again: they must not wait for 90 s while a machine has room and their
+/// team is under its limit.
+pub const QUOTA_RESERVED_MAX_S: f64 = 30.0;
+
+/// Seconds for which smaller tasks may then use the rest of the quota.
+pub const QUOTA_RESERVATION_PAUSE_S: f64 = 5.0;
+
 /// Seconds for which a team counts as limited after its limit last refused a task: tasks that
 /// end at the same time leave room only until the next placement pass.
 pub const TEAM_LIMITED_FOR_S: f64 = 10.0;
