Count for a task only machines that it fits on

What callers saw: an accepted job whose tasks fit the larger machines alone never ran again after its machine was lost; jobs that need accelerators never ended beside small machines; jobs never started beside a service.

Cause: sums of CPUs over machines stood for what one task can use. usable_cpus counted machines too small for a single task, memory and GPUs weren't counted, and could_run didn't compare the task with the machine.

Change: the pools that a task may use are those whose machines it fits on. Demand is counted by CPUs, memory and GPUs (OccupiedCpus), and the most wanted decides. A job is unplaceable if no machine has room for its task beside services; if no two of its tasks fit on one machine, if none has room now. Work that its team's limit holds up rents nothing.

Evidence: four tests in tests/scale_out.rs failed before (4 of 16 tasks running; 2 machines for 3 tasks; 0 of 2 beside a service) and pass now.

--- a/crates/control/src/leader/autoscaler/demand.rs
+++ b/crates/control/src/leader/autoscaler/demand.rs
@@ -1,10 +1,14 @@
 //! Demand for CPUs of placed and pending work.
+//!
+//! A task that takes more of a machine's memory or GPUs than of its CPUs counts with as many CPUs
+//! as no other task can use beside it.
 
 use super::pools::{PoolSet, PoolSets};
-use super::room::FleetRoom;
+use super::room::{FleetRoom, OccupiedByPriority};
 use crate::leader::quota_headroom::QuotaHeadroom;
 use crate::leader::{Job, Leader, Machine};
-use cherrywood_sched::provisioning::{CpuDemand, TeamDemand};
+use crate::resources::machine_capacity;
+use cherrywood_sched::provisioning::{CpuDemand, OccupiedCpus, TeamDemand};
 use cherrywood_wire::user::JobKind;
 use std::collections::{BTreeMap, HashSet};
 
@@ -25,7 +29,7 @@
             ..TeamDemand::default()
         });
         let none = CpuDemand {
-            placed_cpus: 0.0,
+            placed: OccupiedCpus::default(),
             teams: teams.collect(),
         };
         WorkDemand {
@@ -34,10 +38,10 @@
         }
     }
 
-    /// Adds CPUs of placed tasks.
-    fn add_placed(&mut self, cpus: f64, prioritized_cpus: f64) {
-        self.all.placed_cpus += cpus;
-        self.prioritized.placed_cpus += prioritized_cpus;
+    /// Adds placed tasks.
+    fn add_placed(&mut self, placed: OccupiedByPriority) {
+        self.all.placed += placed.all;
+        self.prioritized.placed += placed.prioritized;
     }
 
     /// Adds the demand of other work of the same teams.
@@ -46,11 +50,11 @@
         self.prioritized.add(&other.prioritized);
     }
 
-    /// Adds pending tasks of a job, each with an expected run time of `run_s`.
-    fn add_pending(&mut self, job: &Job, team: usize, tasks: f64, run_s: f64) {
-        add_tasks(&mut self.all, job, team, tasks, run_s);
+    /// Adds pending tasks of a job.
+    fn add_pending(&mut self, job: &Job, team: usize, tasks: PendingTasks) {
+        add_tasks(&mut self.all, job, team, tasks);
         if !job.best_effort {
-            add_tasks(&mut self.prioritized, job, team, tasks, run_s);
+            add_tasks(&mut self.prioritized, job, team, tasks);
         }
     }
 }
@@ -72,6 +76,8 @@
     pub(in crate::leader) total: WorkDemand,
     /// The pending work by the pools that it may use: a set of pools is after all of its subsets.
     pub(super) by_pools: Vec<PoolDemand>,
+    /// The room of each pool.
+    pub(super) room: FleetRoom,
 }
 
 impl FleetDemand {
@@ -109,9 +115,8 @@
         }
     }
 
-    /// Returns the demand of work that may use the same pools as the job.
-    fn demand_of(&mut self, job: &'a Job) -> &mut WorkDemand {
-        let set = self.sets.index_of(&job.spec);
+    /// Returns the demand of work that may use just the pools of this set.
+    fn demand_of(&mut self, set: usize) -> &mut WorkDemand {
         let headroom = &self.headroom;
         let none = || WorkDemand::none(headroom);
         self.demand_by_set.entry(set).or_insert_with(none)
@@ -120,8 +125,10 @@
     /// Adds the placed tasks. Those on machines that are to be removed need room elsewhere.
     fn add_placed(&mut self) {
         for machine in self.leader.machines.values() {
-            let sums = machine.placements.sums();
-            self.total.add_placed(sums.cpus, sums.prioritized_cpus);
+            let pool = self.sets.catalog.pool_of(machine);
+            let capacity = pool.map(|pool| machine_capacity(self.sets.catalog.machine_type(pool)));
+            self.total
+                .add_placed(machine.occupied(capacity.unwrap_or_default()));
             if !machine.stays() {
                 self.add_leaving(machine);
             }
@@ -132,13 +139,15 @@
         for placement in machine.placements.iter() {
             let job = placement.job.and_then(|job| self.leader.jobs.get(&job));
             if let Some(job) = job {
-                let prioritized_cpus = if placement.best_effort {
-                    0.0
-                } else {
-                    placement.cpus
+                let usable = self.sets.usable_by(&job.spec);
+                let placed = OccupiedByPriority {
+                    all: usable.occupied,
+                    prioritized: match placement.best_effort {
+                        true => OccupiedCpus::default(),
+                        false => usable.occupied,
+                    },
                 };
-                self.demand_of(job)
-                    .add_placed(placement.cpus, prioritized_cpus);
+                self.demand_of(usable.set).add_placed(placed);
             }
         }
     }
@@ -160,13 +169,17 @@
                 false => range.len(),
             };
             // Tasks that the limit on GPUs keeps from running need no machine.
-            let tasks = gpu_headroom[team].take_gpus(&job.spec, f64::from(runnable));
-            if tasks > 0.0 {
-                let run_s = self.leader.expected_run_s(job);
-                self.demand_of(job).add_pending(job, team, tasks, run_s);
-                self.total.add_pending(job, team, tasks, run_s);
-                let set = self.sets.index_of(&job.spec);
-                self.pending_sets.insert(set);
+            let count = gpu_headroom[team].take_gpus(&job.spec, f64::from(runnable));
+            if count > 0.0 {
+                let usable = self.sets.usable_by(&job.spec);
+                let tasks = PendingTasks {
+                    count,
+                    run_s: self.leader.expected_run_s(job),
+                    occupied: usable.occupied,
+                };
+                self.demand_of(usable.set).add_pending(job, team, tasks);
+                self.total.add_pending(job, team, tasks);
+                self.pending_sets.insert(usable.set);
             }
         }
     }
@@ -184,7 +197,7 @@
         for pool in pools.iter() {
             let room = self.room.of(pool);
             existing_cpus += room.existing_cpus;
-            demand.add_placed(room.placed_cpus, room.prioritized_cpus);
+            demand.add_placed(room.occupied);
         }
         PoolDemand {
             pools,
@@ -209,6 +222,7 @@
         FleetDemand {
             total: collector.total,
             by_pools,
+            room: collector.room,
         }
     }
 
@@ -218,12 +232,22 @@
     }
 }
 
-fn add_tasks(demand: &mut CpuDemand, job: &Job, team: usize, tasks: f64, run_s: f64) {
+/// Pending tasks of one job.
+#[derive(Debug, Clone, Copy)]
+struct PendingTasks {
+    count: f64,
+    /// Expected run time of each, s.
+    run_s: f64,
+    /// CPUs of a machine that each occupies.
+    occupied: OccupiedCpus,
+}
+
+fn add_tasks(demand: &mut CpuDemand, job: &Job, team: usize, tasks: PendingTasks) {
     if job.spec.kind == JobKind::Array {
-        demand.teams[team].add_tasks(job.spec.cpus, tasks, run_s);
+        demand.teams[team].add_tasks(tasks.occupied, tasks.count, tasks.run_s);
     } else {
         // Gangs and services need all of their machines at once, so their CPUs count in full, as
         // if they were placed.
-        demand.placed_cpus += job.spec.cpus * tasks;
+        demand.placed += tasks.occupied * tasks.count;
     }
 }
--- a/crates/control/src/leader/autoscaler/pools.rs
+++ b/crates/control/src/leader/autoscaler/pools.rs
@@ -3,6 +3,8 @@
 use super::InstancePool;
 use crate::leader::Machine;
 use crate::leader::scheduler::pool_allowed;
+use crate::resources::{machine_capacity, task_request};
+use cherrywood_sched::provisioning::OccupiedCpus;
 use cherrywood_wire::cloud::MachineType;
 use cherrywood_wire::user::Submission;
 use rustc_hash::FxHashMap;
@@ -56,6 +58,8 @@
     machine_types: Option<&'a [String]>,
     zone: Option<&'a str>,
     allow_spot: bool,
+    /// Bits of the CPUs, GPUs and memory that each task requests.
+    request: [u64; 3],
 }
 
 impl<'a> PoolConstraints<'a> {
@@ -64,6 +68,7 @@
             machine_types: spec.machine_types.as_deref(),
             zone: spec.zone.as_deref(),
             allow_spot: spec.allow_spot,
+            request: [spec.cpus, spec.gpus, spec.memory_gb].map(f64::to_bits),
         }
     }
 }
@@ -148,31 +153,63 @@
         }
     }
 
-    /// Returns the pools whose machines tasks of the submission may use.
-    fn allowed_pools(&self, spec: &Submission) -> PoolSet {
-        let mut allowed = PoolSet::with_capacity(self.len());
+    /// Returns the pools whose machines tasks of the submission may use, and fit on.
+    fn usable_pools(&self, spec: &Submission) -> PoolSet {
+        let mut usable = PoolSet::with_capacity(self.len());
         for pool in 0..self.len() {
             let machine_type = self.machine_type(pool);
-            if pool_allowed(
-                spec,
-                &machine_type.name,
-                self.zone(pool),
-                self.is_spot(pool),
-            ) {
-                allowed.insert(pool);
+            let (name, zone) = (&machine_type.name, self.zone(pool));
+            if pool_allowed(spec, name, zone, self.is_spot(pool))
+                && task_request(spec).fits_in(machine_capacity(machine_type))
+            {
+                usable.insert(pool);
             }
         }
-        allowed
+        usable
+    }
+
+    /// Returns the CPUs of a machine that each task of the submission occupies on the machines of
+    /// these pools that suit it best.
+    fn occupied_cpus(&self, spec: &Submission, pools: &PoolSet) -> OccupiedCpus {
+        let on_pool = |pool| {
+            let capacity = machine_capacity(self.machine_type(pool));
+            OccupiedCpus::on_machines(task_request(spec), capacity)
+        };
+        let occupied = pools.iter().map(on_pool).reduce(OccupiedCpus::min);
+        occupied.unwrap_or(OccupiedCpus {
+            by_cpus: spec.cpus,
+            ..OccupiedCpus::default()
+        })
+    }
+
+    /// Whether no machine of these pools has room for two tasks of the submission.
+    fn is_one_per_machine(&self, spec: &Submission, pools: &PoolSet) -> bool {
+        let task_count = |pool| {
+            let capacity = machine_capacity(self.machine_type(pool));
+            capacity.task_count(task_request(spec))
+        };
+        pools.iter().all(|pool| task_count(pool) <= 1)
     }
 }
 
+/// The pools that tasks of a submission may use.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct UsablePools {
+    /// Number of the set of pools.
+    pub(super) set: usize,
+    /// CPUs of a machine that each task occupies there.
+    pub(super) occupied: OccupiedCpus,
+    /// Whether no two of the tasks fit on one machine.
+    pub(super) is_one_per_machine: bool,
+}
+
 /// The distinct sets of pools that submissions may use. Each is numbered when it first occurs;
 /// the constraints of thousands of jobs lead to few sets.
 pub(super) struct PoolSets<'a> {
     pub(super) catalog: PoolCatalog<'a>,
     sets: Vec<PoolSet>,
     by_set: FxHashMap<PoolSet, usize>,
-    by_constraints: FxHashMap<PoolConstraints<'a>, usize>,
+    by_constraints: FxHashMap<PoolConstraints<'a>, UsablePools>,
 }
 
 impl<'a> PoolSets<'a> {
@@ -186,20 +223,27 @@
         }
     }
 
-    /// Returns the number of the set of pools that tasks of the submission may use.
-    pub(super) fn index_of(&mut self, spec: &'a Submission) -> usize {
+    /// Returns the pools that tasks of the submission may use.
+    pub(super) fn usable_by(&mut self, spec: &'a Submission) -> UsablePools {
         let constraints = PoolConstraints::of(spec);
-        if let Some(index) = self.by_constraints.get(&constraints) {
-            return *index;
+        if let Some(usable) = self.by_constraints.get(&constraints) {
+            return *usable;
         }
-        let set = self.catalog.allowed_pools(spec);
+        let set = self.catalog.usable_pools(spec);
+        let occupied = self.catalog.occupied_cpus(spec, &set);
+        let is_one_per_machine = self.catalog.is_one_per_machine(spec, &set);
         let next = self.sets.len();
         let index = *self.by_set.entry(set.clone()).or_insert(next);
         if index == next {
             self.sets.push(set);
         }
-        self.by_constraints.insert(constraints, index);
-        index
+        let usable = UsablePools {
+            set: index,
+            occupied,
+            is_one_per_machine,
+        };
+        self.by_constraints.insert(constraints, usable);
+        usable
     }
 
     /// Returns the set of this number.
--- a/crates/control/src/leader/autoscaler/room.rs
+++ b/crates/control/src/leader/autoscaler/room.rs
@@ -4,6 +4,9 @@
 use super::pools::PoolCatalog;
 use crate::leader::{Leader, Machine};
 use crate::resources::{Resources, machine_capacity};
+use cherrywood_sched::provisioning::OccupiedCpus;
+use cherrywood_wire::user::JobKind;
+use std::ops::AddAssign;
 
 /// The largest amounts of room on any machine: each is exceeded by no other one in all resources.
 #[derive(Debug, Clone, Default)]
@@ -34,16 +37,32 @@
     pub(super) all_machines: u32,
     /// Their CPUs.
     pub(super) existing_cpus: f64,
-    /// CPUs of the tasks on them.
-    pub(super) placed_cpus: f64,
-    /// CPUs of the tasks on them that are not best effort.
-    pub(super) prioritized_cpus: f64,
+    /// CPUs that the tasks on them occupy.
+    pub(super) occupied: OccupiedByPriority,
     /// Room that is free now.
     pub(super) free: LargestRooms,
+    /// Room beside tasks of services, which never end: free at some time.
+    pub(super) lasting: LargestRooms,
+}
+
+/// CPUs of machines that tasks occupy.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct OccupiedByPriority {
+    /// CPUs that all tasks occupy.
+    pub(super) all: OccupiedCpus,
+    /// CPUs that the tasks occupy which are not best effort.
+    pub(super) prioritized: OccupiedCpus,
+}
+
+impl AddAssign for OccupiedByPriority {
+    fn add_assign(&mut self, other: OccupiedByPriority) {
+        self.all += other.all;
+        self.prioritized += other.prioritized;
+    }
 }
 
 /// The room of each pool of a catalog.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(super) struct FleetRoom {
     pools: Vec<PoolRoom>,
 }
@@ -61,6 +80,7 @@
         room.all_machines += machines;
         room.existing_cpus += capacity.cpus * f64::from(machines);
         room.free.add(capacity);
+        room.lasting.add(capacity);
     }
 }
 
@@ -69,12 +89,31 @@
     pub(super) fn stays(&self) -> bool {
         !self.cordoned && !self.deleting
     }
+
+    /// Returns the CPUs that its tasks occupy, given its capacity.
+    pub(super) fn occupied(&self, capacity: Resources) -> OccupiedByPriority {
+        let sums = self.placements.sums();
+        let all = OccupiedCpus::on_machines(self.used_resources(), capacity);
+        let prioritized_share = match sums.cpus > 0.0 {
+            true => sums.prioritized_cpus / sums.cpus,
+            false => 1.0,
+        };
+        OccupiedByPriority {
+            all,
+            prioritized: OccupiedCpus {
+                by_cpus: sums.prioritized_cpus,
+                ..all * prioritized_share
+            },
+        }
+    }
 }
 
 impl Leader {
     /// Returns the room of each pool.
     pub(super) fn fleet_room(&self, catalog: &PoolCatalog) -> FleetRoom {
         let mut pools = vec![PoolRoom::default(); catalog.len()];
+        let mut jobs = self.jobs.values();
+        let has_services = jobs.any(|job| job.spec.kind == JobKind::Service);
         for machine in self.machines.values() {
             let Some(pool) = catalog.pool_of(machine) else {
                 continue;
@@ -85,13 +124,28 @@
                 continue;
             }
             let capacity = machine_capacity(catalog.machine_type(pool));
-            let sums = machine.placements.sums();
             room.machines += 1;
             room.existing_cpus += capacity.cpus;
-            room.placed_cpus += sums.cpus;
-            room.prioritized_cpus += sums.prioritized_cpus;
+            room.occupied += machine.occupied(capacity);
             room.free.add(capacity - machine.used_resources());
+            let used_by_services = match has_services {
+                true => self.used_by_services(machine),
+                false => Resources::ZERO,
+            };
+            room.lasting.add(capacity - used_by_services);
         }
         FleetRoom { pools }
     }
+
+    /// Returns the resources that tasks of services hold on the machine.
+    fn used_by_services(&self, machine: &Machine) -> Resources {
+        let mut used = Resources::ZERO;
+        for placement in machine.placements.iter() {
+            let job = placement.job.and_then(|job| self.jobs.get(&job));
+            if job.is_some_and(|job| job.spec.kind == JobKind::Service) {
+                used += placement.request();
+            }
+        }
+        used
+    }
 }
--- a/crates/control/src/leader/autoscaler/scale_out.rs
+++ b/crates/control/src/leader/autoscaler/scale_out.rs
@@ -2,7 +2,7 @@
 
 use super::InstancePool;
 use super::demand::{FleetDemand, PoolDemand};
-use super::pools::{PoolCatalog, PoolSet, PoolSets};
+use super::pools::{PoolCatalog, PoolSet, PoolSets, UsablePools};
 use super::room::FleetRoom;
 use crate::leader::quota_headroom::QuotaHeadroom;
 use crate::leader::scheduler::zone_task_limit;
@@ -97,11 +97,11 @@
     fn planned_rentals(&self, demand: &FleetDemand, now: f64) -> Vec<(InstancePool, u32)> {
         let mut sets = PoolSets::new(&self.machine_types);
         let unserved = self.waiting_jobs(now);
-        let unserved: Vec<(&Job, usize)> = unserved
+        let unserved: Vec<(&Job, UsablePools)> = unserved
             .into_iter()
-            .map(|job| (job, sets.index_of(&job.spec)))
+            .map(|job| (job, sets.usable_by(&job.spec)))
             .collect();
-        let room = self.fleet_room(&sets.catalog);
+        let room = demand.room.clone();
         let offers = (0..sets.catalog.len()).map(|pool| self.offer(&sets.catalog, &room, pool));
         let offers = offers.collect();
         let mut plan = RentalPlan::new(&sets.catalog, room, offers);
@@ -109,8 +109,15 @@
             self.rent_for_demand(&mut plan, pool_demand);
         }
         let headroom = self.quota_headroom_by_team();
-        for (job, set) in unserved {
-            self.rent_if_unplaceable(&mut plan, job, sets.get(set), &headroom);
+        for (job, usable) in unserved {
+            let pools = sets.get(usable.set);
+            let needs_free_room =
+                usable.is_one_per_machine || job.is_placed() && is_bound_to_zones(job);
+            if has_headroom(job, &headroom)
+                && self.is_unplaceable(&plan, job, pools, needs_free_room)
+            {
+                rent_for_unplaceable(&mut plan, job, pools);
+            }
         }
         let orders = plan.orders.into_iter();
         orders
@@ -156,31 +163,6 @@
         self.autoscaler.forget_old_pool_demand(now);
     }
 
-    /// Rents a machine for the job if no existing machine could run it.
-    fn rent_if_unplaceable(
-        &self,
-        plan: &mut RentalPlan,
-        job: &Job,
-        pools: &PoolSet,
-        headroom: &[QuotaHeadroom],
-    ) {
-        if !self.is_unplaceable(plan, job, pools, headroom) {
-            return;
-        }
-        let mut offers = plan.offers_in(pools);
-        let request = task_request(&job.spec);
-        offers.retain(|offer| {
-            let capacity = machine_capacity(plan.catalog.machine_type(offer.pool));
-            request.is_within(capacity) && zone_task_limit(job, &offer.offer.zone) > 0
-        });
-        if order_cheapest(plan, job.spec.cpus, offers) > 0.0 {
-            info!(
-                job = job.spec.id,
-                "scale out: no machine there could take the job, renting one"
-            );
-        }
-    }
-
     /// Returns the jobs that have been pending for a while. Demand is counted in CPUs, of which
     /// there may be enough of the wrong kind, or a job may want too few to be worth an on-demand
     /// machine; without a check of each such job it would wait forever.
@@ -203,18 +185,16 @@
         waiting
     }
 
-    /// Whether no machine could run a task of the job, now or when other tasks end.
+    /// Whether no machine could run a task of the job: now, if it needs room that is free now, or
+    /// else when other tasks end.
     fn is_unplaceable(
         &self,
         plan: &RentalPlan,
         job: &Job,
         pools: &PoolSet,
-        headroom: &[QuotaHeadroom],
+        needs_free_room: bool,
     ) -> bool {
-        let is_placed = job.is_placed();
-        if is_placed && !is_bound_to_zones(job, headroom) {
-            return false;
-        }
+        let request = task_request(&job.spec);
         let failed_in = |pool: usize| {
             let machines = job
                 .failed_on
@@ -223,12 +203,12 @@
             let failed = machines.filter(|m| m.stays() && plan.catalog.pool_of(m) == Some(pool));
             failed.count() as u32
         };
-        // The job's placed tasks may never end, so for its next task only free room counts.
         let could_run = |pool: usize| {
             let room = plan.room.of(pool);
             room.machines > failed_in(pool)
                 && zone_task_limit(job, plan.catalog.zone(pool)) > 0
-                && (!is_placed || room.free.has_room_for(task_request(&job.spec)))
+                && room.lasting.has_room_for(request)
+                && (!needs_free_room || room.free.has_room_for(request))
         };
         !pools.iter().any(could_run)
     }
@@ -285,14 +265,28 @@
     ordered_cpus
 }
 
+/// Rents a machine for a job that no existing machine could run.
+fn rent_for_unplaceable(plan: &mut RentalPlan, job: &Job, pools: &PoolSet) {
+    let mut offers = plan.offers_in(pools);
+    offers.retain(|offer| zone_task_limit(job, &offer.offer.zone) > 0);
+    if order_cheapest(plan, job.spec.cpus, offers) > 0.0 {
+        info!(
+            job = job.spec.id,
+            "scale out: no machine there could take the job, renting one"
+        );
+    }
+}
+
 /// Whether tasks of the job that never end determine the zones in which its other tasks may
 /// run. Room in other zones is of no use to the latter: without this check, a service that had
 /// lost its machines in a zone never got new ones there.
-fn is_bound_to_zones(job: &Job, headroom: &[QuotaHeadroom]) -> bool {
+fn is_bound_to_zones(job: &Job) -> bool {
     let is_bound = job.spec.single_zone || job.spec.spread_over_zones;
-    if !is_bound || job.spec.kind == JobKind::Array {
-        return false;
-    }
+    is_bound && job.spec.kind != JobKind::Array
+}
+
+/// Whether the limit of the job's team admits one more of its tasks: if not, it needs no machine.
+fn has_headroom(job: &Job, headroom: &[QuotaHeadroom]) -> bool {
     let headroom = job.team_index.and_then(|team| headroom.get(team));
     headroom.is_some_and(|headroom| headroom.admits(&job.spec))
 }
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -301,6 +301,7 @@
 /// A stand-in for a worker, which executes commands under its newest fencing token or a newer one.
 pub struct Worker {
     pub name: String,
+    pub machine_type: String,
     pub zone: String,
     pub incarnation: u64,
     pub sequence: u64,
@@ -312,6 +313,7 @@
     pub fn new(name: &str) -> Worker {
         Worker {
             name: name.into(),
+            machine_type: "m8".into(),
             zone: "a".into(),
             incarnation: 1,
             sequence: 0,
@@ -325,7 +327,7 @@
         Heartbeat {
             machine: self.name.clone(),
             address: String::new(),
-            machine_type: "m8".into(),
+            machine_type: self.machine_type.clone(),
             zone: self.zone.clone(),
             spot: true,
             incarnation: self.incarnation,
--- a/crates/control/tests/scale_out.rs
+++ b/crates/control/tests/scale_out.rs
@@ -3,7 +3,8 @@
 mod common;
 
 use cherrywood_control::leader::CloudCall;
-use cherrywood_wire::user::Submission;
+use cherrywood_wire::cloud::MachineType;
+use cherrywood_wire::user::{JobKind, Submission};
 use common::*;
 
 /// A cluster and its cloud; rented machines are up at once.
@@ -16,10 +17,33 @@
     asked: Vec<String>,
 }
 
+/// The small type of most tests, a larger one, and one with GPUs.
+fn three_types() -> Vec<MachineType> {
+    let small = machine_types().remove(0);
+    let large = MachineType {
+        name: "m32".into(),
+        cpus: 32.0,
+        memory_gb: 256.0,
+        price_per_hour: 9.0,
+        spot_price_per_hour: Some(2.5),
+        ..small.clone()
+    };
+    let gpu = MachineType {
+        name: "g8".into(),
+        gpus: 8.0,
+        price_per_hour: 12.0,
+        spot_price_per_hour: Some(5.0),
+        ..large.clone()
+    };
+    vec![small, large, gpu]
+}
+
 impl Fleet {
     fn new() -> Fleet {
+        let mut cluster = TestCluster::new();
+        cluster.leader.set_machine_types(three_types());
         Fleet {
-            cluster: TestCluster::new(),
+            cluster,
             machines: Vec::new(),
             exhausted: Vec::new(),
             asked: Vec::new(),
@@ -55,6 +79,7 @@
                 for name in &names {
                     let mut worker = Worker::new(name);
                     worker.zone.clone_from(&rent.zone);
+                    worker.machine_type.clone_from(&rent.machine_type);
                     self.machines.push(worker);
                 }
                 let names = (!is_exhausted).then_some(names.as_slice());
@@ -132,3 +157,109 @@
         (4, 40)
     );
 }
+
+fn of_type<'a>(fleet: &'a Fleet, name: &'a str) -> impl Iterator<Item = &'a Worker> {
+    fleet
+        .machines
+        .iter()
+        .filter(move |m| m.machine_type == name)
+}
+
+/// A cluster in which three small machines each run a long task that takes 5 of their 8 CPUs.
+fn fleet_of_small_machines() -> Fleet {
+    let mut fleet = Fleet::new();
+    let long = Submission {
+        cpus: 5.0,
+        machine_types: Some(vec!["m8".into()]),
+        estimate_s: 500.0,
+        ..wide_job("wk-000001", 3)
+    };
+    fleet.cluster.submit(&long, 0.0);
+    fleet.run(0.0, 14.0);
+    assert_eq!(of_type(&fleet, "m8").count(), 3);
+    fleet
+}
+
+/// Guards against a job that waits for good: its tasks are too large for every machine that is
+/// there, but these have as many free CPUs in sum as it wants.
+#[test]
+fn tasks_that_fit_larger_machines_alone_get_one() {
+    let mut fleet = fleet_of_small_machines();
+    let large = Submission {
+        cpus: 4.0,
+        memory_gb: 96.0,
+        ..wide_job("wk-000002", 2)
+    };
+    fleet.cluster.submit(&large, 14.0);
+    fleet.run(14.0, 18.0);
+    assert_eq!(fleet.running("wk-000002"), 2);
+    // The larger machine is taken back without notice; the next leader doesn't know it.
+    fleet.machines.retain(|m| m.machine_type == "m8");
+    fleet.cluster.fail_over(2, 18.0);
+    fleet.cluster.leader.set_machine_types(three_types());
+    fleet.run(18.0, 80.0);
+    assert_eq!(
+        fleet.running("wk-000002"),
+        2,
+        "{}",
+        fleet.cluster.leader.summary()
+    );
+}
+
+/// Guards against jobs that need accelerators and never end beside small machines without any.
+#[test]
+fn tasks_that_need_gpus_get_machines_that_have_enough_of_them() {
+    let mut fleet = fleet_of_small_machines();
+    let with_gpus = Submission {
+        team: "guest".into(),
+        cpus: 1.0,
+        gpus: 4.0,
+        estimate_s: 300.0,
+        ..job("wk-000002", 6)
+    };
+    fleet.cluster.submit(&with_gpus, 14.0);
+    fleet.run(14.0, 24.0);
+    assert_eq!(fleet.running("wk-000002"), 6);
+    assert_eq!(of_type(&fleet, "g8").count(), 3);
+}
+
+/// Guards against a fleet that has CPUs for all waiting tasks and memory for a fourth of them.
+#[test]
+fn tasks_that_need_much_memory_get_machines_for_all_of_it() {
+    let mut fleet = Fleet::new();
+    let large = Submission {
+        cpus: 1.0,
+        memory_gb: 32.0,
+        estimate_s: 300.0,
+        machine_types: Some(vec!["m8".into()]),
+        ..wide_job("wk-000001", 16)
+    };
+    fleet.cluster.submit(&large, 0.0);
+    fleet.run(0.0, 5.0);
+    assert_eq!(fleet.running("wk-000001"), 16);
+    assert_eq!(fleet.machines.len(), 8);
+}
+
+/// Guards against a job that never starts beside a service: no machine has room for its task, and
+/// the service, which has the most of each machine, never ends.
+#[test]
+fn a_task_without_room_beside_a_service_gets_a_machine() {
+    let mut fleet = Fleet::new();
+    let service = Submission {
+        kind: JobKind::Service,
+        cpus: 5.0,
+        estimate_s: 0.0,
+        machine_types: Some(vec!["m8".into()]),
+        ..wide_job("wk-000001", 3)
+    };
+    fleet.cluster.submit(&service, 0.0);
+    fleet.run(0.0, 10.0);
+    let beside = Submission {
+        cpus: 4.0,
+        ..wide_job("wk-000002", 2)
+    };
+    fleet.cluster.submit(&beside, 10.0);
+    fleet.run(10.0, 30.0);
+    assert_eq!(fleet.running("wk-000002"), 2);
+    assert_eq!(fleet.running("wk-000001"), 3);
+}
--- a/crates/sched/tests/provisioning.rs
+++ b/crates/sched/tests/provisioning.rs
@@ -1,7 +1,8 @@
 //! Number of CPUs wanted, and choice of the offers to rent.
 
+use cherrywood_sched::Resources;
 use cherrywood_sched::provisioning::{
-    CpuDemand, InstanceOffer, ProvisioningOrder, TeamDemand, plan_provisioning,
+    CpuDemand, InstanceOffer, OccupiedCpus, ProvisioningOrder, TeamDemand, plan_provisioning,
 };
 
 fn offer(zone: &str, price_per_h: f64, existing_machines: u32) -> InstanceOffer {
@@ -17,6 +18,13 @@
     }
 }
 
+fn cpus(cpus: f64) -> OccupiedCpus {
+    OccupiedCpus {
+        by_cpus: cpus,
+        ..OccupiedCpus::default()
+    }
+}
+
 fn order(offer: usize, machines: u32) -> ProvisioningOrder {
     ProvisioningOrder { offer, machines }
 }
@@ -66,9 +74,9 @@
         headroom_cpus: 1000.0,
         ..TeamDemand::default()
     };
-    team.add_tasks(2.0, 100.0, 30.0);
+    team.add_tasks(cpus(2.0), 100.0, 30.0);
     let demand = |team| CpuDemand {
-        placed_cpus: 10.0,
+        placed: cpus(10.0),
         teams: vec![team],
     };
     assert_eq!(demand(team).wanted_cpus(60.0), 110.0);
@@ -77,3 +85,52 @@
     team.headroom_cpus = 40.0;
     assert_eq!(demand(team).wanted_cpus(60.0), 50.0);
 }
+
+/// Tasks that take three times as much of a machine's memory as of its CPUs need three times the
+/// machines.
+#[test]
+fn wanted_cpus_count_the_machines_that_tasks_occupy() {
+    let mut team = TeamDemand {
+        headroom_cpus: 1000.0,
+        ..TeamDemand::default()
+    };
+    let machine = Resources {
+        cpus: 32.0,
+        gpus: 0.0,
+        memory_gb: 128.0,
+    };
+    let task = Resources {
+        cpus: 4.0,
+        gpus: 0.0,
+        memory_gb: 48.0,
+    };
+    team.add_tasks(OccupiedCpus::on_machines(task, machine), 10.0, 100.0);
+    let demand = |team| CpuDemand {
+        placed: OccupiedCpus::default(),
+        teams: vec![team],
+    };
+    assert_eq!(demand(team).wanted_cpus(20.0), 120.0);
+    team.headroom_cpus = 8.0;
+    assert_eq!(demand(team).wanted_cpus(20.0), 24.0);
+}
+
+/// Tasks that use little of the memory and tasks that use little else share machines.
+#[test]
+fn tasks_that_complement_each_other_want_no_more_than_they_take_together() {
+    let mut team = TeamDemand {
+        headroom_cpus: 1000.0,
+        ..TeamDemand::default()
+    };
+    let by_memory = |cpus, by_memory| OccupiedCpus {
+        by_cpus: cpus,
+        by_memory,
+        by_gpus: 0.0,
+    };
+    team.add_tasks(by_memory(1.0, 7.0), 10.0, 100.0);
+    team.add_tasks(by_memory(7.0, 1.0), 10.0, 100.0);
+    let demand = CpuDemand {
+        placed: OccupiedCpus::default(),
+        teams: vec![team],
+    };
+    assert_eq!(demand.wanted_cpus(20.0), 80.0);
+}
