--- a/crates/control/tests/scale_out.rs
+++ b/crates/control/tests/scale_out.rs
@@ -168,6 +168,7 @@
 /// A cluster in which three small machines each run a long task that takes 5 of their 8 CPUs.
 fn fleet_of_small_machines() -> Fleet {
     let mut fleet = Fleet::new();
+    fleet.machines = (1..=3).map(|n| Worker::new(&format!("vm-{n}"))).collect();
     let long = Submission {
         cpus: 5.0,
         machine_types: Some(vec!["m8".into()]),
