Give no response under a token older than the heartbeat shows

What callers saw: a leader that was cut off went on answering a worker with 200 under its old token, although each heartbeat stated the token of the new leader. The worker must drop such answers and stays; its lease runs out and its tasks are killed.

Cause: a shard owner that can't ask the leader answered under its shard lease without comparing its token with that of the heartbeat in hand; nor did it compare the leader's response with it.

Change: the owner compares both. If the heartbeat's token is newer, the lease ends at once, the answer is 421 or 503, and only a grant under a newer token brings the lease back, not a copy of an earlier heartbeat.

A test of sizes (node/tests/size.rs) had 4,000 workers that show tokens of term 7 and a leader of term 1: PROTOCOL lets no 200 be given to them. It now starts from a last term of 7, so that the leader's is above; names, numbers and bounds are as before.

--- a/crates/control/src/shard_owner.rs
+++ b/crates/control/src/shard_owner.rs
@@ -18,6 +18,16 @@
     expires_at: f64,
 }
 
+impl ShardLease {
+    /// Returns a lease under which nothing may be answered, and which no older token replaces.
+    fn expired(token: u64) -> ShardLease {
+        ShardLease {
+            token,
+            expires_at: f64::NEG_INFINITY,
+        }
+    }
+}
+
 /// The state of a machine's tasks as its last heartbeat reported it.
 #[derive(Debug, Default)]
 struct ObservedMachine {
@@ -55,27 +65,39 @@
     /// continue, under this token. The response may get lost, so it must not extend the lease:
     /// the next heartbeat that needs no such stop does. An older token is no longer valid.
     pub fn must_deliver_stops(&mut self, machine: &str, token: u64) {
-        let expired = ShardLease {
-            token,
-            expires_at: f64::NEG_INFINITY,
-        };
+        let expired = ShardLease::expired(token);
         let lease = self.leases.entry(machine.to_string()).or_insert(expired);
         lease.token = lease.token.max(token);
     }
 
+    /// Records that the worker has seen this token. A lease under an older one has ended: another
+    /// controller, or a newer leader, is entitled to respond to the machine.
+    fn token_seen(&mut self, machine: &str, token: u64) {
+        if let Some(lease) = self.leases.get_mut(machine)
+            && lease.token < token
+        {
+            *lease = ShardLease::expired(token);
+        }
+    }
+
     /// Returns the response to a heartbeat that this controller received at `received_at`;
     /// `None` if it may not give one.
     ///
     /// `from_leader` is the leader's response, `None` if the leader can't be reached: then the
-    /// worker's lease is renewed, without commands, for as long as the shard lease lasts.
+    /// worker's lease is renewed, without commands, for as long as the shard lease lasts. If the
+    /// heartbeat shows a token, `seen_token`, newer than that of the response or the lease, others
+    /// are entitled to respond: the worker would drop the response, and should turn to them.
     pub fn heartbeat_response(
         &mut self,
         machine: &str,
+        seen_token: u64,
         from_leader: Option<HeartbeatResponse>,
         received_at: f64,
         now: f64,
         shard_lease_s: f64,
     ) -> Option<HeartbeatResponse> {
+        self.token_seen(machine, seen_token);
+        let from_leader = from_leader.filter(|response| response.fencing_token >= seen_token);
         let Some(response) = from_leader else {
             return Some(HeartbeatResponse {
                 fencing_token: self.valid_token(machine, now)?,
--- a/crates/control/tests/controller_failovers.rs
+++ b/crates/control/tests/controller_failovers.rs
@@ -461,7 +461,8 @@
             })
         });
         let owner = &mut self.controllers[n].owner;
-        owner.heartbeat_response(&heartbeat.machine, led, now, now, self.timing.shard_lease_s)
+        let (machine, seen) = (&heartbeat.machine, heartbeat.fencing_token);
+        owner.heartbeat_response(machine, seen, led, now, now, self.timing.shard_lease_s)
     }
 
     /// Delivers an old heartbeat to every controller; the responses are lost.
--- a/crates/control/tests/shard_owner.rs
+++ b/crates/control/tests/shard_owner.rs
@@ -84,7 +84,7 @@
     };
     let lease_s = 20.0;
     let mut respond = |from_leader, sent| {
-        owner.heartbeat_response("vm-1", from_leader, sent, sent + 0.1, lease_s)
+        owner.heartbeat_response("vm-1", 0, from_leader, sent, sent + 0.1, lease_s)
     };
     assert_eq!(respond(None, 99.0), None);
     assert_eq!(respond(response(5, vec![]), 100.0), response(5, vec![]));
@@ -104,3 +104,31 @@
     assert!(respond(response(7, vec![stop(0.0)]), 149.0).is_some());
     assert_eq!(respond(with_stop, 149.5), None);
 }
+
+/// Guards against workers whose leases run out at a deposed leader: it responds with 200 under its
+/// own token although the heartbeat shows the new leader's, and the worker drops the response.
+#[test]
+fn no_response_is_given_under_a_token_older_than_that_of_the_heartbeat() {
+    let mut owner = ShardOwner::default();
+    let lease_s = 20.0;
+    let mut respond = |token, from_leader, sent| {
+        owner.heartbeat_response("vm-1", token, from_leader, sent, sent + 0.1, lease_s)
+    };
+    let response = |fencing_token| {
+        Some(HeartbeatResponse {
+            fencing_token,
+            commands: Vec::new(),
+        })
+    };
+    assert_eq!(respond(0, response(5), 100.0), response(5));
+    assert_eq!(respond(5, None, 101.0), response(5));
+    // The worker has obeyed a command of a newer leader.
+    assert_eq!(respond(9, None, 102.0), None);
+    assert_eq!(respond(9, response(6), 103.0), None);
+    // A copy of an earlier heartbeat doesn't bring the old token back.
+    assert_eq!(respond(5, None, 104.0), None);
+    assert_eq!(respond(5, response(5), 105.0), None);
+    // The newer leader leases the machine to this controller.
+    assert_eq!(respond(9, response(10), 106.0), response(10));
+    assert_eq!(respond(10, None, 107.0), response(10));
+}
--- a/crates/node/src/heartbeats.rs
+++ b/crates/node/src/heartbeats.rs
@@ -74,7 +74,7 @@
             let leads = leader.is_some();
             (run_times, state.leader_contact.known_leader.clone(), leads)
         };
-        let machine = heartbeat.machine.clone();
+        let (machine, seen_token) = (heartbeat.machine.clone(), heartbeat.fencing_token);
         let from_leader = if leads {
             self.handle_heartbeat(self.label(), &heartbeat, &run_times)
         } else {
@@ -90,10 +90,14 @@
                 None => {}
             }
         }
-        let shard_lease_s = self.timing.shard_lease_s;
-        state
-            .shard
-            .heartbeat_response(&machine, from_leader, received, now, shard_lease_s)
+        state.shard.heartbeat_response(
+            &machine,
+            seen_token,
+            from_leader,
+            received,
+            now,
+            self.timing.shard_lease_s,
+        )
     }
 
     /// Returns the leader's response to a heartbeat of a machine in `shard_owner`'s shard; `None`
--- a/crates/node/tests/size.rs
+++ b/crates/node/tests/size.rs
@@ -17,7 +17,7 @@
 };
 use cherrywood_wire::cloud::{ListedMachine, ListedMachineState, MachineListPage};
 use cherrywood_wire::peer::PeerRequest;
-use cherrywood_wire::records::{ImageCacheRecord, JobRecord};
+use cherrywood_wire::records::{ImageCacheRecord, JobRecord, StoredRecord, TermRecord};
 use cherrywood_wire::store::{Guard, WatchEvent, WatchResponse};
 use cherrywood_wire::{decode, encode};
 use common::*;
@@ -99,6 +99,9 @@
 fn heartbeats_and_a_hello_of_4000_machines_pass_between_two_controllers() {
     run(async {
         let cluster = TestCluster::of(2).await;
+        // The workers have seen tokens of term 7.
+        let last_term = StoredRecord::Term(TermRecord { last_term: 7 });
+        cluster.put_record(keys::LAST_TERM, last_term).await;
         background::start(&cluster.node);
         let leader = cluster.node.clone();
         wait_until("it leads", || leader.status().leading_term.is_some()).await;
--- a/crates/node/tests/stalled_process.rs
+++ b/crates/node/tests/stalled_process.rs
@@ -103,6 +103,13 @@
     let reply = run(node.handle_peer_request(hello()));
     assert_eq!(leads_and_shard_size(reply), (true, 1));
     assert!(run(node.heartbeat(heartbeat("vm-2", 1))).is_some());
+    // A worker that obeys a leader of a later term is sent away, although the leases are valid.
+    let superseded = Heartbeat {
+        fencing_token: u64::MAX / 2,
+        ..heartbeat("vm-2", 2)
+    };
+    let response = request(&node, "POST", "/agent/beat", encode(&superseded));
+    assert!([421, 503].contains(&response.status), "{}", response.status);
     // A longer stall: the lease expired while these requests were queued in the sockets.
     let since = node.now() - node.timing.leader_lease_s;
     node.lock_state()
