--- a/crates/control/src/leader/autoscaler/demand.rs
+++ b/crates/control/src/leader/autoscaler/demand.rs
@@ -3,8 +3,8 @@
 //! A task that takes more of a machine's memory or GPUs than of its CPUs counts with as many CPUs
 //! as no other task can use beside it.
 
-use super::pools::{PoolSet, PoolSets};
 use super::room::{FleetRoom, OccupiedByPriority};
+use crate::leader::instance_pools::{PoolSet, PoolSets};
 use crate::leader::quota_headroom::QuotaHeadroom;
 use crate::leader::{Job, Leader, Machine};
 use crate::resources::machine_capacity;
--- a/crates/control/src/leader/autoscaler/mod.rs
+++ b/crates/control/src/leader/autoscaler/mod.rs
@@ -10,30 +10,21 @@
 //! [`Autoscaler`] is the state that this module alone keeps between runs; a new leader starts
 //! without it.
 
+use super::instance_pools::{InstancePool, PoolSet};
 use super::{CloudCall, Leader};
 use cherrywood_limits as limits;
 use cherrywood_wire::cloud::RentalRequest;
 use demand::PoolDemand;
-use pools::PoolSet;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 mod demand;
 mod inventory;
 mod machine_health;
 mod overdue_boots;
-mod pools;
 mod room;
 mod scale_in;
 mod scale_out;
 
-/// Machines of one type, zone and price model, which are rented alike.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-struct InstancePool {
-    machine_type: String,
-    zone: String,
-    spot: bool,
-}
-
 /// A machine type in a zone; its spot and on-demand machines are counted together.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 struct BootPool {
--- a/crates/control/src/leader/autoscaler/room.rs
+++ b/crates/control/src/leader/autoscaler/room.rs
@@ -1,7 +1,7 @@
 //! What the machines of each pool have for tasks: counted once for all jobs, whose number grows
 //! like that of the machines.
 
-use super::pools::PoolCatalog;
+use crate::leader::instance_pools::PoolCatalog;
 use crate::leader::{Leader, Machine};
 use crate::resources::{Resources, machine_capacity};
 use cherrywood_sched::provisioning::OccupiedCpus;
--- a/crates/control/src/leader/autoscaler/scale_out.rs
+++ b/crates/control/src/leader/autoscaler/scale_out.rs
@@ -1,9 +1,8 @@
 //! Scale out: rents machines for pending work, and for jobs that no existing machine could run.
 
-use super::InstancePool;
 use super::demand::{FleetDemand, PoolDemand};
-use super::pools::{PoolCatalog, PoolSet, PoolSets, UsablePools};
 use super::room::FleetRoom;
+use crate::leader::instance_pools::{InstancePool, PoolCatalog, PoolSet, PoolSets, UsablePools};
 use crate::leader::quota_headroom::QuotaHeadroom;
 use crate::leader::scheduler::zone_task_limit;
 use crate::leader::{CloudCall, Job, Leader};
--- a/crates/control/src/leader/autoscaler/pools.rs
+++ b/crates/control/src/leader/instance_pools.rs
@@ -1,20 +1,27 @@
 //! Instance pools, and the sets of pools whose machines tasks may use.
 
-use super::InstancePool;
-use crate::leader::Machine;
-use crate::leader::scheduler::pool_allowed;
+use super::Machine;
+use super::scheduler::pool_allowed;
 use crate::resources::{machine_capacity, task_request};
 use cherrywood_sched::provisioning::OccupiedCpus;
 use cherrywood_wire::cloud::MachineType;
 use cherrywood_wire::user::Submission;
 use rustc_hash::FxHashMap;
 
+/// Machines of one type, zone and price model, which are rented alike.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub(super) struct InstancePool {
+    pub(super) machine_type: String,
+    pub(super) zone: String,
+    pub(super) spot: bool,
+}
+
 /// Number of pools in one word of a [`PoolSet`].
 const WORD_BITS: usize = u64::BITS as usize;
 
 /// A set of pools, by their index in a [`PoolCatalog`].
 #[derive(Debug, Clone, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub(in crate::leader) struct PoolSet {
+pub(super) struct PoolSet {
     words: Vec<u64>,
 }
 
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -31,6 +31,7 @@
 mod freeing;
 mod heartbeat_commands;
 mod heartbeats;
+mod instance_pools;
 mod job;
 mod job_batch;
 mod job_table;
