Preempt where the waiting work may run

What callers saw: urgent work that is bound to a zone, or whose tasks fit larger machines alone, waited beside best-effort tasks that it could have preempted.

Change: waiting work is grouped by the instance pools that it may use; smaller sets of pools claim room first, and what is missing is preempted on machines of these pools alone. Wanted images are collected once a run instead of by job and machine.

Evidence: the new test of preemption.rs failed before (no eviction) and passes now, as do all tests of control.

--- a/crates/control/src/leader/autoscaler/demand.rs
+++ b/crates/control/src/leader/autoscaler/demand.rs
@@ -215,10 +215,7 @@
         collector.add_pending();
         let sets = collector.pending_sets.iter();
         let mut by_pools: Vec<PoolDemand> = sets.map(|set| collector.pool_demand(*set)).collect();
-        by_pools.sort_by(|a, b| {
-            let by_size = a.pools.len().cmp(&b.pools.len());
-            by_size.then_with(|| a.pools.cmp(&b.pools))
-        });
+        by_pools.sort_by(|a, b| a.pools.cmp_by_size(&b.pools));
         FleetDemand {
             total: collector.total,
             by_pools,
--- a/crates/control/src/leader/instance_pools.rs
+++ b/crates/control/src/leader/instance_pools.rs
@@ -7,6 +7,7 @@
 use cherrywood_wire::cloud::MachineType;
 use cherrywood_wire::user::Submission;
 use rustc_hash::FxHashMap;
+use std::cmp::Ordering;
 
 /// Machines of one type, zone and price model, which are rented alike.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -48,8 +49,13 @@
         pairs.all(|(own, other)| own & !other == 0)
     }
 
+    /// Compares by the number of pools, so that a set is greater than all of its subsets.
+    pub(super) fn cmp_by_size(&self, other: &PoolSet) -> Ordering {
+        self.len().cmp(&other.len()).then_with(|| self.cmp(other))
+    }
+
     /// Returns the number of pools in the set.
-    pub(super) fn len(&self) -> u32 {
+    fn len(&self) -> u32 {
         self.words.iter().map(|word| word.count_ones()).sum()
     }
 
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -40,6 +40,7 @@
 mod machine;
 mod machine_placements;
 mod placement;
+mod pool_work;
 mod preemption;
 mod progress;
 mod quota;
--- a/crates/control/src/leader/preemption.rs
+++ b/crates/control/src/leader/preemption.rs
@@ -6,40 +6,83 @@
 //! (the protocol's first reason to stop a task). Lowest-priority work that an objective counts
 //! is also served last, but is never preempted.
 
+use super::instance_pools::{PoolCatalog, PoolSet, PoolSets};
+use super::pool_work::{PoolWork, group_by_pools};
 use super::quota_headroom::prioritized_pending;
-use super::scheduler::machine_allowed;
-use super::{EvictionState, JobIndex, JobTable, Leader, Machine, Placement, PlacementStage};
+use super::{EvictionState, JobTable, Leader, Machine, Placement, PlacementStage};
+use crate::Team;
 use crate::resources::{Resources, machine_capacity};
-use cherrywood_sched::resources::ROUNDING;
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{HashMap, HashSet};
 
-/// Pending work that lacks room.
+/// Pending work that may use the same pools, and the room that it finds there.
 struct Shortage {
-    /// CPUs that the work may use and that are neither free nor about to become free.
-    cpus: f64,
-    jobs: BTreeSet<JobIndex>,
-    /// The least CPUs that any of the tasks requests.
-    least_cpus: f64,
-    /// The least memory that any of the tasks requests.
-    least_memory_gb: f64,
+    pools: PoolSet,
+    /// CPUs that the work wants.
+    wanted_cpus: f64,
+    /// The least that any of the tasks requests.
+    least_request: Resources,
+    /// The images of the jobs.
+    images: HashSet<u64>,
+    /// By pool, the CPUs that are free or about to become free, and that the work may use.
+    room_by_pool: Vec<f64>,
 }
 
 impl Shortage {
-    /// Whether the resources that are free on a machine may suffice for one of the tasks.
-    fn can_use(&self, free: Resources) -> bool {
-        free.cpus + ROUNDING >= self.least_cpus && free.memory_gb + ROUNDING >= self.least_memory_gb
+    fn new(work: PoolWork, jobs: &JobTable, pool_count: usize) -> Shortage {
+        let jobs = work.jobs.iter().filter_map(|job| jobs.get(job));
+        Shortage {
+            pools: work.pools,
+            wanted_cpus: work.cpus,
+            least_request: work.least_request,
+            images: jobs.map(|job| job.image_id).collect(),
+            room_by_pool: vec![0.0; pool_count],
+        }
+    }
+
+    /// Adds the room on a machine: the CPUs that are free, if that may suffice for one of the
+    /// tasks, and those that requested evictions will free.
+    fn add_room(&mut self, pool: usize, machine: &Machine, free: Resources) {
+        if !self.pools.contains(pool) {
+            return;
+        }
+        if !machine.scaling_in && self.least_request.fits_in(free) {
+            self.room_by_pool[pool] += free.cpus;
+        }
+        self.room_by_pool[pool] += machine.placements.sums().evicting_cpus;
+    }
+
+    /// Claims room for the work, less what was claimed in each pool before; returns the CPUs that
+    /// are missing.
+    fn claim_room(&self, claimed_by_pool: &mut [f64]) -> f64 {
+        let mut missing_cpus = self.wanted_cpus;
+        for pool in self.pools.iter() {
+            let left_cpus = (self.room_by_pool[pool] - claimed_by_pool[pool]).max(0.0);
+            let claimed_cpus = missing_cpus.min(left_cpus);
+            claimed_by_pool[pool] += claimed_cpus;
+            missing_cpus -= claimed_cpus;
+        }
+        missing_cpus
     }
 }
 
 /// A machine with best-effort tasks that may be preempted.
 struct PreemptibleMachine {
     name: String,
+    pool: usize,
     /// Whether the machine has the image of a job that lacks room.
     has_wanted_image: bool,
     /// CPUs of the tasks that may be preempted.
     preemptible_cpus: f64,
 }
 
+/// The state of one run of preemption.
+struct Preemption {
+    /// By pool, the CPUs of free room that are claimed for pending work.
+    claimed_by_pool: Vec<f64>,
+    /// By team, the CPUs that may still be taken from it.
+    beyond_guarantee_cpus: HashMap<String, f64>,
+}
+
 /// Whether the placement may be evicted for other work at little loss: it is best effort, and the
 /// task saves its progress or doesn't run yet.
 fn is_preemptible(jobs: &JobTable, placement: &Placement) -> bool {
@@ -60,120 +103,133 @@
 
     /// Marks as many best-effort tasks for eviction as other pending work needs.
     pub(super) fn preempt_best_effort(&mut self, now: f64) {
-        let Some(mut shortage) = self.prioritized_shortage(now) else {
+        let mut shortages = self.prioritized_shortages(now);
+        if shortages.is_empty() {
             return;
+        }
+        let mut preemptible = self.add_room_and_find_preemptible(&mut shortages);
+        let mut preemption = Preemption {
+            claimed_by_pool: vec![0.0; shortages[0].room_by_pool.len()],
+            beyond_guarantee_cpus: self.cpus_beyond_guarantees(),
         };
-        let mut preemptible = Vec::new();
-        for (name, machine) in &self.machines {
-            if !machine.up || machine.cordoned || machine.deleting {
-                continue;
-            }
-            let Some(machine_type) = self.machine_type(&machine.machine_type) else {
-                continue;
-            };
-            let sums = machine.placements.sums();
-            // Resources that are free, and CPUs that requested evictions will free.
-            let free = machine_capacity(machine_type) - machine.used_resources();
-            if !machine.scaling_in && shortage.can_use(free) {
-                shortage.cpus -= free.cpus;
-            }
-            shortage.cpus -= sums.evicting_cpus;
-            if sums.has_best_effort {
-                preemptible.extend(self.preemptible_machine(name, machine, &shortage, now));
+        for shortage in &shortages {
+            let missing_cpus = shortage.claim_room(&mut preemption.claimed_by_pool);
+            if missing_cpus > 0.0 {
+                self.sort_by_use(&mut preemptible, shortage, now);
+                let machines = preemptible.iter();
+                let usable = machines.filter(|machine| shortage.pools.contains(machine.pool));
+                self.request_evictions(usable, missing_cpus, &mut preemption);
             }
         }
-        // Machines with a wanted image first, then those with the most preemptible CPUs.
-        preemptible.sort_by(|a, b| {
-            let by_image = b.has_wanted_image.cmp(&a.has_wanted_image);
-            by_image.then(b.preemptible_cpus.total_cmp(&a.preemptible_cpus))
-        });
-        self.request_evictions(&preemptible, shortage.cpus);
     }
 
-    /// Returns the pending work other than best-effort work; None if there is none.
-    fn prioritized_shortage(&self, now: f64) -> Option<Shortage> {
+    /// Returns the pending work other than best-effort work, by the pools that it may use: work
+    /// that may use few pools comes first.
+    fn prioritized_shortages(&self, now: f64) -> Vec<Shortage> {
         let headroom = self.quota_headroom_by_team();
         let pending = prioritized_pending(&self.pending_queue, &self.jobs, headroom, now);
-        let mut shortage = Shortage {
-            cpus: pending.iter().map(|pending| pending.cpus).sum(),
-            jobs: BTreeSet::new(),
-            least_cpus: f64::INFINITY,
-            least_memory_gb: f64::INFINITY,
-        };
-        for pending in pending {
-            if let Some(job) = self.jobs.get(&pending.job) {
-                shortage.least_cpus = shortage.least_cpus.min(job.spec.cpus);
-                shortage.least_memory_gb = shortage.least_memory_gb.min(job.spec.memory_gb);
-                shortage.jobs.insert(pending.job);
+        let mut sets = PoolSets::new(&self.machine_types);
+        let work = group_by_pools(&pending, &self.jobs, &mut sets);
+        let pool_count = sets.catalog.len();
+        work.into_iter()
+            .map(|work| Shortage::new(work, &self.jobs, pool_count))
+            .collect()
+    }
+
+    /// Adds the room on all machines to the shortages; returns the machines with best-effort tasks
+    /// that may be preempted.
+    fn add_room_and_find_preemptible(&self, shortages: &mut [Shortage]) -> Vec<PreemptibleMachine> {
+        let catalog = PoolCatalog::new(&self.machine_types);
+        let mut preemptible = Vec::new();
+        for (name, machine) in &self.machines {
+            let is_leaving = machine.cordoned || machine.deleting;
+            let Some(pool) = catalog
+                .pool_of(machine)
+                .filter(|_| machine.up && !is_leaving)
+            else {
+                continue;
+            };
+            let free = machine_capacity(catalog.machine_type(pool)) - machine.used_resources();
+            for shortage in shortages.iter_mut() {
+                shortage.add_room(pool, machine, free);
+            }
+            if machine.placements.sums().has_best_effort && !machine.scaling_in {
+                preemptible.extend(self.preemptible_machine(name, machine, pool));
             }
         }
-        (shortage.cpus > 0.0).then_some(shortage)
+        preemptible
     }
 
-    /// Returns the machine if preempting its best-effort tasks makes room for work that lacks
-    /// room.
+    /// Returns the machine if best-effort tasks on it may be preempted.
     fn preemptible_machine(
         &self,
         name: &str,
         machine: &Machine,
-        shortage: &Shortage,
-        now: f64,
+        pool: usize,
     ) -> Option<PreemptibleMachine> {
         let placements = machine.placements.iter();
         let preemptible_cpus: f64 = placements
             .filter(|placement| is_preemptible(&self.jobs, placement))
             .map(|placement| placement.cpus)
             .sum();
-        if preemptible_cpus <= 0.0 || machine.scaling_in {
-            return None;
-        }
-        let mut jobs = shortage.jobs.iter().filter_map(|job| self.jobs.get(job));
-        if !jobs.any(|job| machine_allowed(&job.spec, machine)) {
-            return None;
-        }
-        Some(PreemptibleMachine {
+        (preemptible_cpus > 0.0).then(|| PreemptibleMachine {
             name: name.to_string(),
-            has_wanted_image: self.has_image_of(machine, shortage, now),
+            pool,
+            has_wanted_image: false,
             preemptible_cpus,
         })
     }
 
-    /// Whether the image of a job that lacks room is cached on the machine.
-    fn has_image_of(&self, machine: &Machine, shortage: &Shortage, now: f64) -> bool {
-        let is_wanted = |image: u64| {
-            let mut jobs = shortage.jobs.iter().filter_map(|job| self.jobs.get(job));
-            jobs.any(|job| job.image_id == image)
-        };
-        let mut images = machine.cached_images.iter();
-        images.any(|image| image.ready_at <= now && is_wanted(image.id))
+    /// Sorts machines by their use for work that lacks room: those that have an image of its jobs
+    /// first, then those with the most preemptible CPUs.
+    fn sort_by_use(&self, machines: &mut [PreemptibleMachine], shortage: &Shortage, now: f64) {
+        for preemptible in machines.iter_mut() {
+            let machine = self.machines.get(&preemptible.name);
+            let mut images = machine.iter().flat_map(|machine| &machine.cached_images);
+            preemptible.has_wanted_image =
+                images.any(|image| image.ready_at <= now && shortage.images.contains(&image.id));
+        }
+        machines.sort_by(|a, b| {
+            let by_image = b.has_wanted_image.cmp(&a.has_wanted_image);
+            let by_cpus = b.preemptible_cpus.total_cmp(&a.preemptible_cpus);
+            by_image.then(by_cpus).then_with(|| a.name.cmp(&b.name))
+        });
     }
 
-    /// Marks tasks for eviction until their CPUs cover the shortage. Only the CPUs that a team
-    /// uses beyond its guarantee may be taken from it.
-    fn request_evictions(&mut self, machines: &[PreemptibleMachine], mut shortage_cpus: f64) {
+    /// Returns the CPUs that each team uses beyond its guarantee; below 0 if it uses less.
+    fn cpus_beyond_guarantees(&self) -> HashMap<String, f64> {
         let teams = self.settings.teams.iter();
-        let mut beyond_guarantee_cpus: HashMap<String, f64> = teams
-            .map(|team| {
-                (
-                    team.name.clone(),
-                    self.quota_used(&team.name).cpus - team.cpus,
-                )
-            })
-            .collect();
+        let beyond_guarantee_cpus = |team: &Team| self.quota_used(&team.name).cpus - team.cpus;
+        teams
+            .map(|team| (team.name.clone(), beyond_guarantee_cpus(team)))
+            .collect()
+    }
+
+    /// Marks tasks for eviction until their CPUs cover what is missing. Only the CPUs that a team
+    /// uses beyond its guarantee may be taken from it.
+    fn request_evictions<'a>(
+        &mut self,
+        machines: impl Iterator<Item = &'a PreemptibleMachine>,
+        mut missing_cpus: f64,
+        preemption: &mut Preemption,
+    ) {
         for preemptible in machines {
             let Some(machine) = self.machines.get_mut(&preemptible.name) else {
                 continue;
             };
             for placement in machine.placements.iter_mut() {
-                if shortage_cpus <= 0.0 {
+                if missing_cpus <= 0.0 {
                     return;
                 }
+                let beyond_guarantee_cpus = &mut preemption.beyond_guarantee_cpus;
                 let Some(beyond_cpus) = beyond_guarantee_cpus.get_mut(&placement.team) else {
                     continue;
                 };
                 if is_preemptible(&self.jobs, placement) && *beyond_cpus >= placement.cpus {
                     *beyond_cpus -= placement.cpus;
-                    shortage_cpus -= placement.cpus;
+                    missing_cpus -= placement.cpus;
+                    // What one eviction frees beyond what is missing is room for other work.
+                    preemption.claimed_by_pool[preemptible.pool] += missing_cpus.min(0.0);
                     placement.eviction = EvictionState::Pending;
                 }
             }
--- a/crates/control/tests/preemption.rs
+++ b/crates/control/tests/preemption.rs
@@ -85,6 +85,34 @@
     cluster.leader.audit().unwrap();
 }
 
+/// Guards against urgent work that waits beside best-effort tasks in its zone: room in another
+/// zone, which the work may not use, counted as room for it, and nothing was preempted.
+#[test]
+fn work_bound_to_a_zone_preempts_there_beside_room_in_other_zones() {
+    let mut cluster = TestCluster::new();
+    let mut full = Worker::new("vm-1");
+    let mut roomy = Worker {
+        zone: "b".into(),
+        ..Worker::new("vm-2")
+    };
+    cluster.submit(&best_effort_job("wk-000001", 4), 0.0);
+    cluster.heartbeat(&mut full, "n1", 1.0);
+    cluster.heartbeat(&mut roomy, "n1", 1.5);
+    assert_eq!((full.running(), roomy.running()), (4, 0));
+    let bound = Submission {
+        zone: Some("a".into()),
+        ..job("wk-000002", 2)
+    };
+    cluster.submit(&bound, 2.0);
+    cluster.leader.place_pending(2.1);
+    let due = cluster.leader.due_direct_commands(2.1);
+    let sent = due.values().flatten().map(|due| {
+        let sent = stops(&due.commands.commands).len();
+        (due.machine.as_str(), sent)
+    });
+    assert_eq!(sent.collect::<Vec<_>>(), [("vm-1", 2)]);
+}
+
 /// A lost stop is sent again; one that the worker is executing is not.
 #[test]
 fn a_lost_preemption_stop_is_sent_again() {
