Reserve room only on machines that the waiting work may use

What callers saw: low work waited for 90 s and more beside a machine with room, kept for work that waits for machines of another zone or type.

Change: the room is reserved by instance pool; waiting work claims what is free in the pools that it may use, smaller sets of pools first.

--- a/crates/control/src/leader/instance_pools.rs
+++ b/crates/control/src/leader/instance_pools.rs
@@ -37,6 +37,14 @@
         self.words[pool / WORD_BITS] |= 1 << (pool % WORD_BITS);
     }
 
+    /// Adds all pools of another set of the same catalog.
+    pub(super) fn insert_all(&mut self, other: &PoolSet) {
+        self.words.resize(other.words.len(), 0);
+        for (own, other) in self.words.iter_mut().zip(&other.words) {
+            *own |= other;
+        }
+    }
+
     /// Whether the set contains the pool.
     pub(super) fn contains(&self, pool: usize) -> bool {
         let word = self.words.get(pool / WORD_BITS);
--- a/crates/control/src/leader/scheduler/candidates.rs
+++ b/crates/control/src/leader/scheduler/candidates.rs
@@ -16,6 +16,9 @@
     pub(super) name: &'a str,
     pub(super) machine: &'a mut Machine,
     pub(super) machine_type: &'a MachineType,
+    /// Its instance pool; None before best-effort work is served, or if the cloud offers its type
+    /// there no more.
+    pub(super) pool: Option<usize>,
     /// Resources that the machine's placements leave free, those of this pass included.
     pub(super) free: Resources,
     /// When the machine's image fetches end, those of this pass included.
@@ -53,6 +56,7 @@
             name,
             machine,
             machine_type,
+            pool: None,
             free,
             fetches_done_at,
         });
--- a/crates/control/src/leader/scheduler/commit.rs
+++ b/crates/control/src/leader/scheduler/commit.rs
@@ -43,7 +43,7 @@
         job.last_placed_at = self.now;
         self.used_by_team[team] += request;
         self.machines_to_record.insert(machine.to_string());
-        self.groups_placed += 1;
+        self.room_version += 1;
         let template = Placement {
             attempt,
             incarnation: candidate.machine.incarnation,
--- a/crates/control/src/leader/scheduler/gangs.rs
+++ b/crates/control/src/leader/scheduler/gangs.rs
@@ -81,7 +81,9 @@
         let request = task_request(&job.spec);
         let mut room_by_zone: BTreeMap<&str, u32> = BTreeMap::new();
         for candidate in &self.candidates {
-            if machine_allowed(&job.spec, candidate.machine) {
+            if self.reservation.is_open(candidate.pool)
+                && machine_allowed(&job.spec, candidate.machine)
+            {
                 let room = room_by_zone.entry(&candidate.machine.zone).or_default();
                 let tasks = candidate.free.task_count(request).min(max_per_machine);
                 *room = room.saturating_add(tasks);
--- a/crates/control/src/leader/scheduler/groups.rs
+++ b/crates/control/src/leader/scheduler/groups.rs
@@ -42,6 +42,7 @@
         };
         if self.pending[pending].kind == JobKind::Gang {
             self.place_gang(pending);
+            self.close_reserved_pools();
             return;
         }
         let Some(choice) = self.choose_machine(pending, selection, order) else {
@@ -58,6 +59,7 @@
             self.queue.serve(selection, tasks, expected_run_s);
             let first = selection.first_task;
             self.place(pending, first..first + tasks, attempt, choice.candidate);
+            self.close_reserved_pools();
         }
         // A suspect job is tried one task at a time.
         if tasks == 0 || is_suspect {
@@ -186,7 +188,7 @@
         let pending_job = &self.pending[pending];
         let job = self.jobs.get(&pending_job.job)?;
         if let Some(cached) = pending_job.best_machine
-            && cached.groups_placed == self.groups_placed
+            && cached.room_version == self.room_version
             && zone.is_none()
         {
             return cached.choice;
@@ -194,7 +196,7 @@
         *self.machines_examined += self.candidates.len() as u64;
         let choice = self.cheapest_machine(job, pending_job, zone);
         self.pending[pending].best_machine = Some(CachedMachineChoice {
-            groups_placed: self.groups_placed,
+            room_version: self.room_version,
             choice,
         });
         choice
@@ -244,6 +246,7 @@
         let failed_there = job.failed_on.get(candidate.name);
         let failures_there = machine.failures_by_job.get(&spec.id);
         candidate.free.task_count(task_request(spec)) > 0
+            && self.reservation.is_open(candidate.pool)
             && machine_allowed(spec, machine)
             && zone_task_limit(job, &machine.zone) > 0
             && (job.is_suspect() || !failed_there.is_some_and(|at| is_recent(*at)))
--- a/crates/control/src/leader/scheduler/mod.rs
+++ b/crates/control/src/leader/scheduler/mod.rs
@@ -27,6 +27,7 @@
 mod ordering;
 mod pass;
 mod pending;
+mod reservation;
 mod starvation;
 
 pub(super) use constraints::{machine_allowed, pool_allowed, zone_task_limit};
@@ -34,6 +35,7 @@
 
 use candidates::candidate_machines;
 use pass::{PlacementPass, ServingMode};
+use reservation::Reservation;
 
 /// State of placement that persists between passes.
 #[derive(Debug)]
@@ -159,6 +161,7 @@
         let pass = PlacementPass {
             now,
             settings: &self.settings,
+            machine_types: &self.machine_types,
             queue: &mut self.pending_queue,
             jobs: &mut self.jobs,
             quota_usage: &mut self.quota_usage,
@@ -175,8 +178,10 @@
             term: self.term,
             tokens_issued: &mut self.tokens_issued,
             machines_to_record: &mut self.machines_to_record,
-            groups_placed: 0,
+            room_version: 0,
             mode: ServingMode::default(),
+            reservation: Reservation::default(),
+            pool_count: 0,
             machines_examined: &mut self.scheduler.machines_examined,
         };
         let credit_cpus = self.scheduler.under_served_credit_cpus;
--- a/crates/control/src/leader/scheduler/ordering.rs
+++ b/crates/control/src/leader/scheduler/ordering.rs
@@ -1,7 +1,7 @@
 //! The order in which pending work is served: by priority, then by objectives that are
 //! about to be missed, then by the level clocks.
 
-use super::pass::{PlacementPass, QuotaBound, ServingMode};
+use super::pass::{PlacementPass, QuotaBound};
 use super::pending::{PendingJob, PendingRange, PriorityBand};
 use crate::leader::JobIndex;
 use cherrywood_limits as limits;
@@ -42,10 +42,7 @@
                 self.mode.prioritized_work_only = is_last;
                 self.serve_band(bound, band);
                 if is_last {
-                    self.mode = ServingMode {
-                        reserved_cpus: best_effort_reserve_cpus + self.prioritized_pending_cpus(),
-                        ..ServingMode::default()
-                    };
+                    self.reserve_for_prioritized_work(best_effort_reserve_cpus);
                     self.serve_band(bound, band);
                 }
             }
--- a/crates/control/src/leader/scheduler/pass.rs
+++ b/crates/control/src/leader/scheduler/pass.rs
@@ -3,14 +3,18 @@
 
 use super::candidates::CandidateMachine;
 use super::pending::{PendingJob, PositionLink, PriorityBand};
+use super::reservation::Reservation;
 use super::{ImageFetches, PassOutcome};
 use crate::Settings;
-use crate::leader::quota_headroom::{QuotaHeadroom, guarantee_of, limit_of, prioritized_pending};
+use crate::leader::quota_headroom::{
+    PendingDemand, QuotaHeadroom, guarantee_of, limit_of, prioritized_pending,
+};
 use crate::leader::{JobIndex, JobTable, QuotaUsage};
 use crate::resources::Resources;
 use cherrywood_admission::TenantClassId;
 use cherrywood_sched::MultiLevelQueue;
 use cherrywood_sched::queue::Selection;
+use cherrywood_wire::cloud::MachineType;
 use std::collections::BTreeSet;
 
 /// The bound of its team's quota up to which work is placed.
@@ -40,6 +44,7 @@
 pub(super) struct PlacementPass<'a> {
     pub(super) now: f64,
     pub(super) settings: &'a Settings,
+    pub(super) machine_types: &'a [MachineType],
     pub(super) queue: &'a mut MultiLevelQueue<JobIndex>,
     pub(super) jobs: &'a mut JobTable,
     pub(super) quota_usage: &'a mut QuotaUsage,
@@ -60,9 +65,14 @@
     pub(super) term: u64,
     pub(super) tokens_issued: &'a mut u64,
     pub(super) machines_to_record: &'a mut BTreeSet<String>,
-    /// Groups of tasks placed so far; a choice of machine is valid until the next group is placed.
-    pub(super) groups_placed: u64,
+    /// Rises with each group of tasks placed, and when pools are closed to best-effort work: a
+    /// choice of machine is valid for one version.
+    pub(super) room_version: u64,
     pub(super) mode: ServingMode,
+    /// Room that best-effort work leaves free; none before it is served.
+    pub(super) reservation: Reservation,
+    /// Number of instance pools; 0 before best-effort work is served.
+    pub(super) pool_count: usize,
     /// Machines examined in all passes: a measure of the cost of placement.
     pub(super) machines_examined: &'a mut u64,
 }
@@ -120,16 +130,13 @@
         limited
     }
 
-    /// Returns the CPUs that pending work other than best-effort work may use.
-    pub(super) fn prioritized_pending_cpus(&self) -> f64 {
+    /// Returns the pending work other than best-effort work.
+    pub(super) fn prioritized_pending(&self) -> Vec<PendingDemand> {
         let teams = self.settings.teams.iter().zip(&self.used_by_team);
         let headroom = teams
             .map(|(team, used)| QuotaHeadroom::new(team, *used))
             .collect();
         prioritized_pending(self.queue, self.jobs, headroom, self.now)
-            .iter()
-            .map(|pending| pending.cpus)
-            .sum()
     }
 
     /// Whether the machines have more CPUs free than must be left.
--- a/crates/control/src/leader/scheduler/pending.rs
+++ b/crates/control/src/leader/scheduler/pending.rs
@@ -50,11 +50,11 @@
     pub(super) image_wait_s: f64,
 }
 
-/// A choice of machine, valid until the next group of tasks is placed.
+/// A choice of machine, valid until the next group of tasks is placed or pools are closed.
 #[derive(Clone, Copy)]
 pub(super) struct CachedMachineChoice {
-    /// `PlacementPass::groups_placed` when the choice was made.
-    pub(super) groups_placed: u64,
+    /// `PlacementPass::room_version` when the choice was made.
+    pub(super) room_version: u64,
     /// None if no machine can take a task of the job.
     pub(super) choice: Option<MachineChoice>,
 }
--- a/crates/control/tests/preemption.rs
+++ b/crates/control/tests/preemption.rs
@@ -5,6 +5,7 @@
 
 use cherrywood_control::leader::{AddressedCommands, CloudCall, CommandOutcome};
 use cherrywood_wire::agent::{Command, ExitCause};
+use cherrywood_wire::cloud::MachineType;
 use cherrywood_wire::user::{Priority, Submission};
 use common::*;
 
@@ -113,6 +114,71 @@
     assert_eq!(sent.collect::<Vec<_>>(), [("vm-1", 2)]);
 }
 
+/// Guards against best-effort work that waits beside free machines: the room is kept for work that
+/// is bound to another zone, or whose tasks don't fit on these machines.
+#[test]
+fn best_effort_work_uses_room_that_other_pending_work_cannot_use() {
+    let large = MachineType {
+        name: "m32".into(),
+        cpus: 32.0,
+        memory_gb: 256.0,
+        ..machine_types().remove(0)
+    };
+    let elsewhere = Submission {
+        zone: Some("a".into()),
+        ..wide_job("wk-000001", 16)
+    };
+    let too_large = Submission {
+        cpus: 4.0,
+        memory_gb: 96.0,
+        ..wide_job("wk-000001", 8)
+    };
+    for other in [elsewhere, too_large] {
+        let mut cluster = TestCluster::new();
+        let types = vec![machine_types().remove(0), large.clone()];
+        cluster.leader.set_machine_types(types);
+        let mut worker = Worker {
+            zone: "b".into(),
+            ..Worker::new("vm-1")
+        };
+        cluster.submit(&other, 0.0);
+        cluster.submit(&best_effort_job("wk-000002", 3), 0.0);
+        cluster.heartbeat(&mut worker, "n1", 1.0);
+        cluster.heartbeat(&mut worker, "n1", 2.0);
+        assert_eq!(worker.running(), 3, "beside {other:?}");
+    }
+}
+
+/// Best-effort work leaves the room to other work that may use it, once enough has come free, and
+/// uses the room beside it.
+#[test]
+fn best_effort_work_leaves_room_for_other_pending_work_that_can_use_it() {
+    let mut cluster = TestCluster::new();
+    let zones = ["a", "b"].map(|zone| Worker {
+        zone: zone.into(),
+        ..Worker::new(&format!("vm-{zone}"))
+    });
+    let [mut in_a, mut in_b] = zones;
+    let bound = |id: &str, zone: &str, cpus: f64| Submission {
+        zone: Some(zone.into()),
+        cpus,
+        ..wide_job(id, 1)
+    };
+    cluster.submit(&bound("wk-000001", "a", 5.0), 0.0);
+    cluster.submit(&bound("wk-000002", "b", 2.0), 0.0);
+    cluster.heartbeat(&mut in_a, "n1", 1.0);
+    cluster.heartbeat(&mut in_b, "n1", 1.0);
+    assert_eq!((in_a.running(), in_b.running()), (1, 1));
+    // A task of 4 CPUs doesn't fit into the 3 CPUs that are free in its zone.
+    cluster.submit(&bound("wk-000003", "a", 4.0), 2.0);
+    cluster.submit(&best_effort_job("wk-000004", 8), 2.0);
+    for now in [3.0, 4.0] {
+        cluster.heartbeat(&mut in_a, "n1", now);
+        cluster.heartbeat(&mut in_b, "n1", now);
+    }
+    assert_eq!((in_a.running(), in_b.running()), (1, 4));
+}
+
 /// A lost stop is sent again; one that the worker is executing is not.
 #[test]
 fn a_lost_preemption_stop_is_sent_again() {
