Scale in by the instance pools that work may use

What callers saw: a job waited for 90 s and more beside a machine with room for it, which was being emptied; machines were emptied whose tasks fit no other one; no idle machine was returned while any work waited.

Change: the machines of each set of pools that waiting work may use must suffice for it before one is emptied, and those that a machine's tasks may use for these; a job that has waited for 10 s and finds room on a machine that is being emptied alone gets it back. Idle machines are kept for work that may use them. The cluster of tests/scale_out.rs moved to tests/common/fleet.rs.

--- a/crates/control/src/leader/autoscaler/machine_health.rs
+++ b/crates/control/src/leader/autoscaler/machine_health.rs
@@ -1,6 +1,7 @@
 //! Selection of the machines to delete: those that are lost, never came up, or are not needed.
 
 use super::overdue_boots::boot_s;
+use crate::leader::instance_pools::{PoolCatalog, PoolSet, PoolSets};
 use crate::leader::{Leader, Machine};
 use cherrywood_limits as limits;
 use std::fmt;
@@ -43,14 +44,33 @@
 }
 
 /// State of the fleet that the decisions on all machines depend on.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug)]
 struct FleetState {
     /// Whether so many machines are silent at once that the network is the likelier cause.
     partition_suspected: bool,
-    /// Whether any work is pending.
-    work_pending: bool,
-    /// Whether work is pending that is not best effort.
-    prioritized_work_pending: bool,
+    /// The instance pools that pending work may use.
+    wanted_pools: WantedPools,
+}
+
+/// Instance pools that pending work may use.
+#[derive(Debug, Default)]
+struct WantedPools {
+    /// Those that any work may use.
+    any: PoolSet,
+    /// Those that work may use which is not best effort.
+    prioritized: PoolSet,
+}
+
+impl WantedPools {
+    /// Whether pending work may use the idle machine, of this pool, and justifies keeping it: spot
+    /// machines are kept for all work, on-demand machines for work that is not best effort.
+    fn keep(&self, machine: &Machine, pool: Option<usize>) -> bool {
+        let wanted = match machine.spot {
+            true => &self.any,
+            false => &self.prioritized,
+        };
+        pool.is_some_and(|pool| wanted.contains(pool))
+    }
 }
 
 impl Leader {
@@ -58,16 +78,23 @@
     pub(super) fn mark_machines_to_delete(&mut self, now: f64) {
         let state = FleetState {
             partition_suspected: self.is_partition_suspected(now),
-            work_pending: self.is_work_pending(true),
-            prioritized_work_pending: self.is_work_pending(false),
+            wanted_pools: self.wanted_pools(),
         };
         self.update_overdue_boots(now);
+        let catalog = PoolCatalog::new(&self.machine_types);
         let mut reasons = Vec::new();
         for (name, machine) in &self.machines {
             if machine.deleting {
                 continue;
             }
-            if let Some(reason) = self.deletion_reason(machine, state, now) {
+            let is_wanted = || {
+                let pool = catalog.pool_of(machine);
+                state.wanted_pools.keep(machine, pool)
+            };
+            let reason = self
+                .loss_reason(machine, state.partition_suspected, now)
+                .or_else(|| unused_reason(machine, is_wanted, now));
+            if let Some(reason) = reason {
                 reasons.push((name.clone(), reason));
             }
         }
@@ -104,23 +131,23 @@
         silent as f64 > max_silent.max(MIN_SILENT_FOR_PARTITION)
     }
 
-    /// Whether work is pending that may run. Suspect jobs don't count: they are tried one task at
-    /// a time.
-    fn is_work_pending(&self, with_best_effort: bool) -> bool {
-        self.pending_queue.ranges().any(|range| {
+    /// Returns the pools that pending work may use. Suspect jobs don't count: they are tried one
+    /// task at a time.
+    fn wanted_pools(&self) -> WantedPools {
+        let mut sets = PoolSets::new(&self.machine_types);
+        let mut wanted = WantedPools::default();
+        for range in self.pending_queue.ranges() {
             let job = self.jobs.get(&range.job);
-            job.is_some_and(|job| (with_best_effort || !job.best_effort) && !job.is_suspect())
-        })
-    }
-
-    fn deletion_reason(
-        &self,
-        machine: &Machine,
-        state: FleetState,
-        now: f64,
-    ) -> Option<DeletionReason> {
-        self.loss_reason(machine, state.partition_suspected, now)
-            .or_else(|| unused_reason(machine, state, now))
+            let Some(job) = job.filter(|job| !job.is_suspect()) else {
+                continue;
+            };
+            let set = sets.usable_by(&job.spec).set;
+            wanted.any.insert_all(sets.get(set));
+            if !job.best_effort {
+                wanted.prioritized.insert_all(sets.get(set));
+            }
+        }
+        wanted
     }
 
     /// Returns why the machine counts as lost, if it does.
@@ -160,21 +187,21 @@
 }
 
 /// Returns why a machine that is up isn't needed, if it isn't.
-fn unused_reason(machine: &Machine, state: FleetState, now: f64) -> Option<DeletionReason> {
+fn unused_reason(
+    machine: &Machine,
+    is_wanted: impl Fn() -> bool,
+    now: f64,
+) -> Option<DeletionReason> {
     if !machine.up || !machine.placements.is_empty() || machine.spot_notice_s.is_some() {
         return None;
     }
     if machine.cordoned || machine.scaling_in {
         return Some(DeletionReason::Emptied);
     }
-    let (max_idle_s, work_pending) = if machine.spot {
-        (limits::IDLE_SPOT_RETURN_S, state.work_pending)
-    } else {
-        (
-            limits::IDLE_ON_DEMAND_RETURN_S,
-            state.prioritized_work_pending,
-        )
+    let max_idle_s = match machine.spot {
+        true => limits::IDLE_SPOT_RETURN_S,
+        false => limits::IDLE_ON_DEMAND_RETURN_S,
     };
     let idle_s = now - machine.idle_since;
-    (idle_s > max_idle_s && !work_pending).then_some(DeletionReason::Idle)
+    (idle_s > max_idle_s && !is_wanted()).then_some(DeletionReason::Idle)
 }
--- a/crates/control/src/leader/autoscaler/mod.rs
+++ b/crates/control/src/leader/autoscaler/mod.rs
@@ -195,7 +195,7 @@
     /// returned.
     pub fn autoscale(&mut self, now: f64) -> Vec<CloudCall> {
         self.free_expired_placements(now);
-        let demand = self.fleet_demand();
+        let mut demand = self.fleet_demand();
         let all_cpus = demand
             .total
             .all
@@ -205,10 +205,8 @@
             .prioritized
             .wanted_cpus(limits::ON_DEMAND_BACKLOG_DRAIN_S);
         let averages = self.autoscaler.observe_demand(prioritized_cpus, now);
-        self.scale_in(
-            scale_in::WantedCpus::new(all_cpus, prioritized_cpus, averages),
-            now,
-        );
+        let wanted = scale_in::WantedCpus::new(all_cpus, prioritized_cpus, averages);
+        self.scale_in(wanted, &mut demand, now);
         self.mark_machines_to_delete(now);
         let mut deletions = self.deletion_calls().into_iter();
         let mut calls = Vec::new();
--- a/crates/control/src/leader/autoscaler/room.rs
+++ b/crates/control/src/leader/autoscaler/room.rs
@@ -39,9 +39,10 @@
     pub(super) existing_cpus: f64,
     /// CPUs that the tasks on them occupy.
     pub(super) occupied: OccupiedByPriority,
-    /// Room that is free now.
+    /// Room that is free now, on machines that aren't being drained.
     pub(super) free: LargestRooms,
-    /// Room beside tasks of services, which never end: free at some time.
+    /// Room beside tasks of services, which never end: free at some time, on machines that aren't
+    /// being drained.
     pub(super) lasting: LargestRooms,
 }
 
@@ -73,6 +74,12 @@
         &self.pools[pool]
     }
 
+    /// Adds the room on a machine that is no longer being drained.
+    pub(super) fn add_drained(&mut self, pool: usize, free: Resources) {
+        self.pools[pool].free.add(free);
+        self.pools[pool].lasting.add(free);
+    }
+
     /// Adds empty machines to a pool, as if they were rented already.
     pub(super) fn add_machines(&mut self, pool: usize, machines: u32, capacity: Resources) {
         let room = &mut self.pools[pool];
@@ -127,6 +134,9 @@
             room.machines += 1;
             room.existing_cpus += capacity.cpus;
             room.occupied += machine.occupied(capacity);
+            if machine.scaling_in {
+                continue;
+            }
             room.free.add(capacity - machine.used_resources());
             let used_by_services = match has_services {
                 true => self.used_by_services(machine),
--- a/crates/control/src/leader/autoscaler/scale_out.rs
+++ b/crates/control/src/leader/autoscaler/scale_out.rs
@@ -166,22 +166,20 @@
     /// there may be enough of the wrong kind, or a job may want too few to be worth an on-demand
     /// machine; without a check of each such job it would wait forever.
     fn waiting_jobs(&self, now: f64) -> Vec<&Job> {
-        let mut waiting: Vec<&Job> = Vec::new();
-        for range in self.pending_queue.ranges() {
-            let Some(job) = self.jobs.get(&range.job) else {
-                continue;
-            };
-            let min_wait_s = if job.best_effort {
-                limits::UNPLACEABLE_BEST_EFFORT_RENT_AFTER_S
-            } else {
-                limits::UNPLACEABLE_JOB_RENT_AFTER_S
-            };
-            let has_waited = now - job.ready_at > min_wait_s && job.retry_at <= now;
-            if has_waited && !job.is_suspect() {
-                waiting.push(job);
-            }
-        }
-        waiting
+        let min_wait_s = |job: &Job| match job.best_effort {
+            true => limits::UNPLACEABLE_BEST_EFFORT_RENT_AFTER_S,
+            false => limits::UNPLACEABLE_JOB_RENT_AFTER_S,
+        };
+        self.jobs_waiting_since(|job| now - min_wait_s(job), now)
+    }
+
+    /// Returns the pending jobs that were ready before `since`; those that pause after failures,
+    /// or are tried one task at a time, don't count.
+    pub(super) fn jobs_waiting_since(&self, since: impl Fn(&Job) -> f64, now: f64) -> Vec<&Job> {
+        let ranges = self.pending_queue.ranges();
+        let jobs = ranges.filter_map(|range| self.jobs.get(&range.job));
+        jobs.filter(|job| job.ready_at < since(job) && job.retry_at <= now && !job.is_suspect())
+            .collect()
     }
 
     /// Whether no machine could run a task of the job: now, if it needs room that is free now, or
@@ -285,7 +283,7 @@
 }
 
 /// Whether the limit of the job's team admits one more of its tasks: if not, it needs no machine.
-fn has_headroom(job: &Job, headroom: &[QuotaHeadroom]) -> bool {
+pub(super) fn has_headroom(job: &Job, headroom: &[QuotaHeadroom]) -> bool {
     let headroom = job.team_index.and_then(|team| headroom.get(team));
     headroom.is_some_and(|headroom| headroom.admits(&job.spec))
 }
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -2,6 +2,8 @@
 //! seconds; nothing sleeps.
 #![allow(dead_code)]
 
+pub mod fleet;
+
 use cherrywood_control::leader::{RecoveredState, WriteOutcome};
 use cherrywood_control::settings::Objective;
 use cherrywood_control::{Leader, Settings, Team, keys};
--- a/crates/control/tests/scale_out.rs
+++ b/crates/control/tests/scale_out.rs
@@ -2,105 +2,10 @@
 
 mod common;
 
-use cherrywood_control::leader::CloudCall;
-use cherrywood_wire::cloud::MachineType;
 use cherrywood_wire::user::{JobKind, Submission};
+use common::fleet::*;
 use common::*;
 
-/// A cluster and its cloud; rented machines are up at once.
-struct Fleet {
-    cluster: TestCluster,
-    machines: Vec<Worker>,
-    /// Zones in which the cloud has no more machines.
-    exhausted: Vec<String>,
-    /// Zones of the rentals that were asked for.
-    asked: Vec<String>,
-}
-
-/// The small type of most tests, a larger one, and one with GPUs.
-fn three_types() -> Vec<MachineType> {
-    let small = machine_types().remove(0);
-    let large = MachineType {
-        name: "m32".into(),
-        cpus: 32.0,
-        memory_gb: 256.0,
-        price_per_hour: 9.0,
-        spot_price_per_hour: Some(2.5),
-        ..small.clone()
-    };
-    let gpu = MachineType {
-        name: "g8".into(),
-        gpus: 8.0,
-        price_per_hour: 12.0,
-        spot_price_per_hour: Some(5.0),
-        ..large.clone()
-    };
-    vec![small, large, gpu]
-}
-
-impl Fleet {
-    fn new() -> Fleet {
-        let mut cluster = TestCluster::new();
-        cluster.leader.set_machine_types(three_types());
-        Fleet {
-            cluster,
-            machines: Vec::new(),
-            exhausted: Vec::new(),
-            asked: Vec::new(),
-        }
-    }
-
-    fn run(&mut self, from: f64, until: f64) {
-        let mut now = from;
-        while now < until {
-            now += 0.5;
-            for worker in &mut self.machines {
-                self.cluster.heartbeat(worker, "n", now);
-            }
-            for call in self.cluster.leader.autoscale(now) {
-                self.call(call, now);
-            }
-            self.cluster.leader.audit().unwrap();
-        }
-    }
-
-    fn call(&mut self, call: CloudCall, now: f64) {
-        match call {
-            CloudCall::Delete(names) => {
-                self.machines.retain(|m| !names.contains(&m.name));
-                self.cluster.leader.machines_deleted(&names, now);
-            }
-            CloudCall::Rent(rent) => {
-                self.asked.push(rent.zone.clone());
-                let is_exhausted = self.exhausted.contains(&rent.zone);
-                let count = if is_exhausted { 0 } else { rent.count };
-                let names = (0..count).map(|n| format!("vm-{now}-{}-{n}", rent.request_id));
-                let names: Vec<String> = names.collect();
-                for name in &names {
-                    let mut worker = Worker::new(name);
-                    worker.zone.clone_from(&rent.zone);
-                    worker.machine_type.clone_from(&rent.machine_type);
-                    self.machines.push(worker);
-                }
-                let names = (!is_exhausted).then_some(names.as_slice());
-                self.cluster.leader.rental_answered(&rent, names, now);
-            }
-        }
-    }
-
-    fn running(&self, id: &str) -> usize {
-        let tasks = self.machines.iter().flat_map(|m| &m.tasks);
-        tasks.filter(|t| t.task.starts_with(id)).count()
-    }
-}
-
-fn bound(id: &str, zone: &str, tasks: u32) -> Submission {
-    Submission {
-        zone: Some(zone.into()),
-        ..wide_job(id, tasks)
-    }
-}
-
 /// Guards against an accepted job that never runs: a job that may run anywhere waits behind one
 /// that is bound to a zone in which the cloud has no more machines.
 #[test]
@@ -158,13 +63,6 @@
     );
 }
 
-fn of_type<'a>(fleet: &'a Fleet, name: &'a str) -> impl Iterator<Item = &'a Worker> {
-    fleet
-        .machines
-        .iter()
-        .filter(move |m| m.machine_type == name)
-}
-
 /// A cluster in which three small machines each run a long task that takes 5 of their 8 CPUs.
 fn fleet_of_small_machines() -> Fleet {
     let mut fleet = Fleet::new();
