Rent machines in the zone of an array that must stay in one

What callers saw: an array whose tasks must be in the same zone ran a few tasks at a time while other zones had room, and no machine was rented.

Cause: the first placed task decides the zone, but demand and room were compared over all zones.

Change: the pools that a job may use follow the zone of its placed tasks.

Evidence: the new test of scale_out.rs failed before (4 of 20 tasks running) and passes now, with all tests of control.

--- a/crates/control/src/leader/autoscaler/demand.rs
+++ b/crates/control/src/leader/autoscaler/demand.rs
@@ -139,7 +139,7 @@
         for placement in machine.placements.iter() {
             let job = placement.job.and_then(|job| self.leader.jobs.get(&job));
             if let Some(job) = job {
-                let usable = self.sets.usable_by(&job.spec);
+                let usable = self.sets.usable_by(job);
                 let placed = OccupiedByPriority {
                     all: usable.occupied,
                     prioritized: match placement.best_effort {
@@ -171,7 +171,7 @@
             // Tasks that the limit on GPUs keeps from running need no machine.
             let count = gpu_headroom[team].take_gpus(&job.spec, f64::from(runnable));
             if count > 0.0 {
-                let usable = self.sets.usable_by(&job.spec);
+                let usable = self.sets.usable_by(job);
                 let tasks = PendingTasks {
                     count,
                     run_s: self.leader.expected_run_s(job),
--- a/crates/control/src/leader/autoscaler/machine_health.rs
+++ b/crates/control/src/leader/autoscaler/machine_health.rs
@@ -141,7 +141,7 @@
             let Some(job) = job.filter(|job| !job.is_suspect()) else {
                 continue;
             };
-            let set = sets.usable_by(&job.spec).set;
+            let set = sets.usable_by(job).set;
             wanted.any.insert_all(sets.get(set));
             if !job.best_effort {
                 wanted.prioritized.insert_all(sets.get(set));
--- a/crates/control/src/leader/autoscaler/scale_in.rs
+++ b/crates/control/src/leader/autoscaler/scale_in.rs
@@ -250,7 +250,7 @@
 
     /// Returns the pools on whose machines the job's next task may run.
     fn usable_pools_now(&mut self, job: &'a Job) -> Vec<usize> {
-        let UsablePools { set, .. } = self.sets.usable_by(&job.spec);
+        let UsablePools { set, .. } = self.sets.usable_by(job);
         let catalog = &self.sets.catalog;
         let pools = self.sets.get(set).iter();
         pools
@@ -300,7 +300,7 @@
         let leader = self.leader;
         let placements = leader.machines[&machine.name].placements.iter();
         for job in placements.filter_map(|placement| leader.jobs.get(&placement.job?)) {
-            sets.insert(self.sets.usable_by(&job.spec).set);
+            sets.insert(self.sets.usable_by(job).set);
         }
         sets.into_iter().all(|set| {
             let pools = self.sets.get(set);
--- a/crates/control/src/leader/autoscaler/scale_out.rs
+++ b/crates/control/src/leader/autoscaler/scale_out.rs
@@ -98,7 +98,7 @@
         let unserved = self.waiting_jobs(now);
         let unserved: Vec<(&Job, UsablePools)> = unserved
             .into_iter()
-            .map(|job| (job, sets.usable_by(&job.spec)))
+            .map(|job| (job, sets.usable_by(job)))
             .collect();
         let room = demand.room.clone();
         let offers = (0..sets.catalog.len()).map(|pool| self.offer(&sets.catalog, &room, pool));
--- a/crates/control/src/leader/instance_pools.rs
+++ b/crates/control/src/leader/instance_pools.rs
@@ -1,7 +1,7 @@
 //! Instance pools, and the sets of pools whose machines tasks may use.
 
-use super::Machine;
 use super::scheduler::pool_allowed;
+use super::{Job, Machine};
 use crate::resources::{machine_capacity, task_request};
 use cherrywood_sched::provisioning::OccupiedCpus;
 use cherrywood_wire::cloud::MachineType;
@@ -73,7 +73,7 @@
     }
 }
 
-/// What of a submission determines the pools that its tasks may use.
+/// What of a job determines the pools that its next task may use.
 #[derive(Debug, PartialEq, Eq, Hash)]
 struct PoolConstraints<'a> {
     machine_types: Option<&'a [String]>,
@@ -84,10 +84,11 @@
 }
 
 impl<'a> PoolConstraints<'a> {
-    fn of(spec: &'a Submission) -> PoolConstraints<'a> {
+    fn of(job: &'a Job) -> PoolConstraints<'a> {
+        let spec = &job.spec;
         PoolConstraints {
             machine_types: spec.machine_types.as_deref(),
-            zone: spec.zone.as_deref(),
+            zone: job.required_zone(),
             allow_spot: spec.allow_spot,
             request: [spec.cpus, spec.gpus, spec.memory_gb].map(f64::to_bits),
         }
@@ -174,13 +175,16 @@
         }
     }
 
-    /// Returns the pools whose machines tasks of the submission may use, and fit on.
-    fn usable_pools(&self, spec: &Submission) -> PoolSet {
+    /// Returns the pools whose machines the next task of the job may use, and fits on.
+    fn usable_pools(&self, job: &Job) -> PoolSet {
+        let spec = &job.spec;
+        let required_zone = job.required_zone();
         let mut usable = PoolSet::with_capacity(self.len());
         for pool in 0..self.len() {
             let machine_type = self.machine_type(pool);
             let (name, zone) = (&machine_type.name, self.zone(pool));
             if pool_allowed(spec, name, zone, self.is_spot(pool))
+                && required_zone.is_none_or(|required| required == zone)
                 && task_request(spec).fits_in(machine_capacity(machine_type))
             {
                 usable.insert(pool);
@@ -213,7 +217,7 @@
     }
 }
 
-/// The pools that tasks of a submission may use.
+/// The pools that the next task of a job may use.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct UsablePools {
     /// Number of the set of pools.
@@ -224,7 +228,7 @@
     pub(super) is_one_per_machine: bool,
 }
 
-/// The distinct sets of pools that submissions may use. Each is numbered when it first occurs;
+/// The distinct sets of pools that jobs may use. Each is numbered when it first occurs;
 /// the constraints of thousands of jobs lead to few sets.
 pub(super) struct PoolSets<'a> {
     pub(super) catalog: PoolCatalog<'a>,
@@ -244,15 +248,15 @@
         }
     }
 
-    /// Returns the pools that tasks of the submission may use.
-    pub(super) fn usable_by(&mut self, spec: &'a Submission) -> UsablePools {
-        let constraints = PoolConstraints::of(spec);
+    /// Returns the pools that the next task of the job may use.
+    pub(super) fn usable_by(&mut self, job: &'a Job) -> UsablePools {
+        let constraints = PoolConstraints::of(job);
         if let Some(usable) = self.by_constraints.get(&constraints) {
             return *usable;
         }
-        let set = self.catalog.usable_pools(spec);
-        let occupied = self.catalog.occupied_cpus(spec, &set);
-        let is_one_per_machine = self.catalog.is_one_per_machine(spec, &set);
+        let set = self.catalog.usable_pools(job);
+        let occupied = self.catalog.occupied_cpus(&job.spec, &set);
+        let is_one_per_machine = self.catalog.is_one_per_machine(&job.spec, &set);
         let next = self.sets.len();
         let index = *self.by_set.entry(set.clone()).or_insert(next);
         if index == next {
--- a/crates/control/src/leader/job.rs
+++ b/crates/control/src/leader/job.rs
@@ -110,6 +110,16 @@
         !self.placements_by_task.is_empty()
     }
 
+    /// Returns the only zone in which its next task may run, if there is one: that of the
+    /// submission, or that of its placed tasks if all must be in the same zone.
+    pub(super) fn required_zone(&self) -> Option<&str> {
+        let mut zones = self.placements_by_zone.iter();
+        let holds_all = |count: u32| count > 0 && count == self.placement_count;
+        let placed_in = zones.find(|(_, count)| self.spec.single_zone && holds_all(**count));
+        let placed_in = placed_in.map(|(zone, _)| zone.as_str());
+        self.spec.zone.as_deref().or(placed_in)
+    }
+
     /// Whether the task is neither done nor placed.
     pub(super) fn needs_placement(&self, task: u32) -> bool {
         !self.done.get(task) && !self.placements_by_task.contains_key(&task)
--- a/crates/control/src/leader/pool_work.rs
+++ b/crates/control/src/leader/pool_work.rs
@@ -43,7 +43,7 @@
         let Some(job) = jobs.get(&demand.job) else {
             continue;
         };
-        let set = sets.usable_by(&job.spec).set;
+        let set = sets.usable_by(job).set;
         let work = by_set
             .entry(set)
             .or_insert_with(|| PoolWork::none(sets.get(set).clone()));
--- a/crates/control/tests/scale_out.rs
+++ b/crates/control/tests/scale_out.rs
@@ -162,3 +162,31 @@
     assert_eq!(fleet.running("wk-000002"), 2);
     assert_eq!(fleet.running("wk-000001"), 3);
 }
+
+/// Guards against an array that runs a few tasks at a time: they must be in one zone, while room in
+/// other zones counts as room for them.
+#[test]
+fn an_array_in_one_zone_gets_its_machines_there() {
+    let mut fleet = Fleet::new();
+    for n in 1..=6 {
+        fleet.machines.push(Worker {
+            zone: "b".into(),
+            ..Worker::new(&format!("vm-{n}"))
+        });
+    }
+    fleet.machines.insert(0, Worker::new("vm-0"));
+    let single_zone = Submission {
+        single_zone: true,
+        estimate_s: 300.0,
+        machine_types: Some(vec!["m8".into()]),
+        ..wide_job("wk-000001", 20)
+    };
+    fleet.cluster.submit(&single_zone, 0.0);
+    fleet.run(0.0, 10.0);
+    assert_eq!(
+        fleet.running("wk-000001"),
+        20,
+        "{}",
+        fleet.cluster.leader.summary()
+    );
+}
