Rent machines for all tasks of a gang

What callers saw: a gang waited for good, without any trouble, if its tasks don't divide the machines, if other tasks leave too little room on each machine, or if its tasks must be in one zone or over two.

Other jobs' tasks start when others end; a gang starts whole or not at all.

Change: the tasks of a gang that find room are counted machine by machine and zone by zone, a bounded number of machines a run; machines are rented for the others. No machine is emptied that a waiting gang may use.

--- a/crates/control/src/leader/autoscaler/demand.rs
+++ b/crates/control/src/leader/autoscaler/demand.rs
@@ -177,7 +177,10 @@
                     run_s: self.leader.expected_run_s(job),
                     occupied: usable.occupied,
                 };
-                self.demand_of(usable.set).add_pending(job, team, tasks);
+                // Machines for gangs are counted by their whole tasks instead.
+                if job.spec.kind != JobKind::Gang {
+                    self.demand_of(usable.set).add_pending(job, team, tasks);
+                }
                 self.total.add_pending(job, team, tasks);
                 self.pending_sets.insert(usable.set);
             }
--- a/crates/control/src/leader/autoscaler/mod.rs
+++ b/crates/control/src/leader/autoscaler/mod.rs
@@ -18,6 +18,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 mod demand;
+mod gangs;
 mod inventory;
 mod machine_health;
 mod overdue_boots;
--- a/crates/control/src/leader/autoscaler/scale_in.rs
+++ b/crates/control/src/leader/autoscaler/scale_in.rs
@@ -57,6 +57,18 @@
         }
     }
 
+    /// Returns that all machines are wanted which pending gangs may use: a gang needs machines for
+    /// all of its tasks at once, and sums of CPUs don't tell which.
+    fn for_gangs(best_effort: bool) -> WantedCpus {
+        WantedCpus {
+            spot: f64::INFINITY,
+            on_demand: match best_effort {
+                true => 0.0,
+                false => f64::INFINITY,
+            },
+        }
+    }
+
     fn of(self, machine: &FleetMachine) -> f64 {
         if machine.spot {
             self.spot
@@ -94,6 +106,14 @@
 }
 
 impl WantedMachines {
+    fn new(pools: Option<PoolSet>, wanted: WantedCpus) -> WantedMachines {
+        WantedMachines {
+            pools,
+            active_cpus: 0.0,
+            wanted,
+        }
+    }
+
     fn include(&self, machine: &FleetMachine) -> bool {
         let pools = self.pools.as_ref();
         pools.is_none_or(|pools| machine.is_in(pools))
@@ -138,20 +158,24 @@
 
 impl<'a> Fleet<'a> {
     fn new(leader: &'a Leader, wanted: WantedCpus, demand: &FleetDemand, now: f64) -> Fleet<'a> {
-        let sets = PoolSets::new(&leader.machine_types);
-        let of_pools = demand.by_pools.iter().map(|work| WantedMachines {
-            pools: Some(work.pools.clone()),
-            active_cpus: 0.0,
-            wanted: WantedCpus::in_pools(work),
-        });
-        let of_all = WantedMachines {
-            pools: None,
-            active_cpus: 0.0,
-            wanted,
-        };
+        let mut sets = PoolSets::new(&leader.machine_types);
+        let mut wanted = vec![WantedMachines::new(None, wanted)];
+        for work in &demand.by_pools {
+            let in_pools = WantedCpus::in_pools(work);
+            wanted.push(WantedMachines::new(Some(work.pools.clone()), in_pools));
+        }
+        let gangs = leader.pending_gangs(&mut sets, now).into_iter();
+        let of_gangs: BTreeSet<(usize, bool)> = gangs
+            .map(|(gang, usable)| (usable.set, gang.best_effort))
+            .collect();
+        for (set, best_effort) in of_gangs {
+            let pools = sets.get(set).clone();
+            let for_gangs = WantedCpus::for_gangs(best_effort);
+            wanted.push(WantedMachines::new(Some(pools), for_gangs));
+        }
         let mut fleet = Fleet {
             leader,
-            wanted: std::iter::once(of_all).chain(of_pools).collect(),
+            wanted,
             active_cpus_by_pool: vec![0.0; sets.catalog.len()],
             sets,
             draining: Vec::new(),
--- a/crates/control/src/leader/autoscaler/scale_out.rs
+++ b/crates/control/src/leader/autoscaler/scale_out.rs
@@ -14,7 +14,7 @@
 use tracing::info;
 
 /// The machines to rent in one run of the autoscaler, and the room that there is with them.
-struct RentalPlan<'a> {
+pub(super) struct RentalPlan<'a> {
     catalog: &'a PoolCatalog<'a>,
     room: FleetRoom,
     /// The cloud's offer of each pool, if there is one now.
@@ -40,30 +40,28 @@
         }
     }
 
-    /// Adds machines of a pool to the plan, as many as one rental may still name.
-    fn order(&mut self, pool: usize, machines: u32) {
-        let planned = self.orders.iter_mut().find(|order| order.0 == pool);
-        let machines = match planned {
-            Some((_, planned)) => {
-                let machines = machines.min(limits::RENTAL_MACHINES_MAX - *planned);
-                *planned += machines;
-                machines
-            }
-            None => {
-                self.orders.push((pool, machines));
-                machines
-            }
-        };
+    /// Adds machines of a pool to the plan, as many as one rental may still name; returns how
+    /// many these are.
+    pub(super) fn order(&mut self, pool: usize, machines: u32) -> u32 {
+        let planned = self.orders.iter().position(|order| order.0 == pool);
+        let planned = planned.unwrap_or_else(|| {
+            self.orders.push((pool, 0));
+            self.orders.len() - 1
+        });
+        let planned = &mut self.orders[planned].1;
+        let machines = machines.min(limits::RENTAL_MACHINES_MAX - *planned);
+        *planned += machines;
         let capacity = machine_capacity(self.catalog.machine_type(pool));
         self.ordered_cpus[pool] += capacity.cpus * f64::from(machines);
         self.room.add_machines(pool, machines, capacity);
         if let Some(offer) = &mut self.offers[pool] {
             offer.existing_machines += machines;
         }
+        machines
     }
 
     /// Returns the cloud's offers in these pools.
-    fn offers_in(&self, pools: &PoolSet) -> Vec<PoolOffer> {
+    pub(super) fn offers_in(&self, pools: &PoolSet) -> Vec<PoolOffer> {
         let offer = |pool: usize| {
             let offer = self.offers[pool].clone()?;
             Some(PoolOffer { pool, offer })
@@ -78,9 +76,9 @@
 }
 
 /// An offer of the cloud, and its pool.
-struct PoolOffer {
-    pool: usize,
-    offer: InstanceOffer,
+pub(super) struct PoolOffer {
+    pub(super) pool: usize,
+    pub(super) offer: InstanceOffer,
 }
 
 impl Leader {
@@ -98,8 +96,10 @@
         let unserved = self.waiting_jobs(now);
         let unserved: Vec<(&Job, UsablePools)> = unserved
             .into_iter()
+            .filter(|job| job.spec.kind != JobKind::Gang)
             .map(|job| (job, sets.usable_by(job)))
             .collect();
+        let gangs = self.pending_gangs(&mut sets, now);
         let room = demand.room.clone();
         let offers = (0..sets.catalog.len()).map(|pool| self.offer(&sets.catalog, &room, pool));
         let offers = offers.collect();
@@ -107,6 +107,7 @@
         for pool_demand in &demand.by_pools {
             self.rent_for_demand(&mut plan, pool_demand);
         }
+        self.rent_for_gangs(&mut plan, &sets, &gangs);
         let headroom = self.quota_headroom_by_team();
         for (job, usable) in unserved {
             let pools = sets.get(usable.set);
@@ -118,7 +119,7 @@
                 rent_for_unplaceable(&mut plan, job, pools);
             }
         }
-        let orders = plan.orders.into_iter();
+        let orders = plan.orders.into_iter().filter(|order| order.1 > 0);
         orders
             .map(|(pool, machines)| (sets.catalog.instance_pool(pool), machines))
             .collect()
--- a/crates/control/src/leader/quota_headroom.rs
+++ b/crates/control/src/leader/quota_headroom.rs
@@ -2,7 +2,7 @@
 
 use super::{JobIndex, JobTable, Leader};
 use crate::Team;
-use crate::resources::Resources;
+use crate::resources::{Resources, task_request};
 use cherrywood_sched::MultiLevelQueue;
 use cherrywood_sched::resources::ROUNDING;
 use cherrywood_wire::user::Submission;
@@ -51,6 +51,15 @@
         self.left.cpus >= spec.cpus && self.gpu_task_count(spec) >= 1.0
     }
 
+    /// Whether this many tasks of the submission may run at once.
+    pub(super) fn admits_all(self, spec: &Submission, tasks: u32) -> bool {
+        let all = Resources {
+            memory_gb: 0.0,
+            ..task_request(spec) * f64::from(tasks)
+        };
+        all.fits_in(self.left)
+    }
+
     /// Returns how many of `tasks` the limit on GPUs lets run at once, and subtracts their
     /// GPUs from the headroom.
     pub(super) fn take_gpus(&mut self, spec: &Submission, tasks: f64) -> f64 {
--- a/crates/control/tests/scale_in.rs
+++ b/crates/control/tests/scale_in.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use cherrywood_wire::agent::ExitCause;
-use cherrywood_wire::user::Submission;
+use cherrywood_wire::user::{JobKind, Submission};
 use common::fleet::*;
 use common::*;
 
@@ -143,3 +143,30 @@
     fleet.run(0.0, 30.0);
     assert_eq!(fleet.machines.len(), 0);
 }
+
+/// Guards against a gang that never runs: while it waits for one more machine, some of those that
+/// it needs are emptied, since they have more CPUs than its tasks want.
+#[test]
+fn machines_are_kept_for_a_gang_that_waits_for_more() {
+    let mut fleet = Fleet::new();
+    fleet.exhausted.extend(["a".into(), "b".into()]);
+    for n in 1..=6 {
+        fleet.machines.push(Worker {
+            machine_type: "m32".into(),
+            ..machine(&format!("vm-{n}"), "a")
+        });
+    }
+    let gang = Submission {
+        kind: JobKind::Gang,
+        cpus: 17.0,
+        estimate_s: 300.0,
+        machine_types: Some(vec!["m32".into()]),
+        ..wide_job("wk-000001", 7)
+    };
+    fleet.cluster.submit(&gang, 0.0);
+    fleet.run(0.0, 60.0);
+    assert_eq!((fleet.machines.len(), fleet.running("wk-000001")), (6, 0));
+    fleet.exhausted.clear();
+    fleet.run(60.0, 80.0);
+    assert_eq!((fleet.machines.len(), fleet.running("wk-000001")), (7, 7));
+}
--- a/crates/control/tests/scale_out.rs
+++ b/crates/control/tests/scale_out.rs
@@ -163,6 +163,98 @@
     assert_eq!(fleet.running("wk-000001"), 3);
 }
 
+/// A gang of long tasks on one type of machine.
+fn gang(machine_type: &str, tasks: u32, cpus: f64) -> Submission {
+    Submission {
+        kind: JobKind::Gang,
+        cpus,
+        estimate_s: 300.0,
+        machine_types: Some(vec![machine_type.into()]),
+        ..wide_job("wk-000001", tasks)
+    }
+}
+
+/// Guards against gangs that never run: the machines have as many CPUs as all of their tasks want,
+/// but some of these are of no use to a whole task.
+#[test]
+fn a_gang_gets_machines_for_all_of_its_tasks() {
+    for gang in [gang("m32", 4, 20.0), gang("m32", 8, 12.0)] {
+        let mut fleet = Fleet::new();
+        fleet.cluster.submit(&gang, 0.0);
+        fleet.run(0.0, 10.0);
+        assert_eq!(
+            fleet.running(&gang.id),
+            gang.tasks as usize,
+            "{}",
+            fleet.cluster.leader.summary()
+        );
+        assert_eq!(fleet.machines.len(), 4);
+    }
+}
+
+/// Guards against gangs that never run beside other work, which leaves CPUs free on each machine,
+/// but not enough for one of their tasks.
+#[test]
+fn a_gang_gets_machines_beside_those_with_too_little_room() {
+    let mut fleet = fleet_of_small_machines();
+    let gang = Submission {
+        id: "wk-000002".into(),
+        ..gang("m8", 2, 4.0)
+    };
+    fleet.cluster.submit(&gang, 14.0);
+    fleet.run(14.0, 30.0);
+    assert_eq!(
+        fleet.running("wk-000002"),
+        2,
+        "{}",
+        fleet.cluster.leader.summary()
+    );
+}
+
+/// Guards against gangs that never run: their tasks must be in one zone, while machines were
+/// rented in all zones, each of which has room for a part of them.
+#[test]
+fn a_gang_in_one_zone_gets_its_machines_there() {
+    let single_zone = Submission {
+        single_zone: true,
+        ..gang("m8", 20, 4.0)
+    };
+    let mut fleet = Fleet::new();
+    fleet.cluster.submit(&single_zone, 0.0);
+    fleet.run(0.0, 10.0);
+    assert_eq!(fleet.running("wk-000001"), 20);
+    assert_eq!(fleet.machines.len(), 10);
+    // The cloud has nothing left in the zone that is tried first.
+    let mut fleet = Fleet::new();
+    fleet.exhausted.push("a".into());
+    fleet.cluster.submit(&single_zone, 0.0);
+    fleet.run(0.0, 10.0);
+    assert_eq!(fleet.running("wk-000001"), 20);
+    assert!(fleet.machines.iter().all(|machine| machine.zone == "b"));
+}
+
+/// Guards against gangs that never run: at most half of their tasks may be in one zone, and the
+/// machines of one zone have room for more than that.
+#[test]
+fn a_gang_over_two_zones_gets_machines_in_both() {
+    let mut fleet = Fleet::new();
+    for n in 1..=3 {
+        fleet.machines.push(Worker::new(&format!("vm-{n}")));
+    }
+    let spread = Submission {
+        spread_over_zones: true,
+        ..gang("m8", 6, 4.0)
+    };
+    fleet.cluster.submit(&spread, 0.0);
+    fleet.run(0.0, 10.0);
+    assert_eq!(
+        fleet.running("wk-000001"),
+        6,
+        "{}",
+        fleet.cluster.leader.summary()
+    );
+}
+
 /// Guards against an array that runs a few tasks at a time: they must be in one zone, while room in
 /// other zones counts as room for them.
 #[test]
--- a/crates/limits/src/autoscaler.rs
+++ b/crates/limits/src/autoscaler.rs
@@ -47,6 +47,10 @@
 /// enough that its rent is justified.
 pub const BEST_EFFORT_HOLD_AVERAGE_S: f64 = 60.0;
 
+/// Number of machines after which a pass of the autoscaler examines no more for gangs: the cost
+/// of a pass must not grow with gangs times machines.
+pub const GANG_MACHINES_EXAMINED_MAX: usize = 50_000;
+
 /// Seconds between two passes of the autoscaler.
 pub const AUTOSCALER_INTERVAL_S: f64 = 1.0;
 
