Examine no machine for a job that none may run

What callers saw: nothing yet; a thousand jobs bound to a zone without machines had each of 4,000 machines with room examined, in each pass.

Cause: the search of the best machine looked at all candidates for each pending job.

Change: the largest rooms on the candidates are kept by instance pool for a pass; a job that finds none in its pools needs no search.

--- a/crates/control/src/leader/autoscaler/room.rs
+++ b/crates/control/src/leader/autoscaler/room.rs
@@ -2,32 +2,13 @@
 //! like that of the machines.
 
 use crate::leader::instance_pools::PoolCatalog;
+use crate::leader::largest_rooms::LargestRooms;
 use crate::leader::{Leader, Machine};
 use crate::resources::{Resources, machine_capacity};
 use cherrywood_sched::provisioning::OccupiedCpus;
 use cherrywood_wire::user::JobKind;
 use std::ops::AddAssign;
 
-/// The largest amounts of room on any machine: each is exceeded by no other one in all resources.
-#[derive(Debug, Clone, Default)]
-pub(super) struct LargestRooms(Vec<Resources>);
-
-impl LargestRooms {
-    /// Adds the room on a machine.
-    pub(super) fn add(&mut self, room: Resources) {
-        if self.0.iter().any(|larger| room.fits_in(*larger)) {
-            return;
-        }
-        self.0.retain(|smaller| !smaller.fits_in(room));
-        self.0.push(room);
-    }
-
-    /// Whether a machine has room for the request.
-    pub(super) fn has_room_for(&self, request: Resources) -> bool {
-        self.0.iter().any(|room| request.fits_in(*room))
-    }
-}
-
 /// The machines of one pool that are to stay, up or booting.
 #[derive(Debug, Clone, Default)]
 pub(super) struct PoolRoom {
--- a/crates/control/src/leader/autoscaler/scale_in.rs
+++ b/crates/control/src/leader/autoscaler/scale_in.rs
@@ -4,9 +4,10 @@
 
 use super::DemandAverages;
 use super::demand::{FleetDemand, PoolDemand};
-use super::room::{FleetRoom, LargestRooms};
+use super::room::FleetRoom;
 use super::scale_out::has_headroom;
 use crate::leader::instance_pools::{PoolSet, PoolSets, UsablePools};
+use crate::leader::largest_rooms::LargestRooms;
 use crate::leader::scheduler::zone_task_limit;
 use crate::leader::{Job, Leader, Machine};
 use crate::resources::{Resources, machine_capacity, task_request};
--- a/crates/control/src/leader/instance_pools.rs
+++ b/crates/control/src/leader/instance_pools.rs
@@ -98,7 +98,8 @@
 /// All pools from which machines can be rented.
 #[derive(Debug)]
 pub(super) struct PoolCatalog<'a> {
-    machine_types: &'a [MachineType],
+    /// The machine types that the cloud offers.
+    pub(super) machine_types: &'a [MachineType],
     pools: Vec<PoolEntry<'a>>,
     by_name: FxHashMap<(&'a str, &'a str, bool), usize>,
 }
@@ -271,6 +272,11 @@
         usable
     }
 
+    /// Returns all sets, by their numbers.
+    pub(super) fn into_sets(self) -> Vec<PoolSet> {
+        self.sets
+    }
+
     /// Returns the set of this number.
     pub(super) fn get(&self, index: usize) -> &PoolSet {
         &self.sets[index]
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -36,6 +36,7 @@
 mod job_batch;
 mod job_table;
 mod jobs;
+mod largest_rooms;
 mod ledger;
 mod machine;
 mod machine_placements;
--- a/crates/control/src/leader/scheduler/candidates.rs
+++ b/crates/control/src/leader/scheduler/candidates.rs
@@ -1,6 +1,8 @@
 //! The machines that accept work in one pass, and their free resources.
 
 use crate::Settings;
+use crate::leader::instance_pools::{PoolCatalog, PoolSet};
+use crate::leader::largest_rooms::LargestRooms;
 use crate::leader::{CachedImage, Job, Machine};
 use crate::resources::{Resources, machine_capacity};
 use cherrywood_sched::resources::ROUNDING;
@@ -16,8 +18,7 @@
     pub(super) name: &'a str,
     pub(super) machine: &'a mut Machine,
     pub(super) machine_type: &'a MachineType,
-    /// Its instance pool; None before best-effort work is served, or if the cloud offers its type
-    /// there no more.
+    /// Its instance pool; None if the cloud offers its type there no more.
     pub(super) pool: Option<usize>,
     /// Resources that the machine's placements leave free, those of this pass included.
     pub(super) free: Resources,
@@ -29,6 +30,7 @@
 /// request, in the order of their names.
 pub(super) fn candidate_machines<'a>(
     machines: &'a mut BTreeMap<String, Machine>,
+    catalog: &PoolCatalog<'a>,
     machine_types: &'a [MachineType],
     settings: &Settings,
     smallest_request: Resources,
@@ -50,13 +52,14 @@
         if !smallest_request.fits_in(free) {
             continue;
         }
+        let pool = catalog.pool_of(machine);
         let images = machine.cached_images.iter();
         let fetches_done_at = images.map(|image| image.ready_at).fold(now, f64::max);
         candidates.push(CandidateMachine {
             name,
             machine,
             machine_type,
-            pool: None,
+            pool,
             free,
             fetches_done_at,
         });
@@ -64,6 +67,38 @@
     candidates
 }
 
+/// The largest rooms on the candidates at the start of a pass, by pool. Room only shrinks during
+/// a pass, so a job that finds none here needs no look at each candidate.
+pub(super) struct CandidateRooms {
+    by_pool: Vec<LargestRooms>,
+    /// The rooms on machines of no pool.
+    others: LargestRooms,
+}
+
+impl CandidateRooms {
+    /// Returns the rooms on these candidates, of a number of pools.
+    pub(super) fn of(candidates: &[CandidateMachine], pool_count: usize) -> CandidateRooms {
+        let mut rooms = CandidateRooms {
+            by_pool: vec![LargestRooms::default(); pool_count],
+            others: LargestRooms::default(),
+        };
+        for candidate in candidates {
+            let of_pool = match candidate.pool {
+                Some(pool) => &mut rooms.by_pool[pool],
+                None => &mut rooms.others,
+            };
+            of_pool.add(candidate.free);
+        }
+        rooms
+    }
+
+    /// Whether a candidate may have had room for the request, which may use these pools.
+    pub(super) fn may_have(&self, request: Resources, pools: &PoolSet) -> bool {
+        let mut of_pools = pools.iter().map(|pool| &self.by_pool[pool]);
+        of_pools.any(|rooms| rooms.has_room_for(request)) || self.others.has_room_for(request)
+    }
+}
+
 impl CandidateMachine<'_> {
     /// Returns the seconds until the job's image can be on the machine: 0 if it is cached.
     pub(super) fn image_wait_s(&self, job: &Job, now: f64) -> f64 {
--- a/crates/control/src/leader/scheduler/gangs.rs
+++ b/crates/control/src/leader/scheduler/gangs.rs
@@ -58,7 +58,10 @@
     fn gang_room(&self, pending: &PendingJob) -> Option<GangRoom> {
         let job = self.jobs.get(&pending.job)?;
         let missing = job.remaining_tasks();
-        if self.quota_task_count(pending, QuotaBound::Limit) < missing {
+        let pools = &self.pool_sets[pending.pool_set];
+        if self.quota_task_count(pending, QuotaBound::Limit) < missing
+            || !self.rooms.may_have(pending.request, pools)
+        {
             return None;
         }
         let room_by_zone = self.room_by_zone(job, missing);
--- a/crates/control/src/leader/scheduler/groups.rs
+++ b/crates/control/src/leader/scheduler/groups.rs
@@ -193,8 +193,13 @@
         {
             return cached.choice;
         }
-        *self.machines_examined += self.candidates.len() as u64;
-        let choice = self.cheapest_machine(job, pending_job, zone);
+        let pools = &self.pool_sets[pending_job.pool_set];
+        let choice = if self.rooms.may_have(pending_job.request, pools) {
+            *self.machines_examined += self.candidates.len() as u64;
+            self.cheapest_machine(job, pending_job, zone)
+        } else {
+            None
+        };
         self.pending[pending].best_machine = Some(CachedMachineChoice {
             room_version: self.room_version,
             choice,
--- a/crates/control/src/leader/scheduler/mod.rs
+++ b/crates/control/src/leader/scheduler/mod.rs
@@ -12,6 +12,7 @@
 //! some room. Work that still finds no room may then preempt best-effort tasks
 //! ([`super::preemption`]).
 
+use super::instance_pools::PoolCatalog;
 use super::{Job, Leader};
 use crate::resources::Resources;
 use cherrywood_admission::TenantClassId;
@@ -33,7 +34,7 @@
 pub(super) use constraints::{machine_allowed, pool_allowed, zone_task_limit};
 pub(super) use pending::expected_run_s;
 
-use candidates::candidate_machines;
+use candidates::{CandidateRooms, candidate_machines};
 use pass::{PlacementPass, ServingMode};
 use reservation::Reservation;
 
@@ -151,8 +152,10 @@
             .iter()
             .map(|team| self.quota_used(&team.name))
             .collect();
+        let catalog = PoolCatalog::new(&self.machine_types);
         let candidates = candidate_machines(
             &mut self.machines,
+            &catalog,
             &self.machine_types,
             &self.settings,
             work.smallest_request,
@@ -161,11 +164,13 @@
         let pass = PlacementPass {
             now,
             settings: &self.settings,
-            machine_types: &self.machine_types,
             queue: &mut self.pending_queue,
             jobs: &mut self.jobs,
             quota_usage: &mut self.quota_usage,
+            rooms: CandidateRooms::of(&candidates, catalog.len()),
+            catalog,
             candidates,
+            pool_sets: work.pool_sets,
             pending: work.jobs,
             positions: work.positions,
             used_by_team,
@@ -181,7 +186,6 @@
             room_version: 0,
             mode: ServingMode::default(),
             reservation: Reservation::default(),
-            pool_count: 0,
             machines_examined: &mut self.scheduler.machines_examined,
         };
         let credit_cpus = self.scheduler.under_served_credit_cpus;
--- a/crates/control/src/leader/scheduler/pass.rs
+++ b/crates/control/src/leader/scheduler/pass.rs
@@ -1,11 +1,12 @@
 //! One pass over the pending queue: the parts of the leader's state that it uses, and its
 //! quota checks.
 
-use super::candidates::CandidateMachine;
+use super::candidates::{CandidateMachine, CandidateRooms};
 use super::pending::{PendingJob, PositionLink, PriorityBand};
 use super::reservation::Reservation;
 use super::{ImageFetches, PassOutcome};
 use crate::Settings;
+use crate::leader::instance_pools::{PoolCatalog, PoolSet};
 use crate::leader::quota_headroom::{
     PendingDemand, QuotaHeadroom, guarantee_of, limit_of, prioritized_pending,
 };
@@ -14,7 +15,6 @@
 use cherrywood_admission::TenantClassId;
 use cherrywood_sched::MultiLevelQueue;
 use cherrywood_sched::queue::Selection;
-use cherrywood_wire::cloud::MachineType;
 use std::collections::BTreeSet;
 
 /// The bound of its team's quota up to which work is placed.
@@ -44,12 +44,16 @@
 pub(super) struct PlacementPass<'a> {
     pub(super) now: f64,
     pub(super) settings: &'a Settings,
-    pub(super) machine_types: &'a [MachineType],
+    pub(super) catalog: PoolCatalog<'a>,
     pub(super) queue: &'a mut MultiLevelQueue<JobIndex>,
     pub(super) jobs: &'a mut JobTable,
     pub(super) quota_usage: &'a mut QuotaUsage,
     /// Machines that still have room.
     pub(super) candidates: Vec<CandidateMachine<'a>>,
+    /// Their largest rooms at the start of the pass.
+    pub(super) rooms: CandidateRooms,
+    /// The distinct sets of pools that pending jobs may use.
+    pub(super) pool_sets: Vec<PoolSet>,
     pub(super) pending: Vec<PendingJob>,
     pub(super) positions: Vec<PositionLink>,
     /// For each team, in the order of the settings, the resources that its tasks use, those of
@@ -71,8 +75,6 @@
     pub(super) mode: ServingMode,
     /// Room that best-effort work leaves free; none before it is served.
     pub(super) reservation: Reservation,
-    /// Number of instance pools; 0 before best-effort work is served.
-    pub(super) pool_count: usize,
     /// Machines examined in all passes: a measure of the cost of placement.
     pub(super) machines_examined: &'a mut u64,
 }
--- a/crates/control/src/leader/scheduler/pending.rs
+++ b/crates/control/src/leader/scheduler/pending.rs
@@ -1,5 +1,6 @@
 //! All pending work, collected from the queue for one pass.
 
+use crate::leader::instance_pools::{PoolSet, PoolSets};
 use crate::leader::{Job, JobIndex, Leader, ObjectiveKind};
 use crate::resources::{Resources, task_request};
 use cherrywood_admission::TenantClassId;
@@ -19,6 +20,10 @@
     pub(super) priority: Priority,
     pub(super) tenant_class: TenantClassId,
     pub(super) best_effort: bool,
+    /// Index in `PendingWork::pool_sets` of the pools whose machines its tasks may use.
+    pub(super) pool_set: usize,
+    /// Resources that each task requests.
+    pub(super) request: Resources,
     /// Resources that each task counts against the team's quota: CPUs and GPUs.
     pub(super) quota_request: Resources,
     /// Expected run time of a task, s.
@@ -88,6 +93,8 @@
     pub(super) bands: Vec<PriorityBand>,
     /// The positions of all ranges, linked for each job.
     pub(super) positions: Vec<PositionLink>,
+    /// The distinct sets of pools that the jobs may use.
+    pub(super) pool_sets: Vec<PoolSet>,
     /// The smallest CPUs, GPUs and memory that any pending task requests: a machine with
     /// less free needs no examination.
     pub(super) smallest_request: Resources,
@@ -145,6 +152,7 @@
     leader: &'a Leader,
     now: f64,
     work: PendingWork,
+    sets: PoolSets<'a>,
     index_by_job: FxHashMap<JobIndex, usize>,
     run_times_by_key: FxHashMap<u64, RunTimes>,
     /// For each job, the last of its positions collected so far.
@@ -183,6 +191,8 @@
             priority: job.effective_priority,
             tenant_class: job.tenant_class,
             best_effort: job.best_effort,
+            pool_set: self.sets.usable_by(job).set,
+            request,
             quota_request: Resources {
                 memory_gb: 0.0,
                 ..request
@@ -241,8 +251,10 @@
                 jobs: Vec::new(),
                 bands: Vec::new(),
                 positions: Vec::new(),
+                pool_sets: Vec::new(),
                 smallest_request: Resources::INFINITE,
             },
+            sets: PoolSets::new(&self.machine_types),
             index_by_job: FxHashMap::default(),
             run_times_by_key: FxHashMap::default(),
             last_position: Vec::new(),
@@ -253,6 +265,7 @@
             }
         }
         let mut work = collector.work;
+        work.pool_sets = collector.sets.into_sets();
         work.bands.sort_unstable_by_key(|band| band.priority);
         work
     }
--- a/crates/control/src/leader/scheduler/reservation.rs
+++ b/crates/control/src/leader/scheduler/reservation.rs
@@ -75,12 +75,8 @@
     /// any machines.
     pub(super) fn reserve_for_prioritized_work(&mut self, extra_cpus: f64) {
         let jobs = &*self.jobs;
-        let mut sets = PoolSets::new(self.machine_types);
+        let mut sets = PoolSets::new(self.catalog.machine_types);
         let work = group_by_pools(&self.prioritized_pending(), jobs, &mut sets);
-        for candidate in &mut self.candidates {
-            candidate.pool = sets.catalog.pool_of(candidate.machine);
-        }
-        self.pool_count = sets.catalog.len();
         self.reservation = Reservation::new(work, self.free_by_pool());
         self.mode = ServingMode {
             reserved_cpus: extra_cpus + self.reservation.cpus(),
@@ -101,7 +97,7 @@
 
     /// Returns the CPUs that are free on the candidates of each pool.
     fn free_by_pool(&self) -> Vec<f64> {
-        let mut free_by_pool = vec![0.0; self.pool_count];
+        let mut free_by_pool = vec![0.0; self.catalog.len()];
         for candidate in &self.candidates {
             if let Some(pool) = candidate.pool {
                 free_by_pool[pool] += candidate.free.cpus;
--- a/crates/control/tests/size.rs
+++ b/crates/control/tests/size.rs
@@ -263,3 +263,25 @@
         leader.summary()
     );
 }
+
+/// Guards against passes that cost jobs times machines: a thousand jobs that no machine may run
+/// each had all of 4,000 machines examined.
+#[test]
+fn jobs_that_no_machine_may_run_cost_no_look_at_every_machine() {
+    const JOBS: usize = 1_000;
+    let mut store = Store::default();
+    let mut leader = store.elect(1, 0.0);
+    exchange_all_heartbeats(&mut leader, &mut fleet(MACHINES), "n1", 1.0);
+    for id in 0..JOBS {
+        let elsewhere = Submission {
+            zone: Some("b".into()),
+            cpus: 1.0 + id as f64 / 1000.0,
+            ..numbered_job(id, 1)
+        };
+        submit(&mut leader, &mut store, &elsewhere, 1.5);
+    }
+    leader.place_pending(2.0);
+    assert!(leader.placements_held().is_empty());
+    let examined = leader.machines_examined();
+    assert!(examined <= (JOBS + MACHINES) as u64, "{examined} examined");
+}
