Admission: work that no machine may run is no load

What callers saw: 429 beside idle machines, while a job waited for machines of a zone in which the cloud has no more.

Cause: backlog and demand of all work were compared with the CPUs of all machines, also of work that none of them may run.

Change: work whose instance pools have no machine counts neither as backlog nor as a lack of machines.

--- a/crates/control/src/leader/admitting.rs
+++ b/crates/control/src/leader/admitting.rs
@@ -1,6 +1,8 @@
 //! The leader's inputs to admission control: expected work, backlog and the fleet's
 //! throughput; and the tenant classes that are under-served.
 
+use super::autoscaler::FleetDemand;
+use super::instance_pools::PoolSets;
 use super::*;
 use cherrywood_admission::TeamQuota;
 use cherrywood_admission::under_served::{ClassService, under_served};
@@ -9,6 +11,14 @@
 };
 use limits::admission as bounds;
 
+/// The expected work of pending and placed tasks by tenant class, CPU-seconds.
+#[derive(Debug, Default)]
+struct Backlog {
+    all_cpu_s: BTreeMap<TenantClassId, f64>,
+    /// The part of it that is best effort.
+    best_effort_cpu_s: BTreeMap<TenantClassId, f64>,
+}
+
 impl Leader {
     /// Returns the expected CPU seconds of a whole job.
     pub(super) fn expected_work(&self, spec: &Submission) -> f64 {
@@ -65,25 +75,10 @@
         self.admission
             .record_capacity(up, now - self.capacity_sampled_at, is_saturated);
         self.capacity_sampled_at = now;
-        let mut backlog: BTreeMap<TenantClassId, f64> = BTreeMap::new();
-        let mut best_effort_backlog: BTreeMap<TenantClassId, f64> = BTreeMap::new();
-        for job in self
-            .jobs
-            .values()
-            .filter(|j| !j.awaiting_dependencies && j.spec.kind != JobKind::Service)
-        {
-            let run_s = self.expected_run_s(job);
-            // Placed tasks are assumed to be half done on average.
-            let tasks = f64::from(job.remaining_tasks()) + f64::from(job.placement_count) / 2.0;
-            let work = tasks * job.spec.cpus * run_s;
-            *backlog.entry(job.tenant_class).or_default() += work;
-            if job.best_effort {
-                *best_effort_backlog.entry(job.tenant_class).or_default() += work;
-            }
-        }
         let demand = self.fleet_demand();
+        let backlog = self.backlog(&demand);
         let lacks_cpus = demand.has_pending()
-            && demand.total.all.wanted_cpus(limits::SPOT_BACKLOG_DRAIN_S) > up + booting;
+            && demand.servable.wanted_cpus(limits::SPOT_BACKLOG_DRAIN_S) > up + booting;
         let cloud_full = lacks_cpus
             && (self.admission.at_capacity()
                 || now - self.autoscaler.last_growth_at() > bounds::CLOUD_FULL_AFTER_S);
@@ -109,8 +104,8 @@
                     weight: policy.weights.get(&t.name).copied().unwrap_or(1.0),
                 })
                 .collect(),
-            backlog_cpu_s: backlog,
-            best_effort_backlog_cpu_s: best_effort_backlog,
+            backlog_cpu_s: backlog.all_cpu_s,
+            best_effort_backlog_cpu_s: backlog.best_effort_cpu_s,
             completion_targets_s: self
                 .admission
                 .map_classes(|class| self.class_completion_target_s(class)),
@@ -123,6 +118,32 @@
         }
     }
 
+    /// Returns the expected work of all jobs but services. Work that no existing machine may run is
+    /// no load of the machines, so it must not keep other work from them.
+    fn backlog(&self, demand: &FleetDemand) -> Backlog {
+        let mut sets = PoolSets::new(&self.machine_types);
+        let mut backlog = Backlog::default();
+        for job in self.jobs.values() {
+            if job.awaiting_dependencies || job.spec.kind == JobKind::Service {
+                continue;
+            }
+            let set = sets.usable_by(job).set;
+            let pending_tasks = match demand.is_servable(sets.get(set)) {
+                true => f64::from(job.remaining_tasks()),
+                false => 0.0,
+            };
+            // Placed tasks are assumed to be half done on average.
+            let tasks = pending_tasks + f64::from(job.placement_count) / 2.0;
+            let work_cpu_s = tasks * job.spec.cpus * self.expected_run_s(job);
+            *backlog.all_cpu_s.entry(job.tenant_class).or_default() += work_cpu_s;
+            if job.best_effort {
+                let best_effort = backlog.best_effort_cpu_s.entry(job.tenant_class);
+                *best_effort.or_default() += work_cpu_s;
+            }
+        }
+        backlog
+    }
+
     /// Returns the tenant classes that got less than their share, the least served first.
     pub(super) fn under_served_classes(&self, now: f64) -> Vec<TenantClassId> {
         if !self.settings.policy.admission.floors {
--- a/crates/control/src/leader/autoscaler/demand.rs
+++ b/crates/control/src/leader/autoscaler/demand.rs
@@ -74,6 +74,8 @@
 pub(in crate::leader) struct FleetDemand {
     /// All work.
     pub(in crate::leader) total: WorkDemand,
+    /// The work that existing machines may run; all work if there are none.
+    pub(in crate::leader) servable: CpuDemand,
     /// The pending work by the pools that it may use: a set of pools is after all of its subsets.
     pub(super) by_pools: Vec<PoolDemand>,
     /// The room of each pool.
@@ -85,6 +87,12 @@
     pub(in crate::leader) fn has_pending(&self) -> bool {
         !self.by_pools.is_empty()
     }
+
+    /// Whether work that may use these pools can be run by existing machines, or there are none at
+    /// all.
+    pub(in crate::leader) fn is_servable(&self, pools: &PoolSet) -> bool {
+        self.room.is_servable(pools)
+    }
 }
 
 /// Demand while it is being collected.
@@ -98,6 +106,7 @@
     pending_sets: HashSet<usize>,
     room: FleetRoom,
     total: WorkDemand,
+    servable: CpuDemand,
 }
 
 impl<'a> Collector<'a> {
@@ -106,6 +115,7 @@
         let sets = PoolSets::new(&leader.machine_types);
         Collector {
             total: WorkDemand::none(&headroom),
+            servable: WorkDemand::none(&headroom).all,
             room: leader.fleet_room(&sets.catalog),
             demand_by_set: BTreeMap::new(),
             pending_sets: HashSet::new(),
@@ -127,8 +137,9 @@
         for machine in self.leader.machines.values() {
             let pool = self.sets.catalog.pool_of(machine);
             let capacity = pool.map(|pool| machine_capacity(self.sets.catalog.machine_type(pool)));
-            self.total
-                .add_placed(machine.occupied(capacity.unwrap_or_default()));
+            let occupied = machine.occupied(capacity.unwrap_or_default());
+            self.total.add_placed(occupied);
+            self.servable.placed += occupied.all;
             if !machine.stays() {
                 self.add_leaving(machine);
             }
@@ -182,6 +193,9 @@
                     self.demand_of(usable.set).add_pending(job, team, tasks);
                 }
                 self.total.add_pending(job, team, tasks);
+                if self.room.is_servable(self.sets.get(usable.set)) {
+                    add_tasks(&mut self.servable, job, team, tasks);
+                }
                 self.pending_sets.insert(usable.set);
             }
         }
@@ -221,6 +235,7 @@
         by_pools.sort_by(|a, b| a.pools.cmp_by_size(&b.pools));
         FleetDemand {
             total: collector.total,
+            servable: collector.servable,
             by_pools,
             room: collector.room,
         }
--- a/crates/control/src/leader/autoscaler/mod.rs
+++ b/crates/control/src/leader/autoscaler/mod.rs
@@ -14,6 +14,7 @@
 use super::{CloudCall, Leader};
 use cherrywood_limits as limits;
 use cherrywood_wire::cloud::RentalRequest;
+pub(super) use demand::FleetDemand;
 use demand::PoolDemand;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
--- a/crates/control/src/leader/autoscaler/room.rs
+++ b/crates/control/src/leader/autoscaler/room.rs
@@ -1,7 +1,7 @@
 //! What the machines of each pool have for tasks: counted once for all jobs, whose number grows
 //! like that of the machines.
 
-use crate::leader::instance_pools::PoolCatalog;
+use crate::leader::instance_pools::{PoolCatalog, PoolSet};
 use crate::leader::largest_rooms::LargestRooms;
 use crate::leader::{Leader, Machine};
 use crate::resources::{Resources, machine_capacity};
@@ -55,6 +55,12 @@
         &self.pools[pool]
     }
 
+    /// Whether any machine is in these pools, or there are none at all.
+    pub(super) fn is_servable(&self, pools: &PoolSet) -> bool {
+        pools.iter().any(|pool| self.pools[pool].machines > 0)
+            || self.pools.iter().all(|pool| pool.machines == 0)
+    }
+
     /// Adds the room on a machine that is no longer being drained.
     pub(super) fn add_drained(&mut self, pool: usize, free: Resources) {
         self.pools[pool].free.add(free);
--- a/crates/control/tests/admission.rs
+++ b/crates/control/tests/admission.rs
@@ -270,3 +270,29 @@
         fleet.leader.summary()
     );
 }
+
+/// Guards against users who are refused beside idle machines: work that waits for machines of a
+/// zone in which the cloud has no more counted as a backlog of all machines.
+#[test]
+fn work_that_no_machine_may_run_closes_no_gates_to_other_work() {
+    let mut fleet = Fleet::new(settings(), 2);
+    let bound = Submission {
+        class: "bound".into(),
+        zone: Some("b".into()),
+        estimate_s: 100.0,
+        ..wide_job("wk-900000", 4_000)
+    };
+    submit(&mut fleet.leader, &mut fleet.store, &bound, 0.0);
+    for second in 0..120 {
+        let now = f64::from(second);
+        if second % 4 == 0 {
+            fleet.submit("c", Priority::Normal, 2, now);
+        }
+        fleet.step(now);
+        refuse_all(&mut fleet.leader, now);
+        fleet.leader.publish_admission_table(Vec::new(), now);
+    }
+    assert!(fleet.done("c") >= 20, "{}", fleet.leader.summary());
+    let table = fleet.leader.admission_table();
+    assert_eq!(table.gates, [], "{}", fleet.leader.summary());
+}
