Preempt as many tasks as a whole waiting task needs

What callers saw: urgent work whose task needs much memory waited for good beside best-effort tasks, which were stopped and started without end.

Cause: preemption counted CPUs alone, and the room of the first task that had gone was given to other best-effort work before the last had.

Change: tasks are preempted machine by machine until a waiting task may fit, by CPUs, memory and GPUs; best-effort work isn't placed on a machine from which tasks are being evicted.

Evidence: the new test of preemption.rs failed before (16 tasks stopped in 27 s, the large one not running) and passes now (3 stopped), with all tests of control.

--- a/crates/control/src/leader/preemption.rs
+++ b/crates/control/src/leader/preemption.rs
@@ -39,16 +39,20 @@
         }
     }
 
-    /// Adds the room on a machine: the CPUs that are free, if that may suffice for one of the
-    /// tasks, and those that requested evictions will free.
-    fn add_room(&mut self, pool: usize, machine: &Machine, free: Resources) {
-        if !self.pools.contains(pool) {
-            return;
+    /// Returns the CPUs of a machine that the work may use, with these resources free: none unless
+    /// they may suffice for one of the tasks.
+    fn usable_cpus(&self, free: Resources) -> f64 {
+        match self.least_request.fits_in(free) {
+            true => free.cpus,
+            false => 0.0,
         }
-        if !machine.scaling_in && self.least_request.fits_in(free) {
-            self.room_by_pool[pool] += free.cpus;
+    }
+
+    /// Adds the room on a machine on which these resources are free or about to become free.
+    fn add_room(&mut self, pool: usize, free: Resources) {
+        if self.pools.contains(pool) {
+            self.room_by_pool[pool] += self.usable_cpus(free);
         }
-        self.room_by_pool[pool] += machine.placements.sums().evicting_cpus;
     }
 
     /// Claims room for the work, less what was claimed in each pool before; returns the CPUs that
@@ -68,11 +72,14 @@
 /// A machine with best-effort tasks that may be preempted.
 struct PreemptibleMachine {
     name: String,
+    /// Its instance pool.
     pool: usize,
     /// Whether the machine has the image of a job that lacks room.
     has_wanted_image: bool,
-    /// CPUs of the tasks that may be preempted.
-    preemptible_cpus: f64,
+    /// Resources that are free or about to become free.
+    free: Resources,
+    /// Resources of the tasks that may be preempted.
+    preemptible: Resources,
 }
 
 /// The state of one run of preemption.
@@ -116,9 +123,7 @@
             let missing_cpus = shortage.claim_room(&mut preemption.claimed_by_pool);
             if missing_cpus > 0.0 {
                 self.sort_by_use(&mut preemptible, shortage, now);
-                let machines = preemptible.iter();
-                let usable = machines.filter(|machine| shortage.pools.contains(machine.pool));
-                self.request_evictions(usable, missing_cpus, &mut preemption);
+                self.request_evictions(&mut preemptible, shortage, missing_cpus, &mut preemption);
             }
         }
     }
@@ -142,42 +147,42 @@
         let catalog = PoolCatalog::new(&self.machine_types);
         let mut preemptible = Vec::new();
         for (name, machine) in &self.machines {
-            let is_leaving = machine.cordoned || machine.deleting;
+            let is_leaving = machine.cordoned || machine.deleting || machine.scaling_in;
             let Some(pool) = catalog
                 .pool_of(machine)
                 .filter(|_| machine.up && !is_leaving)
             else {
                 continue;
             };
-            let free = machine_capacity(catalog.machine_type(pool)) - machine.used_resources();
+            let capacity = machine_capacity(catalog.machine_type(pool));
+            let free = capacity - machine.used_resources() + machine.evicting_resources();
             for shortage in shortages.iter_mut() {
-                shortage.add_room(pool, machine, free);
+                shortage.add_room(pool, free);
             }
-            if machine.placements.sums().has_best_effort && !machine.scaling_in {
-                preemptible.extend(self.preemptible_machine(name, machine, pool));
+            let preemptible_tasks = self.preemptible_resources(machine);
+            if preemptible_tasks.cpus > 0.0 {
+                preemptible.push(PreemptibleMachine {
+                    name: name.clone(),
+                    pool,
+                    has_wanted_image: false,
+                    free,
+                    preemptible: preemptible_tasks,
+                });
             }
         }
         preemptible
     }
 
-    /// Returns the machine if best-effort tasks on it may be preempted.
-    fn preemptible_machine(
-        &self,
-        name: &str,
-        machine: &Machine,
-        pool: usize,
-    ) -> Option<PreemptibleMachine> {
-        let placements = machine.placements.iter();
-        let preemptible_cpus: f64 = placements
-            .filter(|placement| is_preemptible(&self.jobs, placement))
-            .map(|placement| placement.cpus)
-            .sum();
-        (preemptible_cpus > 0.0).then(|| PreemptibleMachine {
-            name: name.to_string(),
-            pool,
-            has_wanted_image: false,
-            preemptible_cpus,
-        })
+    /// Returns the resources of the tasks on the machine that may be preempted.
+    fn preemptible_resources(&self, machine: &Machine) -> Resources {
+        let mut preemptible = Resources::ZERO;
+        if machine.placements.sums().has_best_effort {
+            let placements = machine.placements.iter();
+            for placement in placements.filter(|p| is_preemptible(&self.jobs, p)) {
+                preemptible += placement.request();
+            }
+        }
+        preemptible
     }
 
     /// Sorts machines by their use for work that lacks room: those that have an image of its jobs
@@ -191,7 +196,7 @@
         }
         machines.sort_by(|a, b| {
             let by_image = b.has_wanted_image.cmp(&a.has_wanted_image);
-            let by_cpus = b.preemptible_cpus.total_cmp(&a.preemptible_cpus);
+            let by_cpus = b.preemptible.cpus.total_cmp(&a.preemptible.cpus);
             by_image.then(by_cpus).then_with(|| a.name.cmp(&b.name))
         });
     }
@@ -205,34 +210,88 @@
             .collect()
     }
 
-    /// Marks tasks for eviction until their CPUs cover what is missing. Only the CPUs that a team
-    /// uses beyond its guarantee may be taken from it.
-    fn request_evictions<'a>(
+    /// Marks tasks for eviction until the room covers what is missing.
+    fn request_evictions(
         &mut self,
-        machines: impl Iterator<Item = &'a PreemptibleMachine>,
+        machines: &mut [PreemptibleMachine],
+        shortage: &Shortage,
         mut missing_cpus: f64,
         preemption: &mut Preemption,
     ) {
         for preemptible in machines {
-            let Some(machine) = self.machines.get_mut(&preemptible.name) else {
+            let is_useful = shortage.pools.contains(preemptible.pool)
+                && shortage.usable_cpus(preemptible.free + preemptible.preemptible) > 0.0;
+            if !is_useful {
                 continue;
-            };
-            for placement in machine.placements.iter_mut() {
-                if missing_cpus <= 0.0 {
-                    return;
-                }
-                let beyond_guarantee_cpus = &mut preemption.beyond_guarantee_cpus;
-                let Some(beyond_cpus) = beyond_guarantee_cpus.get_mut(&placement.team) else {
-                    continue;
-                };
-                if is_preemptible(&self.jobs, placement) && *beyond_cpus >= placement.cpus {
-                    *beyond_cpus -= placement.cpus;
-                    missing_cpus -= placement.cpus;
-                    // What one eviction frees beyond what is missing is room for other work.
-                    preemption.claimed_by_pool[preemptible.pool] += missing_cpus.min(0.0);
-                    placement.eviction = EvictionState::Pending;
-                }
+            }
+            missing_cpus -= self.evict_on(preemptible, shortage, missing_cpus, preemption);
+            if missing_cpus <= 0.0 {
+                // What evictions free beyond what is missing is room for other work.
+                preemption.claimed_by_pool[preemptible.pool] += missing_cpus;
+                return;
             }
         }
     }
+
+    /// Marks tasks of a machine for eviction until one of the pending tasks may have room there and
+    /// what is missing is covered; returns the CPUs that they make usable. If no pending task can
+    /// get room, none is marked. Only the CPUs that a team uses beyond its guarantee may be taken
+    /// from it.
+    fn evict_on(
+        &mut self,
+        preemptible: &mut PreemptibleMachine,
+        shortage: &Shortage,
+        missing_cpus: f64,
+        preemption: &mut Preemption,
+    ) -> f64 {
+        let Some(machine) = self.machines.get_mut(&preemptible.name) else {
+            return 0.0;
+        };
+        let usable_before_cpus = shortage.usable_cpus(preemptible.free);
+        let mut beyond_guarantee_cpus = preemption.beyond_guarantee_cpus.clone();
+        let mut free = preemptible.free;
+        let mut evicted = Vec::new();
+        for (at, placement) in machine.placements.iter().enumerate() {
+            let usable_cpus = shortage.usable_cpus(free);
+            if usable_cpus > 0.0 && usable_cpus - usable_before_cpus >= missing_cpus {
+                break;
+            }
+            let beyond_cpus = beyond_guarantee_cpus.get_mut(&placement.team);
+            let beyond_cpus = beyond_cpus.filter(|beyond_cpus| **beyond_cpus >= placement.cpus);
+            if let Some(beyond_cpus) = beyond_cpus.filter(|_| is_preemptible(&self.jobs, placement))
+            {
+                *beyond_cpus -= placement.cpus;
+                free += placement.request();
+                evicted.push(at);
+            }
+        }
+        let gained_cpus = shortage.usable_cpus(free) - usable_before_cpus;
+        if gained_cpus > 0.0 {
+            for at in evicted {
+                machine.placements[at].eviction = EvictionState::Pending;
+            }
+            preemptible.free = free;
+            preemption.beyond_guarantee_cpus = beyond_guarantee_cpus;
+        }
+        gained_cpus
+    }
+}
+
+impl Machine {
+    /// Returns the resources of the tasks whose eviction was requested.
+    fn evicting_resources(&self) -> Resources {
+        let mut evicting = Resources::ZERO;
+        if self.placements.sums().evicting_cpus > 0.0 {
+            let placements = self.placements.iter();
+            for placement in placements.filter(|p| p.eviction != EvictionState::NotRequested) {
+                evicting += placement.request();
+            }
+        }
+        evicting
+    }
+
+    /// Whether tasks are being evicted: the room is for the work that they make way for.
+    pub(super) fn is_evicting(&self) -> bool {
+        self.placements.sums().evicting_cpus > 0.0
+    }
 }
--- a/crates/control/src/leader/scheduler/groups.rs
+++ b/crates/control/src/leader/scheduler/groups.rs
@@ -252,6 +252,7 @@
         let failures_there = machine.failures_by_job.get(&spec.id);
         candidate.free.task_count(task_request(spec)) > 0
             && self.reservation.is_open(candidate.pool)
+            && !(job.best_effort && machine.is_evicting())
             && machine_allowed(spec, machine)
             && zone_task_limit(job, &machine.zone) > 0
             && (job.is_suspect() || !failed_there.is_some_and(|at| is_recent(*at)))
--- a/crates/control/tests/preemption.rs
+++ b/crates/control/tests/preemption.rs
@@ -114,6 +114,59 @@
     assert_eq!(sent.collect::<Vec<_>>(), [("vm-1", 2)]);
 }
 
+/// Guards against urgent work that waits for good beside best-effort tasks: as many of these were
+/// stopped as had the CPUs that it wants, too few for its memory, and others started in the room of
+/// the first that ended.
+#[test]
+fn as_many_best_effort_tasks_are_preempted_as_a_large_task_needs() {
+    let mut cluster = TestCluster::new();
+    let mut workers = [Worker::new("vm-1"), Worker::new("vm-2")];
+    let small = Submission {
+        cpus: 1.0,
+        memory_gb: 14.0,
+        ..best_effort_job("wk-000001", 40)
+    };
+    cluster.submit(&small, 0.0);
+    for worker in &mut workers {
+        cluster.heartbeat(worker, "n1", 1.0);
+    }
+    let large = Submission {
+        memory_gb: 40.0,
+        ..wide_job("wk-000002", 1)
+    };
+    cluster.submit(&large, 2.0);
+    let mut stopped = 0;
+    // Each task takes a second longer to save than the one before.
+    let mut saving: Vec<(String, u64, f64)> = Vec::new();
+    for now in (3..30).map(f64::from) {
+        cluster.leader.place_pending(now);
+        let due = cluster.leader.due_direct_commands(now);
+        for due in due.values().flatten() {
+            for command in &due.commands.commands {
+                if let Command::Stop { task, attempt, .. } = command {
+                    stopped += 1;
+                    saving.push((task.clone(), *attempt, now + f64::from(stopped)));
+                }
+            }
+        }
+        for worker in &mut workers {
+            for task in &mut worker.tasks {
+                let is_saved = |saving: &(String, u64, f64)| {
+                    saving.0 == task.task && saving.1 == task.attempt && saving.2 <= now
+                };
+                if task.is_running() && saving.iter().any(is_saved) {
+                    task.exit = Some(ExitCause::Stopped);
+                }
+            }
+            cluster.heartbeat(worker, "n1", now);
+        }
+    }
+    let tasks = workers.iter().flat_map(|worker| &worker.tasks);
+    let large = tasks.filter(|task| task.is_running() && task.task.starts_with("wk-000002"));
+    assert_eq!(large.count(), 1, "{}", cluster.leader.summary());
+    assert_eq!(stopped, 3, "14 GB each, beside 8 GB that are free");
+}
+
 /// Guards against best-effort work that waits beside free machines: the room is kept for work that
 /// is bound to another zone, or whose tasks don't fit on these machines.
 #[test]
