--- a/crates/control/src/leader/autoscaler/mod.rs
+++ b/crates/control/src/leader/autoscaler/mod.rs
@@ -26,6 +26,9 @@
 mod room;
 mod scale_in;
 mod scale_out;
+mod wanted_machines;
+
+use wanted_machines::WantedCpus;
 
 /// A machine type in a zone; its spot and on-demand machines are counted together.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
@@ -207,7 +210,7 @@
             .prioritized
             .wanted_cpus(limits::ON_DEMAND_BACKLOG_DRAIN_S);
         let averages = self.autoscaler.observe_demand(prioritized_cpus, now);
-        let wanted = scale_in::WantedCpus::new(all_cpus, prioritized_cpus, averages);
+        let wanted = WantedCpus::new(all_cpus, prioritized_cpus, averages);
         self.scale_in(wanted, &mut demand, now);
         self.mark_machines_to_delete(now);
         let mut deletions = self.deletion_calls().into_iter();
