--- a/crates/control/src/leader/autoscaler/scale_in.rs
+++ b/crates/control/src/leader/autoscaler/scale_in.rs
@@ -120,6 +120,10 @@
 
     fn resume(&mut self, machine: FleetMachine, plan: &mut ScaleInPlan, room: &mut FleetRoom) {
         self.add_active_cpus(&machine, machine.cpus);
+        info!(
+            machine = machine.name,
+            "scale in: the machine is wanted again, emptying it no more"
+        );
         if let Some(pool) = machine.pool {
             room.add_drained(pool, machine.free);
         }
