Rent for tasks that find only parts of machines free

What callers saw: of 16 tasks of 3 CPUs 12 ran, two on each machine of 8 CPUs; the others waited for their end with machines to be had.

Cause: free CPUs in sum stood for room; two on each machine are of no use to a task of three.

Change: if none of a job's tasks was placed for 10 s, no machine has room for one and their CPUs are free in sum, machines are rented for the job.

Evidence: the new test of scale_out.rs failed before (12 of 16 tasks running) and passes now, with all tests of control.

--- a/crates/control/src/leader/autoscaler/room.rs
+++ b/crates/control/src/leader/autoscaler/room.rs
@@ -55,6 +55,12 @@
         &self.pools[pool]
     }
 
+    /// Returns the CPUs that are free in sum on the machines of these pools.
+    pub(super) fn free_cpus(&self, pools: &PoolSet) -> f64 {
+        let of_pool = |room: &PoolRoom| room.existing_cpus - room.occupied.all.by_cpus;
+        pools.iter().map(|pool| of_pool(&self.pools[pool])).sum()
+    }
+
     /// Whether any machine is in these pools, or there are none at all.
     pub(super) fn is_servable(&self, pools: &PoolSet) -> bool {
         pools.iter().any(|pool| self.pools[pool].machines > 0)
--- a/crates/control/src/leader/autoscaler/scale_out.rs
+++ b/crates/control/src/leader/autoscaler/scale_out.rs
@@ -111,12 +111,19 @@
         let headroom = self.quota_headroom_by_team();
         for (job, usable) in unserved {
             let pools = sets.get(usable.set);
-            let needs_free_room =
-                usable.is_one_per_machine || job.is_placed() && is_bound_to_zones(job);
+            let is_fragmented =
+                is_passed_over(job, now) && plan.room.free_cpus(pools) >= job.spec.cpus;
+            let needs_free_room = usable.is_one_per_machine
+                || is_fragmented
+                || job.is_placed() && is_bound_to_zones(job);
             if has_headroom(job, &headroom)
                 && self.is_unplaceable(&plan, job, pools, needs_free_room)
             {
-                rent_for_unplaceable(&mut plan, job, pools);
+                let wanted_cpus = match is_fragmented {
+                    true => self.wanted_cpus_of(job),
+                    false => job.spec.cpus,
+                };
+                rent_for_unplaceable(&mut plan, job, pools, wanted_cpus);
             }
         }
         let orders = plan.orders.into_iter().filter(|order| order.1 > 0);
@@ -183,6 +190,14 @@
             .collect()
     }
 
+    /// Returns the CPUs that finish the job's pending tasks in the time in which backlogs are to be
+    /// worked off, at least those of one task.
+    fn wanted_cpus_of(&self, job: &Job) -> f64 {
+        let all_cpus = f64::from(job.remaining_tasks()) * job.spec.cpus;
+        let share = self.expected_run_s(job) / limits::SPOT_BACKLOG_DRAIN_S;
+        (all_cpus * share.min(1.0)).max(job.spec.cpus)
+    }
+
     /// Whether no machine could run a task of the job: now, if it needs room that is free now, or
     /// else when other tasks end.
     fn is_unplaceable(
@@ -263,11 +278,11 @@
     ordered_cpus
 }
 
-/// Rents a machine for a job that no existing machine could run.
-fn rent_for_unplaceable(plan: &mut RentalPlan, job: &Job, pools: &PoolSet) {
+/// Rents machines for the CPUs that a job wants which no existing machine could run.
+fn rent_for_unplaceable(plan: &mut RentalPlan, job: &Job, pools: &PoolSet, wanted_cpus: f64) {
     let mut offers = plan.offers_in(pools);
     offers.retain(|offer| zone_task_limit(job, &offer.offer.zone) > 0);
-    if order_cheapest(plan, job.spec.cpus, offers) > 0.0 {
+    if order_cheapest(plan, wanted_cpus, offers) > 0.0 {
         info!(
             job = job.spec.id,
             "scale out: no machine there could take the job, renting one"
@@ -275,6 +290,13 @@
     }
 }
 
+/// Whether none of the job's tasks has been placed for a while. If CPUs for them are free in sum,
+/// these are parts of machines that none of them can use.
+fn is_passed_over(job: &Job, now: f64) -> bool {
+    let unserved_since = job.unserved_since();
+    unserved_since.is_some_and(|since| now - since > limits::UNPLACEABLE_JOB_RENT_AFTER_S)
+}
+
 /// Whether tasks of the job that never end determine the zones in which its other tasks may
 /// run. Room in other zones is of no use to the latter: without this check, a service that had
 /// lost its machines in a zone never got new ones there.
--- a/crates/control/tests/scale_out.rs
+++ b/crates/control/tests/scale_out.rs
@@ -139,6 +139,28 @@
     assert_eq!(fleet.machines.len(), 8);
 }
 
+/// Guards against tasks that wait for one another's end beside CPUs that none of them can use: two
+/// fit on each machine, which leaves two of its eight CPUs free.
+#[test]
+fn tasks_that_leave_a_part_of_each_machine_unused_get_machines_for_all() {
+    let mut fleet = Fleet::new();
+    let odd = Submission {
+        cpus: 3.0,
+        estimate_s: 300.0,
+        machine_types: Some(vec!["m8".into()]),
+        ..wide_job("wk-000001", 16)
+    };
+    fleet.cluster.submit(&odd, 0.0);
+    fleet.run(0.0, 30.0);
+    assert_eq!(
+        fleet.running("wk-000001"),
+        16,
+        "{}",
+        fleet.cluster.leader.summary()
+    );
+    assert_eq!(fleet.machines.len(), 8);
+}
+
 /// Guards against a job that never starts beside a service: no machine has room for its task, and
 /// the service, which has the most of each machine, never ends.
 #[test]
