--- a/crates/control/src/leader/autoscaler/scale_out.rs
+++ b/crates/control/src/leader/autoscaler/scale_out.rs
@@ -111,8 +111,9 @@
         let headroom = self.quota_headroom_by_team();
         for (job, usable) in unserved {
             let pools = sets.get(usable.set);
-            let is_fragmented =
-                is_passed_over(job, now) && plan.room.free_cpus(pools) >= job.spec.cpus;
+            let is_fragmented = !job.best_effort
+                && is_passed_over(job, now)
+                && plan.room.free_cpus(pools) >= job.spec.cpus;
             let needs_free_room = usable.is_one_per_machine
                 || is_fragmented
                 || job.is_placed() && is_bound_to_zones(job);
