Place no part of a best-effort gang beside reserved room

What callers saw: nothing yet, the fault came with the reservation by pools: a gang's room was counted without the machines on which room is made by evictions left out, so a part of it could be placed.

Change: the room of a gang and the choice of a machine go by one check.

Evidence: the new test of preemption.rs fails without the check in the count of room (4 of 5 tasks placed) and passes with it.

--- a/crates/control/src/leader/scheduler/gangs.rs
+++ b/crates/control/src/leader/scheduler/gangs.rs
@@ -2,7 +2,7 @@
 
 use super::pass::{PlacementPass, QuotaBound};
 use super::pending::PendingJob;
-use super::{machine_allowed, zone_task_limit};
+use super::zone_task_limit;
 use crate::leader::Job;
 use crate::resources::task_request;
 use std::collections::BTreeMap;
@@ -84,9 +84,7 @@
         let request = task_request(&job.spec);
         let mut room_by_zone: BTreeMap<&str, u32> = BTreeMap::new();
         for candidate in &self.candidates {
-            if self.reservation.is_open(candidate.pool)
-                && machine_allowed(&job.spec, candidate.machine)
-            {
+            if self.may_use(candidate, job) {
                 let room = room_by_zone.entry(&candidate.machine.zone).or_default();
                 let tasks = candidate.free.task_count(request).min(max_per_machine);
                 *room = room.saturating_add(tasks);
--- a/crates/control/src/leader/scheduler/groups.rs
+++ b/crates/control/src/leader/scheduler/groups.rs
@@ -243,6 +243,15 @@
         cheapest.map(|(_, choice)| choice)
     }
 
+    /// Whether tasks of the job may be placed on the machine now, if it has room: that of tasks
+    /// which are being evicted is for the work that they make way for.
+    pub(super) fn may_use(&self, candidate: &CandidateMachine, job: &Job) -> bool {
+        let machine = &*candidate.machine;
+        machine_allowed(&job.spec, machine)
+            && self.reservation.is_open(candidate.pool)
+            && !(job.best_effort && machine.is_evicting())
+    }
+
     /// Whether a task of the job may be placed on the machine and the machine has room for one.
     fn can_place_on(&self, candidate: &CandidateMachine, job: &Job) -> bool {
         let machine = &*candidate.machine;
@@ -251,9 +260,7 @@
         let failed_there = job.failed_on.get(candidate.name);
         let failures_there = machine.failures_by_job.get(&spec.id);
         candidate.free.task_count(task_request(spec)) > 0
-            && self.reservation.is_open(candidate.pool)
-            && !(job.best_effort && machine.is_evicting())
-            && machine_allowed(spec, machine)
+            && self.may_use(candidate, job)
             && zone_task_limit(job, &machine.zone) > 0
             && (job.is_suspect() || !failed_there.is_some_and(|at| is_recent(*at)))
             && !(job.has_succeeded() && failures_there.is_some_and(|f| is_recent(f.last_at)))
--- a/crates/control/tests/preemption.rs
+++ b/crates/control/tests/preemption.rs
@@ -6,7 +6,7 @@
 use cherrywood_control::leader::{AddressedCommands, CloudCall, CommandOutcome};
 use cherrywood_wire::agent::{Command, ExitCause};
 use cherrywood_wire::cloud::MachineType;
-use cherrywood_wire::user::{Priority, Submission};
+use cherrywood_wire::user::{JobKind, Priority, Submission};
 use common::*;
 
 fn best_effort_job(id: &str, tasks: u32) -> Submission {
@@ -232,6 +232,47 @@
     assert_eq!((in_a.running(), in_b.running()), (1, 4));
 }
 
+/// A gang of best-effort tasks is placed whole or not at all, also beside room that is kept for
+/// other work.
+#[test]
+fn a_best_effort_gang_is_not_placed_in_part_beside_reserved_room() {
+    let mut cluster = TestCluster::new();
+    let mut workers = ["a", "b"].map(|zone| Worker {
+        zone: zone.into(),
+        ..Worker::new(&format!("vm-{zone}"))
+    });
+    let bound = |id: &str, cpus: f64| Submission {
+        zone: Some("a".into()),
+        cpus,
+        ..wide_job(id, 1)
+    };
+    cluster.submit(&bound("wk-000001", 2.0), 0.0);
+    for worker in &mut workers {
+        cluster.heartbeat(worker, "n1", 1.0);
+    }
+    // A task of 8 CPUs waits for the machine in zone a, which has 6 free.
+    cluster.submit(&bound("wk-000002", 8.0), 2.0);
+    let gang = Submission {
+        kind: JobKind::Gang,
+        ..best_effort_job("wk-000003", 5)
+    };
+    cluster.submit(&gang, 2.0);
+    for now in [3.0, 4.0] {
+        for worker in &mut workers {
+            cluster.heartbeat(worker, "n1", now);
+        }
+    }
+    assert_eq!(workers.each_ref().map(Worker::running), [1, 0]);
+    cluster.cancel("wk-000002");
+    for now in [5.0, 6.0] {
+        for worker in &mut workers {
+            cluster.heartbeat(worker, "n1", now);
+        }
+    }
+    let running: usize = workers.iter().map(Worker::running).sum();
+    assert_eq!(running, 6, "{}", cluster.leader.summary());
+}
+
 /// A lost stop is sent again; one that the worker is executing is not.
 #[test]
 fn a_lost_preemption_stop_is_sent_again() {
