--- a/crates/control/tests/common/fleet.rs
+++ b/crates/control/tests/common/fleet.rs
@@ -34,13 +34,27 @@
     vec![small, large, gpu]
 }
 
+/// A machine that is up in a zone.
+pub fn in_zone(name: &str, zone: &str) -> Worker {
+    Worker {
+        zone: zone.into(),
+        ..Worker::new(name)
+    }
+}
+
 impl Fleet {
+    /// No machines, and a cloud that has three types of them.
     pub fn new() -> Fleet {
+        Fleet::with(three_types(), Vec::new())
+    }
+
+    /// These machines, and a cloud that has machines of these types.
+    pub fn with(machine_types: Vec<MachineType>, machines: Vec<Worker>) -> Fleet {
         let mut cluster = TestCluster::new();
-        cluster.leader.set_machine_types(three_types());
+        cluster.leader.set_machine_types(machine_types);
         Fleet {
             cluster,
-            machines: Vec::new(),
+            machines,
             exhausted: Vec::new(),
             asked: Vec::new(),
         }
@@ -84,9 +98,24 @@
         }
     }
 
+    /// Number of tasks of the job that run.
     pub fn running(&self, id: &str) -> usize {
         let tasks = self.machines.iter().flat_map(|m| &m.tasks);
-        tasks.filter(|t| t.task.starts_with(id)).count()
+        let running = tasks.filter(|t| t.is_running() && t.task.starts_with(id));
+        running.count()
+    }
+
+    /// Number of tasks that run in the zone.
+    pub fn running_in(&self, zone: &str) -> usize {
+        let here = self.machines.iter().filter(|m| m.zone == zone);
+        here.map(Worker::running).sum()
+    }
+
+    /// Asserts that this many tasks of the job run.
+    #[track_caller]
+    pub fn assert_running(&self, id: &str, tasks: usize) {
+        let summary = self.cluster.leader.summary();
+        assert_eq!(self.running(id), tasks, "tasks of {id}; {summary}");
     }
 }
 
--- a/crates/control/tests/scale_in.rs
+++ b/crates/control/tests/scale_in.rs
@@ -7,14 +7,6 @@
 use common::fleet::*;
 use common::*;
 
-/// A machine that is up in a zone.
-fn machine(name: &str, zone: &str) -> Worker {
-    Worker {
-        zone: zone.into(),
-        ..Worker::new(name)
-    }
-}
-
 /// A job of one long task, on small machines.
 fn long_task(id: &str, cpus: f64) -> Submission {
     Submission {
@@ -31,11 +23,11 @@
 fn fleet_with_a_drained_machine(bound_memory_gb: f64) -> Fleet {
     let mut fleet = Fleet::new();
     fleet.exhausted.push("a".into());
-    fleet.machines.push(machine("vm-1", "a"));
+    fleet.machines.push(in_zone("vm-1", "a"));
     fleet.cluster.submit(&long_task("wk-000001", 1.0), 0.0);
     fleet.cluster.submit(&long_task("wk-000002", 7.0), 0.0);
     fleet.run(0.0, 2.0);
-    fleet.machines.push(machine("vm-2", "a"));
+    fleet.machines.push(in_zone("vm-2", "a"));
     let in_a = Submission {
         zone: Some("a".into()),
         memory_gb: bound_memory_gb,
@@ -43,7 +35,7 @@
     };
     fleet.cluster.submit(&in_a, 2.0);
     fleet.run(2.0, 4.0);
-    fleet.machines.push(machine("vm-3", "b"));
+    fleet.machines.push(in_zone("vm-3", "b"));
     let in_b = Submission {
         zone: Some("b".into()),
         memory_gb: bound_memory_gb,
@@ -69,12 +61,7 @@
     let mut fleet = fleet_with_a_drained_machine(1.0);
     fleet.machines.retain(|machine| machine.name != "vm-2");
     fleet.run(20.0, 60.0);
-    assert_eq!(
-        fleet.running("wk-000003"),
-        1,
-        "{}",
-        fleet.cluster.leader.summary()
-    );
+    fleet.assert_running("wk-000003", 1);
 }
 
 /// Guards against a job that waits beside a machine with memory for it: the machine is being
@@ -89,12 +76,7 @@
     };
     fleet.cluster.submit(&large, 20.0);
     fleet.run(20.0, 45.0);
-    assert_eq!(
-        fleet.running("wk-000005"),
-        1,
-        "{}",
-        fleet.cluster.leader.summary()
-    );
+    fleet.assert_running("wk-000005", 1);
 }
 
 /// Guards against a machine that is emptied although its tasks fit no other machine: they would
@@ -103,11 +85,11 @@
 fn a_machine_is_not_emptied_whose_tasks_fit_no_other_machine() {
     let mut fleet = Fleet::new();
     for n in 1..=8 {
-        fleet.machines.push(machine(&format!("vm-{n}"), "a"));
+        fleet.machines.push(in_zone(&format!("vm-{n}"), "a"));
     }
     fleet.machines.push(Worker {
         machine_type: "m32".into(),
-        ..machine("vm-9", "a")
+        ..in_zone("vm-9", "a")
     });
     let small = Submission {
         cpus: 5.0,
@@ -137,7 +119,7 @@
     let mut fleet = Fleet::new();
     fleet.exhausted.push("a".into());
     for n in 1..=4 {
-        fleet.machines.push(machine(&format!("vm-{n}"), "b"));
+        fleet.machines.push(in_zone(&format!("vm-{n}"), "b"));
     }
     fleet.cluster.submit(&bound("wk-000001", "a", 16), 0.0);
     fleet.run(0.0, 30.0);
@@ -153,7 +135,7 @@
     for n in 1..=6 {
         fleet.machines.push(Worker {
             machine_type: "m32".into(),
-            ..machine(&format!("vm-{n}"), "a")
+            ..in_zone(&format!("vm-{n}"), "a")
         });
     }
     let gang = Submission {
--- a/crates/control/tests/scale_out.rs
+++ b/crates/control/tests/scale_out.rs
@@ -34,7 +34,7 @@
     fleet.cluster.submit(&bound("wk-000001", "a", 2), 0.0);
     fleet.cluster.submit(&wide_job("wk-000002", 4), 0.0);
     fleet.run(0.0, 15.0);
-    assert_eq!(fleet.running("wk-000002"), 4);
+    fleet.assert_running("wk-000002", 4);
     for n in 3..13 {
         let more = Submission {
             estimate_s: 60.0,
@@ -91,18 +91,13 @@
     };
     fleet.cluster.submit(&large, 14.0);
     fleet.run(14.0, 18.0);
-    assert_eq!(fleet.running("wk-000002"), 2);
+    fleet.assert_running("wk-000002", 2);
     // The larger machine is taken back without notice; the next leader doesn't know it.
     fleet.machines.retain(|m| m.machine_type == "m8");
     fleet.cluster.fail_over(2, 18.0);
     fleet.cluster.leader.set_machine_types(three_types());
     fleet.run(18.0, 80.0);
-    assert_eq!(
-        fleet.running("wk-000002"),
-        2,
-        "{}",
-        fleet.cluster.leader.summary()
-    );
+    fleet.assert_running("wk-000002", 2);
 }
 
 /// Guards against jobs that need accelerators and never end beside small machines without any.
@@ -118,7 +113,7 @@
     };
     fleet.cluster.submit(&with_gpus, 14.0);
     fleet.run(14.0, 24.0);
-    assert_eq!(fleet.running("wk-000002"), 6);
+    fleet.assert_running("wk-000002", 6);
     assert_eq!(of_type(&fleet, "g8").count(), 3);
 }
 
@@ -135,7 +130,7 @@
     };
     fleet.cluster.submit(&large, 0.0);
     fleet.run(0.0, 5.0);
-    assert_eq!(fleet.running("wk-000001"), 16);
+    fleet.assert_running("wk-000001", 16);
     assert_eq!(fleet.machines.len(), 8);
 }
 
@@ -152,12 +147,7 @@
     };
     fleet.cluster.submit(&odd, 0.0);
     fleet.run(0.0, 30.0);
-    assert_eq!(
-        fleet.running("wk-000001"),
-        16,
-        "{}",
-        fleet.cluster.leader.summary()
-    );
+    fleet.assert_running("wk-000001", 16);
     assert_eq!(fleet.machines.len(), 8);
 }
 
@@ -181,8 +171,8 @@
     };
     fleet.cluster.submit(&beside, 10.0);
     fleet.run(10.0, 30.0);
-    assert_eq!(fleet.running("wk-000002"), 2);
-    assert_eq!(fleet.running("wk-000001"), 3);
+    fleet.assert_running("wk-000002", 2);
+    fleet.assert_running("wk-000001", 3);
 }
 
 /// A gang of long tasks on one type of machine.
@@ -204,12 +194,7 @@
         let mut fleet = Fleet::new();
         fleet.cluster.submit(&gang, 0.0);
         fleet.run(0.0, 10.0);
-        assert_eq!(
-            fleet.running(&gang.id),
-            gang.tasks as usize,
-            "{}",
-            fleet.cluster.leader.summary()
-        );
+        fleet.assert_running(&gang.id, gang.tasks as usize);
         assert_eq!(fleet.machines.len(), 4);
     }
 }
@@ -225,12 +210,7 @@
     };
     fleet.cluster.submit(&gang, 14.0);
     fleet.run(14.0, 30.0);
-    assert_eq!(
-        fleet.running("wk-000002"),
-        2,
-        "{}",
-        fleet.cluster.leader.summary()
-    );
+    fleet.assert_running("wk-000002", 2);
 }
 
 /// Guards against gangs that never run: their tasks must be in one zone, while machines were
@@ -244,14 +224,14 @@
     let mut fleet = Fleet::new();
     fleet.cluster.submit(&single_zone, 0.0);
     fleet.run(0.0, 10.0);
-    assert_eq!(fleet.running("wk-000001"), 20);
+    fleet.assert_running("wk-000001", 20);
     assert_eq!(fleet.machines.len(), 10);
     // The cloud has nothing left in the zone that is tried first.
     let mut fleet = Fleet::new();
     fleet.exhausted.push("a".into());
     fleet.cluster.submit(&single_zone, 0.0);
     fleet.run(0.0, 10.0);
-    assert_eq!(fleet.running("wk-000001"), 20);
+    fleet.assert_running("wk-000001", 20);
     assert!(fleet.machines.iter().all(|machine| machine.zone == "b"));
 }
 
@@ -269,12 +249,7 @@
     };
     fleet.cluster.submit(&spread, 0.0);
     fleet.run(0.0, 10.0);
-    assert_eq!(
-        fleet.running("wk-000001"),
-        6,
-        "{}",
-        fleet.cluster.leader.summary()
-    );
+    fleet.assert_running("wk-000001", 6);
 }
 
 /// Guards against an array that runs a few tasks at a time: they must be in one zone, while room in
@@ -297,10 +272,5 @@
     };
     fleet.cluster.submit(&single_zone, 0.0);
     fleet.run(0.0, 10.0);
-    assert_eq!(
-        fleet.running("wk-000001"),
-        20,
-        "{}",
-        fleet.cluster.leader.summary()
-    );
+    fleet.assert_running("wk-000001", 20);
 }
--- a/crates/control/tests/zone_constraints.rs
+++ b/crates/control/tests/zone_constraints.rs
@@ -3,68 +3,15 @@
 
 mod common;
 
-use cherrywood_control::leader::CloudCall;
 use cherrywood_wire::user::{JobKind, Submission};
+use common::fleet::*;
 use common::*;
 
-fn in_zone(name: &str, zone: &str) -> Worker {
-    let mut worker = Worker::new(name);
-    worker.zone = zone.into();
-    worker
-}
-
-/// The machines of one service; rented machines are up at once.
-struct Fleet {
-    cluster: TestCluster,
-    machines: Vec<Worker>,
-}
-
-impl Fleet {
-    fn new(zones: &[&str]) -> Fleet {
-        let named = zones.iter().enumerate();
-        let machines = named.map(|(n, z)| in_zone(&format!("vm-{n}"), z)).collect();
-        Fleet {
-            cluster: TestCluster::new(),
-            machines,
-        }
-    }
-
-    fn run(&mut self, from: f64, until: f64) {
-        let mut now = from;
-        while now < until {
-            now += 0.5;
-            for worker in &mut self.machines {
-                self.cluster.heartbeat(worker, "n", now);
-            }
-            for call in self.cluster.leader.autoscale(now) {
-                self.call(call, now);
-            }
-            self.cluster.leader.audit().unwrap();
-        }
-    }
-
-    fn call(&mut self, call: CloudCall, now: f64) {
-        match call {
-            CloudCall::Delete(names) => {
-                self.machines.retain(|m| !names.contains(&m.name));
-                self.cluster.leader.machines_deleted(&names, now);
-            }
-            CloudCall::Rent(rent) => {
-                let names = (0..rent.count).map(|n| format!("vm-{now}-{n}"));
-                let names: Vec<String> = names.collect();
-                let new = names.iter().map(|name| in_zone(name, &rent.zone));
-                self.machines.extend(new);
-                self.cluster
-                    .leader
-                    .rental_answered(&rent, Some(&names), now);
-            }
-        }
-    }
-
-    fn running(&self, zone: &str) -> usize {
-        let here = self.machines.iter().filter(|m| m.zone == zone);
-        here.map(Worker::running).sum()
-    }
+/// Machines in these zones, and a cloud that has more of the same type.
+fn fleet_in(zones: &[&str]) -> Fleet {
+    let named = zones.iter().enumerate();
+    let machines = named.map(|(n, z)| in_zone(&format!("vm-{n}"), z));
+    Fleet::with(machine_types(), machines.collect())
 }
 
 fn replicas(tasks: u32) -> Submission {
@@ -79,7 +26,7 @@
 /// One zone has room for the whole service, of which only half may run there.
 #[test]
 fn a_spread_service_with_room_in_one_zone_rents_a_machine_in_another_zone() {
-    let mut fleet = Fleet::new(&["a", "a"]);
+    let mut fleet = fleet_in(&["a", "a"]);
     let spread = Submission {
         spread_over_zones: true,
         ..replicas(4)
@@ -88,7 +35,7 @@
     fleet.cluster.submit(&spread, 2.0);
     fleet.run(2.0, 92.0);
     assert_eq!(
-        (fleet.running("a"), fleet.running("b")),
+        (fleet.running_in("a"), fleet.running_in("b")),
         (2, 2),
         "{}",
         fleet.cluster.leader.summary()
@@ -98,19 +45,19 @@
 /// A zone's only machine is lost with half of a spread service.
 #[test]
 fn a_spread_service_that_lost_the_machine_of_a_zone_rents_another_there() {
-    let mut fleet = Fleet::new(&["a", "a", "b"]);
+    let mut fleet = fleet_in(&["a", "a", "b"]);
     let spread = Submission {
         spread_over_zones: true,
         ..replicas(4)
     };
     fleet.cluster.submit(&spread, 0.0);
     fleet.run(0.0, 10.0);
-    assert_eq!((fleet.running("a"), fleet.running("b")), (2, 2));
+    assert_eq!((fleet.running_in("a"), fleet.running_in("b")), (2, 2));
     fleet.machines.retain(|m| m.zone == "a");
     fleet.cluster.fail_over(2, 10.0);
     fleet.run(10.0, 100.0);
     assert_eq!(
-        (fleet.running("a"), fleet.running("b")),
+        (fleet.running_in("a"), fleet.running_in("b")),
         (2, 2),
         "{}",
         fleet.cluster.leader.summary()
@@ -120,7 +67,7 @@
 /// A single-zone service loses all but one of its machines while other zones have room.
 #[test]
 fn a_single_zone_service_that_lost_machines_rents_in_its_zone() {
-    let mut fleet = Fleet::new(&["a", "a"]);
+    let mut fleet = fleet_in(&["a", "a"]);
     let together = Submission {
         single_zone: true,
         cpus: 5.0,
@@ -128,14 +75,14 @@
     };
     fleet.cluster.submit(&together, 0.0);
     fleet.run(0.0, 10.0);
-    assert_eq!(fleet.running("a"), 2);
+    assert_eq!(fleet.running_in("a"), 2);
     fleet.machines.truncate(1);
     fleet.machines.push(in_zone("vm-7", "b"));
     fleet.machines.push(in_zone("vm-8", "b"));
     fleet.cluster.fail_over(2, 10.0);
     fleet.run(10.0, 100.0);
     assert_eq!(
-        (fleet.running("a"), fleet.running("b")),
+        (fleet.running_in("a"), fleet.running_in("b")),
         (2, 0),
         "{}",
         fleet.cluster.leader.summary()
