--- a/crates/control/src/leader/autoscaler/demand.rs
+++ b/crates/control/src/leader/autoscaler/demand.rs
@@ -64,9 +64,7 @@
 pub(super) struct PoolDemand {
     /// The pools.
     pub(super) pools: PoolSet,
-    /// The work that may use no other pools and isn't on a machine that stays.
-    pub(super) pending: WorkDemand,
-    /// The same, and all tasks that are on machines of the pools.
+    /// The work that may use no other pools, and all tasks that are on machines of the pools.
     pub(super) demand: WorkDemand,
     /// CPUs of the machines of the pools, up or booting, that are to stay.
     pub(super) existing_cpus: f64,
@@ -206,13 +204,12 @@
     /// Returns the demand for machines of the pools of this set.
     fn pool_demand(&self, set: usize) -> PoolDemand {
         let pools = self.sets.get(set).clone();
-        let mut pending = WorkDemand::none(&self.headroom);
+        let mut demand = WorkDemand::none(&self.headroom);
         for (other, work) in &self.demand_by_set {
             if self.sets.get(*other).is_subset_of(&pools) {
-                pending.add(work);
+                demand.add(work);
             }
         }
-        let mut demand = pending.clone();
         let mut existing_cpus = 0.0;
         for pool in pools.iter() {
             let room = self.room.of(pool);
@@ -221,7 +218,6 @@
         }
         PoolDemand {
             pools,
-            pending,
             demand,
             existing_cpus,
         }
--- a/crates/control/src/leader/autoscaler/scale_in.rs
+++ b/crates/control/src/leader/autoscaler/scale_in.rs
@@ -88,19 +88,21 @@
             self.draining.push(fleet_machine);
             return;
         }
-        self.count_active(&fleet_machine, 1.0);
+        self.add_active_cpus(&fleet_machine, fleet_machine.cpus);
         if self.leader.can_be_drained(machine) {
             self.removable.push(fleet_machine);
         }
     }
 
-    /// Counts the machine as one that accepts work, or as one less.
-    fn count_active(&mut self, machine: &FleetMachine, change: f64) {
+    /// Adds CPUs to those of the machines like this one that accept work.
+    fn add_active_cpus(&mut self, machine: &FleetMachine, cpus: f64) {
         if let Some(pool) = machine.pool {
-            self.active_cpus_by_pool[pool] += machine.cpus * change;
+            self.active_cpus_by_pool[pool] += cpus;
         }
         for wanted in &mut self.wanted {
-            wanted.active_cpus += wanted.cpus_of(machine) * change;
+            if wanted.include(machine) {
+                wanted.active_cpus += cpus;
+            }
         }
     }
 
@@ -117,7 +119,7 @@
     }
 
     fn resume(&mut self, machine: FleetMachine, plan: &mut ScaleInPlan, room: &mut FleetRoom) {
-        self.count_active(&machine, 1.0);
+        self.add_active_cpus(&machine, machine.cpus);
         info!(
             machine = machine.name,
             "scale in: the machine is wanted again, emptying it no more"
@@ -196,7 +198,7 @@
             if !can_spare || !self.fits_elsewhere(&machine, room) {
                 continue;
             }
-            self.count_active(&machine, -1.0);
+            self.add_active_cpus(&machine, -machine.cpus);
             info!(
                 machine = machine.name,
                 wanted_cpus = self.wanted[0].wanted.of(&machine),
@@ -270,14 +272,11 @@
             true => t.spot_price_per_hour.unwrap_or(t.price_per_hour),
             false => t.price_per_hour,
         });
-        let capacity = machine_type.map_or(Resources::ZERO, machine_capacity);
-        let occupied_cpus = machine.occupied(capacity).all.most();
         FleetMachine {
             name: name.to_string(),
             pool,
             cpus,
-            free: capacity - machine.used_resources(),
-            free_cpus: (cpus - occupied_cpus).max(0.0),
+            free: machine_type.map_or(Resources::ZERO, machine_capacity) - machine.used_resources(),
             spot: machine.spot,
             waste: price / cpus.max(MIN_MACHINE_CPUS) * (EMPTY_MACHINE_WASTE - used_share),
         }
--- a/crates/control/src/leader/autoscaler/wanted_machines.rs
+++ b/crates/control/src/leader/autoscaler/wanted_machines.rs
@@ -32,13 +32,12 @@
         }
     }
 
-    /// Returns the free CPUs that pending work which may use no other pools wants of the machines
-    /// of some pools.
+    /// Returns the CPUs that work which may use no other pools wants of the machines of some pools.
     pub(super) fn in_pools(wanted: &PoolDemand) -> WantedCpus {
         let drain_s = limits::ON_DEMAND_BACKLOG_DRAIN_S;
         WantedCpus {
-            spot: wanted.pending.all.wanted_cpus(drain_s),
-            on_demand: wanted.pending.prioritized.wanted_cpus(drain_s),
+            spot: wanted.demand.all.wanted_cpus(drain_s),
+            on_demand: wanted.demand.prioritized.wanted_cpus(drain_s),
         }
     }
 
@@ -71,8 +70,6 @@
     pub(super) pool: Option<usize>,
     pub(super) cpus: f64,
     pub(super) free: Resources,
-    /// The CPUs that its tasks leave free, by the resource of which they leave least.
-    pub(super) free_cpus: f64,
     pub(super) spot: bool,
     /// The machine's price per CPU, weighted by the share of the machine that is unused.
     pub(super) waste: f64,
@@ -84,13 +81,10 @@
     }
 }
 
-/// CPUs of some machines, and the CPUs for which they are kept: of all machines for all work, or the
-/// free ones of the machines of some pools for pending work that may use no others. Tasks on those
-/// machines may be able to use others, so their CPUs don't count there.
+/// CPUs of some machines, and the CPUs for which they are kept.
 pub(super) struct WantedMachines {
     /// The pools of the machines; None stands for all machines.
     pools: Option<PoolSet>,
-    /// CPUs of the machines that accept work.
     pub(super) active_cpus: f64,
     pub(super) wanted: WantedCpus,
 }
@@ -104,29 +98,24 @@
         }
     }
 
-    /// Returns the CPUs with which the machine counts here.
-    pub(super) fn cpus_of(&self, machine: &FleetMachine) -> f64 {
-        match &self.pools {
-            None => machine.cpus,
-            Some(pools) if machine.is_in(pools) => machine.free_cpus,
-            Some(_) => 0.0,
-        }
+    pub(super) fn include(&self, machine: &FleetMachine) -> bool {
+        let pools = self.pools.as_ref();
+        pools.is_none_or(|pools| machine.is_in(pools))
     }
 
     /// Whether more machines like this one are wanted.
     pub(super) fn lack(&self, machine: &FleetMachine) -> bool {
-        self.cpus_of(machine) > 0.0 && self.active_cpus < self.wanted.of(machine)
+        self.include(machine) && self.active_cpus < self.wanted.of(machine)
     }
 
     /// Whether the others suffice without this machine, with some CPUs to spare.
     pub(super) fn can_spare(&self, machine: &FleetMachine) -> bool {
-        let cpus = self.cpus_of(machine);
         let spare_share = if machine.spot {
             limits::DRAIN_SPOT_SPARE_SHARE
         } else {
             limits::DRAIN_ON_DEMAND_SPARE_SHARE
         };
-        let wanted_cpus = self.wanted.of(machine) * (1.0 + spare_share);
-        cpus <= 0.0 || self.active_cpus - cpus >= wanted_cpus
+        let others_cpus = self.active_cpus - machine.cpus;
+        !self.include(machine) || others_cpus >= self.wanted.of(machine) * (1.0 + spare_share)
     }
 }
